Add the messages between duty threads and the deployment aggregate

Cause: modules built side by side need one definition of what crosses their borders. Conclusion: the modules can be built in parallel.

--- /dev/null
+++ b/src/vanilladeck/config/deployment.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "vanilladeck/core/rank.h"
+
+/// The checked content of a deployment text.
+namespace vanilladeck::config {
+
+enum class SchedulerKind : std::uint8_t { kStrict, kWeightedFair, kDeadline };
+
+inline constexpr std::array<std::string_view, 3> kSchedulerNames{"strict", "weighted_fair",
+                                                                 "deadline"};
+
+/// How a deployment weighs its ranks and servicing.
+struct Policy {
+  SchedulerKind scheduler = SchedulerKind::kWeightedFair;
+  std::uint32_t queue_limit = 200;  ///< Waiting requests per rank and service.
+  double retry_budget = 0.1;        ///< Retries per first attempt.
+  std::chrono::seconds drain_timeout{20};
+};
+
+struct RankTargets {
+  std::chrono::milliseconds target{0};
+  double worth = 1;
+  double floor = 0;  ///< Share of capacity that no other rank can take, 0 to 1.
+};
+
+struct Region {
+  std::string name;
+  std::vector<std::string> client_blocks;  ///< CIDR prefixes, IPv4 or IPv6.
+};
+
+struct FailureDomain {
+  std::string name;
+  std::string region;
+  std::uint32_t seats = 1;  ///< Entry instances that share the slots of the domain's servers.
+};
+
+/// Directed link between two regions.
+struct Link {
+  std::string from;
+  std::string to;
+  double capacity_mbps = 0;
+  double shift_cap_rps = 0;  ///< Most requests a second that may be moved this way.
+  std::uint32_t shift_cap_inflight = 0;
+};
+
+/// A service's backend servers in one failure domain (a site).
+struct Place {
+  std::string failure_domain;
+  std::uint32_t servers = 0;
+  std::uint32_t slots = 0;        ///< Concurrent requests per server.
+  std::uint32_t connections = 0;  ///< Connections per server.
+};
+
+struct Service {
+  std::string name;
+  std::vector<std::string> depends_on;
+  core::Rank default_rank = core::Rank::kNormal;
+  std::vector<Place> places;
+};
+
+struct Deployment {
+  std::string name;
+  std::chrono::seconds record_retention{900};
+  std::chrono::seconds lookup_ttl{5};
+  Policy policy;
+  core::PerRank<RankTargets> ranks;
+  std::vector<Region> regions;
+  std::vector<FailureDomain> failure_domains;
+  std::vector<Link> links;
+  std::vector<Service> services;
+};
+
+}  // namespace vanilladeck::config
--- /dev/null
+++ b/src/vanilladeck/daemon/messages.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "vanilladeck/config/deployment.h"
+#include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/operations/claim.h"
+#include "vanilladeck/peer/forward.h"
+#include "vanilladeck/store/request.h"
+
+/// Messages between the duty threads of the daemon; each travels in a `core::Mailbox`.
+namespace vanilladeck::daemon {
+
+/// An entry instance that callers or other instances can use.
+struct EntryInstance {
+  core::InstanceId id;         ///< Address of the peers' listener and incarnation.
+  std::string caller_address;  ///< "IP:port" of the callers' listener.
+  std::string failure_domain;
+  std::string region;
+  bool leaving = false;
+};
+
+/// What the serving thread needs to decide; immutable, replaced as a whole.
+struct Snapshot {
+  std::uint64_t config_version = 0;  ///< 0: no configuration in force, nothing is served.
+  std::shared_ptr<const config::Deployment> deployment;
+  std::vector<store::ListedInstance> backend_servers;
+  std::vector<EntryInstance> entry_instances;  ///< Includes this instance.
+  /// Seats of the own failure domain whose share of the slots this instance may use.
+  std::vector<std::uint32_t> seats;
+  /// Steady time in nanoseconds until which `seats` holds; checked before each dispatch.
+  std::int64_t seats_valid_until_ns = 0;
+};
+
+// Serving thread to control thread. `id` pairs an answer with its question.
+struct ClaimAsked {
+  std::uint64_t id = 0;
+  operations::ClaimRequest request;
+};
+struct CompleteAsked {
+  std::uint64_t id = 0;
+  operations::CompleteRequest request;
+};
+struct ForwardAsked {
+  std::uint64_t id = 0;
+  core::InstanceId target;
+  peer::ForwardRequest request;
+};
+/// Answers `ForwardArrived`.
+struct ForwardServed {
+  std::uint64_t id = 0;
+  peer::ForwardReply reply;
+};
+/// The serving thread has finished its last request during a graceful shutdown.
+struct Drained {};
+using ToControl = std::variant<ClaimAsked, CompleteAsked, ForwardAsked, ForwardServed, Drained>;
+
+// Control thread to serving thread.
+struct SnapshotChanged {
+  std::shared_ptr<const Snapshot> snapshot;
+};
+struct ClaimAnswered {
+  std::uint64_t id = 0;
+  operations::ClaimReply reply;
+};
+struct CompleteAnswered {
+  std::uint64_t id = 0;
+  operations::CompleteReply reply;
+};
+struct ForwardAnswered {
+  std::uint64_t id = 0;
+  peer::ForwardReply reply;
+};
+/// A peer forwarded a request to this instance.
+struct ForwardArrived {
+  std::uint64_t id = 0;
+  peer::ForwardRequest request;
+};
+/// The peer gave up on a forwarded request.
+struct ForwardCancelled {
+  std::uint64_t id = 0;
+};
+/// Starts the graceful shutdown of the serving thread.
+struct DrainRequested {};
+using ToServing = std::variant<SnapshotChanged, ClaimAnswered, CompleteAnswered, ForwardAnswered,
+                               ForwardArrived, ForwardCancelled, DrainRequested>;
+
+}  // namespace vanilladeck::daemon
