--- /dev/null
+++ b/src/vanilladeck/store/impl/base64.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace vanilladeck::store::impl {
+
+/// Decodes padded base64; empty when `text` is malformed.
+[[nodiscard]] std::optional<std::string> DecodeBase64(std::string_view text);
+
+}  // namespace vanilladeck::store::impl
