--- a/tests/standins/common/http_server.h
+++ b/tests/standins/common/http_server.h
@@ -90,9 +90,10 @@
   }
 
   HttpServer(asio::io_context& context, Handler handler)
-      : acceptor_(context), handler_(std::move(handler)) {}
+      : context_(context), acceptor_(context), handler_(std::move(handler)) {}
 
   [[nodiscard]] const tcp::endpoint& endpoint() const { return endpoint_; }
+  [[nodiscard]] asio::io_context::executor_type executor() const { return context_.get_executor(); }
   [[nodiscard]] std::size_t connections() const { return sockets_.size(); }
   [[nodiscard]] std::uint64_t last_connection_id() const { return next_id_; }
   void set_connection_limit(std::size_t limit) { connection_limit_ = limit; }
@@ -202,6 +203,7 @@
                                asio::as_tuple(asio::use_awaitable));
   }
 
+  asio::io_context& context_;
   tcp::acceptor acceptor_;
   Handler handler_;
   tcp::endpoint endpoint_;
