--- a/src/vanilladeck/daemon/messages.h
+++ b/src/vanilladeck/daemon/messages.h
@@ -9,6 +9,7 @@
 #include "vanilladeck/config/deployment.h"
 #include "vanilladeck/core/instance_id.h"
 #include "vanilladeck/operations/claim.h"
+#include "vanilladeck/peer/credit.h"
 #include "vanilladeck/peer/forward.h"
 #include "vanilladeck/store/request.h"
 
@@ -55,9 +56,21 @@
   std::uint64_t id = 0;
   peer::ForwardReply reply;
 };
+/// Asks `target` for credits to forward requests.
+struct CreditsAsked {
+  std::uint64_t id = 0;
+  core::InstanceId target;
+  peer::CreditRequest request;
+};
+/// Answers `CreditsArrived`.
+struct CreditsServed {
+  std::uint64_t id = 0;
+  peer::CreditGrant grant;
+};
 /// The serving thread has finished its last request during a graceful shutdown.
 struct Drained {};
-using ToControl = std::variant<ClaimAsked, CompleteAsked, ForwardAsked, ForwardServed, Drained>;
+using ToControl = std::variant<ClaimAsked, CompleteAsked, ForwardAsked, ForwardServed, CreditsAsked,
+                               CreditsServed, Drained>;
 
 // Control thread to serving thread.
 struct SnapshotChanged {
@@ -84,9 +97,20 @@
 struct ForwardCancelled {
   std::uint64_t id = 0;
 };
+/// Answers `CreditsAsked`; a count of zero when the peer refused or could not be reached.
+struct CreditsAnswered {
+  std::uint64_t id = 0;
+  peer::CreditGrant grant;
+};
+/// A peer asks this instance for credits.
+struct CreditsArrived {
+  std::uint64_t id = 0;
+  peer::CreditRequest request;
+};
 /// Starts the graceful shutdown of the serving thread.
 struct DrainRequested {};
-using ToServing = std::variant<SnapshotChanged, ClaimAnswered, CompleteAnswered, ForwardAnswered,
-                               ForwardArrived, ForwardCancelled, DrainRequested>;
+using ToServing =
+    std::variant<SnapshotChanged, ClaimAnswered, CompleteAnswered, ForwardAnswered, ForwardArrived,
+                 ForwardCancelled, CreditsAnswered, CreditsArrived, DrainRequested>;
 
 }  // namespace vanilladeck::daemon
