Add peer RPC and the membership view

Cause: daemons need heartbeats, forwarding, claims and configuration exchange, and a view of each other whose cost does not grow with the fleet. Change: peer::Node (Cap'n Proto on its own thread, eventfd wake-up, typed failures that say whether a call was sent); membership::View (three heartbeats a second, bounded relays, changes relayed first, incarnations, superseded process). Conclusion: base for the control thread.

--- a/src/vanilladeck/membership/member.h
+++ b/src/vanilladeck/membership/member.h
@@ -18,6 +18,7 @@
   bool leaving = false;
   std::uint64_t config_version = 0;
   std::string config_hash;
+  bool gone = false;  ///< Relayed only: its failure domain took it for dead at `sequence`.
   std::vector<std::uint32_t> seats;  ///< Seats of its failure domain that it holds.
   std::vector<std::string> shards;   ///< Shards of operation records that it owns.
 };
--- /dev/null
+++ b/src/vanilladeck/peer/call.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/core/result.h"
+#include "vanilladeck/membership/member.h"
+#include "vanilladeck/operations/claim.h"
+#include "vanilladeck/peer/credit.h"
+#include "vanilladeck/peer/forward.h"
+
+/// Calls between daemons, independent of their encoding.
+namespace vanilladeck::peer {
+
+/// Asks for the configuration records after a version.
+struct FetchVersions {
+  std::string deployment;
+  std::uint64_t after = 0;
+};
+
+/// Hands over configuration records, oldest first.
+struct OfferVersions {
+  std::string deployment;
+  std::vector<std::string> records;
+};
+
+/// Asks whether the peer knows no newer holder of a seat than `holder`.
+struct ConfirmSeat {
+  std::string failure_domain;
+  std::uint32_t seat = 0;
+  core::InstanceId holder;
+};
+
+using Call = std::variant<membership::Heartbeat, ForwardRequest, operations::ClaimRequest,
+                          operations::CompleteRequest, CreditRequest, FetchVersions, OfferVersions,
+                          ConfirmSeat>;
+
+struct Versions {
+  std::vector<std::string> records;
+};
+
+struct VersionHeld {
+  std::uint64_t version = 0;
+};
+
+struct SeatConfirmed {
+  bool confirmed = false;
+};
+
+/// Answers, in the order of the alternatives of `Call`.
+using Answer =
+    std::variant<membership::Heartbeat, ForwardReply, operations::ClaimReply,
+                 operations::CompleteReply, CreditGrant, Versions, VersionHeld, SeatConfirmed>;
+
+enum class CallErrorCode : std::uint8_t {
+  kUnreachable,     ///< No connection; the call was not sent.
+  kRejected,        ///< The peer was overloaded and did nothing.
+  kOutcomeUnknown,  ///< The call was sent, no answer came in time.
+};
+
+inline constexpr std::array<std::string_view, 3> kCallErrorNames{"unreachable", "rejected",
+                                                                 "outcome-unknown"};
+
+struct CallError {
+  CallErrorCode code = CallErrorCode::kUnreachable;
+  std::string address;
+};
+
+using CallResult = core::Result<Answer, CallError>;
+
+}  // namespace vanilladeck::peer
--- /dev/null
+++ b/src/vanilladeck/peer/impl/client.cc
@@ -0,0 +1,125 @@
+#include "vanilladeck/peer/impl/client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "vanilladeck/peer/impl/wire.h"
+
+namespace vanilladeck::peer::impl {
+namespace {
+
+/// A TCP connection inside one deployment opens within a round trip; a longer wait means that the
+/// peer or the path to it is gone.
+constexpr kj::Duration kConnectTimeout = 500 * kj::MILLISECONDS;
+
+/// Starts the call that matches each alternative and decodes its answer.
+struct Sender {
+  wire::Peer::Client peer;
+
+  kj::Promise<Answer> operator()(const membership::Heartbeat& call) {
+    auto request = peer.heartbeatRequest();
+    Encode(call, request.initOwn());
+    return request.send().then([](auto&& reply) -> Answer { return Decode(reply.getPeer()); });
+  }
+  kj::Promise<Answer> operator()(const ForwardRequest& call) {
+    auto request = peer.forwardRequest();
+    Encode(call, request.initRequest());
+    return request.send().then([](auto&& reply) -> Answer { return Decode(reply.getReply()); });
+  }
+  kj::Promise<Answer> operator()(const operations::ClaimRequest& call) {
+    auto request = peer.claimRequest();
+    Encode(call, request.initRequest());
+    return request.send().then([](auto&& reply) -> Answer { return Decode(reply.getReply()); });
+  }
+  kj::Promise<Answer> operator()(const operations::CompleteRequest& call) {
+    auto request = peer.completeRequest();
+    Encode(call, request.initRequest());
+    return request.send().then(
+        [](auto&& reply) -> Answer { return operations::CompleteReply{reply.getRecorded()}; });
+  }
+  kj::Promise<Answer> operator()(const CreditRequest& call) {
+    auto request = peer.creditsRequest();
+    Encode(call, request.initRequest());
+    return request.send().then([](auto&& reply) -> Answer { return Decode(reply.getGrant()); });
+  }
+  kj::Promise<Answer> operator()(const FetchVersions& call) {
+    auto request = peer.fetchVersionsRequest();
+    request.setDeployment(call.deployment);
+    request.setAfter(call.after);
+    return request.send().then(
+        [](auto&& reply) -> Answer { return Versions{Decode(reply.getRecords())}; });
+  }
+  kj::Promise<Answer> operator()(const OfferVersions& call) {
+    auto request = peer.offerVersionsRequest();
+    request.setDeployment(call.deployment);
+    Encode(call.records, request.initRecords(static_cast<unsigned>(call.records.size())));
+    return request.send().then(
+        [](auto&& reply) -> Answer { return VersionHeld{reply.getVersion()}; });
+  }
+  kj::Promise<Answer> operator()(const ConfirmSeat& call) {
+    auto request = peer.confirmSeatRequest();
+    request.setFailureDomain(call.failure_domain);
+    request.setSeat(call.seat);
+    Encode(call.holder, request.initHolder());
+    return request.send().then(
+        [](auto&& reply) -> Answer { return SeatConfirmed{reply.getConfirmed()}; });
+  }
+};
+
+kj::Duration ToKj(core::Duration duration) { return duration.count() * kj::NANOSECONDS; }
+
+}  // namespace
+
+Connection::Connection(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting)
+    : open_(connecting
+                .then([this](kj::Own<kj::AsyncIoStream> stream) {
+                  transport_ = kj::heap<Transport>(kj::mv(stream));
+                  disconnected_ = transport_->client.onDisconnect()
+                                      .then([this] { MarkBroken(); })
+                                      .eagerlyEvaluate([this](kj::Exception&&) { MarkBroken(); });
+                })
+                .fork()) {}
+
+wire::Peer::Client Connection::Peer() {
+  return transport_->client.bootstrap().castAs<wire::Peer>();
+}
+
+kj::Own<Connection> Client::Connect(const std::string& address) {
+  auto it = connections_.find(address);
+  if (it != connections_.end() && !it->second->broken()) return kj::addRef(*it->second);
+  auto connecting = provider_.getNetwork().parseAddress(address).then(
+      [](kj::Own<kj::NetworkAddress> parsed) { return parsed->connect().attach(kj::mv(parsed)); });
+  auto connection = kj::refcounted<Connection>(
+      provider_.getTimer().timeoutAfter(kConnectTimeout, kj::mv(connecting)));
+  auto reference = kj::addRef(*connection);
+  connections_.insert_or_assign(address, kj::mv(connection));
+  return reference;
+}
+
+kj::Promise<CallResult> Client::Send(const std::string& address, Call call,
+                                     core::Duration timeout) {
+  auto connection = Connect(address);
+  Connection& used = *connection;
+  auto sent = kj::heap<bool>(false);
+  bool& was_sent = *sent;
+  auto answer = used.WhenOpen().then([&used, &was_sent, call = std::move(call)] {
+    was_sent = true;
+    return std::visit(Sender{used.Peer()}, call);
+  });
+  return provider_.getTimer()
+      .timeoutAfter(ToKj(timeout), kj::mv(answer))
+      .then([](Answer received) -> CallResult { return received; },
+            [&used, &was_sent, address](kj::Exception&& error) -> CallResult {
+              // kj reports a local timeout as OVERLOADED, too; only a remote one is a refusal.
+              if (was_sent && error.getType() == kj::Exception::Type::OVERLOADED &&
+                  error.getDescription().startsWith("remote exception")) {
+                return CallError{CallErrorCode::kRejected, address};
+              }
+              used.MarkBroken();
+              return CallError{
+                  was_sent ? CallErrorCode::kOutcomeUnknown : CallErrorCode::kUnreachable, address};
+            })
+      .attach(kj::mv(sent), kj::mv(connection));
+}
+
+}  // namespace vanilladeck::peer::impl
--- /dev/null
+++ b/src/vanilladeck/peer/impl/server.cc
@@ -0,0 +1,104 @@
+#include "vanilladeck/peer/impl/server.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+#include "vanilladeck/peer/impl/wire.h"
+
+namespace vanilladeck::peer::impl {
+namespace {
+
+std::string Text(capnp::Text::Reader from) { return {from.begin(), from.size()}; }
+
+unsigned Size(const std::vector<std::string>& list) { return static_cast<unsigned>(list.size()); }
+
+}  // namespace
+
+kj::Promise<Answer> PendingCalls::Ask(Call call) {
+  const std::uint64_t id = next_id_++;
+  auto paf = kj::newPromiseAndFulfiller<Answer>();
+  if (!sink_(Incoming{id, std::move(call)})) {
+    return KJ_EXCEPTION(OVERLOADED, "too many calls wait for an answer");
+  }
+  waiting_.emplace(id, kj::mv(paf.fulfiller));
+  // A dropped promise means that the peer has cancelled the call or lost its connection.
+  return paf.promise.attach(kj::defer([this, id] { Forget(id); }));
+}
+
+void PendingCalls::Fulfill(std::uint64_t id, Answer answer) {
+  auto it = waiting_.find(id);
+  if (it == waiting_.end()) return;
+  auto fulfiller = kj::mv(it->second);
+  waiting_.erase(it);
+  fulfiller->fulfill(kj::mv(answer));
+}
+
+void PendingCalls::Forget(std::uint64_t id) {
+  if (waiting_.erase(id) == 0) return;
+  (void)sink_(Abandoned{id});
+}
+
+kj::Promise<void> Server::heartbeat(HeartbeatContext context) {
+  return pending_.Ask(Decode(context.getParams().getOwn())).then([context](Answer answer) mutable {
+    Encode(std::get<membership::Heartbeat>(answer), context.getResults().initPeer());
+  });
+}
+
+kj::Promise<void> Server::forward(ForwardContext context) {
+  auto request = Decode(context.getParams().getRequest());
+  context.allowCancellation();
+  return pending_.Ask(std::move(request)).then([context](Answer answer) mutable {
+    Encode(std::get<ForwardReply>(answer), context.getResults().initReply());
+  });
+}
+
+kj::Promise<void> Server::claim(ClaimContext context) {
+  return pending_.Ask(Decode(context.getParams().getRequest()))
+      .then([context](Answer answer) mutable {
+        Encode(std::get<operations::ClaimReply>(answer), context.getResults().initReply());
+      });
+}
+
+kj::Promise<void> Server::complete(CompleteContext context) {
+  return pending_.Ask(Decode(context.getParams().getRequest()))
+      .then([context](Answer answer) mutable {
+        context.getResults().setRecorded(std::get<operations::CompleteReply>(answer).recorded);
+      });
+}
+
+kj::Promise<void> Server::credits(CreditsContext context) {
+  return pending_.Ask(Decode(context.getParams().getRequest()))
+      .then([context](Answer answer) mutable {
+        Encode(std::get<CreditGrant>(answer), context.getResults().initGrant());
+      });
+}
+
+kj::Promise<void> Server::fetchVersions(FetchVersionsContext context) {
+  auto params = context.getParams();
+  return pending_.Ask(FetchVersions{Text(params.getDeployment()), params.getAfter()})
+      .then([context](Answer answer) mutable {
+        const auto& records = std::get<Versions>(answer).records;
+        Encode(records, context.getResults().initRecords(Size(records)));
+      });
+}
+
+kj::Promise<void> Server::offerVersions(OfferVersionsContext context) {
+  auto params = context.getParams();
+  return pending_.Ask(OfferVersions{Text(params.getDeployment()), Decode(params.getRecords())})
+      .then([context](Answer answer) mutable {
+        context.getResults().setVersion(std::get<VersionHeld>(answer).version);
+      });
+}
+
+kj::Promise<void> Server::confirmSeat(ConfirmSeatContext context) {
+  auto params = context.getParams();
+  return pending_
+      .Ask(ConfirmSeat{Text(params.getFailureDomain()), params.getSeat(),
+                       Decode(params.getHolder())})
+      .then([context](Answer answer) mutable {
+        context.getResults().setConfirmed(std::get<SeatConfirmed>(answer).confirmed);
+      });
+}
+
+}  // namespace vanilladeck::peer::impl
--- /dev/null
+++ b/src/vanilladeck/peer/impl/server.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <kj/async.h>
+
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+
+#include "vanilladeck/peer/node.h"
+#include "vanilladeck/peer/peer.capnp.h"
+
+namespace vanilladeck::peer::impl {
+
+/// Calls of peers that wait for an answer of this daemon. Used on the peers' thread only.
+class PendingCalls {
+ public:
+  explicit PendingCalls(Node::Sink sink) : sink_(std::move(sink)) {}
+
+  /// Hands the call to the sink. Throws kj's OVERLOADED when the sink is full: nothing was done.
+  [[nodiscard]] kj::Promise<Answer> Ask(Call call);
+
+  /// Answers a call; an id that nobody waits for any more is ignored.
+  void Fulfill(std::uint64_t id, Answer answer);
+
+ private:
+  void Forget(std::uint64_t id);
+
+  Node::Sink sink_;
+  std::uint64_t next_id_ = 1;
+  std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<Answer>>> waiting_;
+};
+
+/// Decodes the calls of peers and encodes the answers.
+class Server final : public wire::Peer::Server {
+ public:
+  explicit Server(PendingCalls& pending) : pending_(pending) {}
+
+  kj::Promise<void> heartbeat(HeartbeatContext context) override;
+  kj::Promise<void> forward(ForwardContext context) override;
+  kj::Promise<void> claim(ClaimContext context) override;
+  kj::Promise<void> complete(CompleteContext context) override;
+  kj::Promise<void> credits(CreditsContext context) override;
+  kj::Promise<void> fetchVersions(FetchVersionsContext context) override;
+  kj::Promise<void> offerVersions(OfferVersionsContext context) override;
+  kj::Promise<void> confirmSeat(ConfirmSeatContext context) override;
+
+ private:
+  PendingCalls& pending_;
+};
+
+}  // namespace vanilladeck::peer::impl
--- a/src/vanilladeck/peer/peer.capnp
+++ b/src/vanilladeck/peer/peer.capnp
@@ -20,6 +20,7 @@
   configHash @7 :Text;
   seats @8 :List(UInt32);
   shards @9 :List(Text);
+  gone @10 :Bool;
 }
 
 struct Heartbeat {
--- a/src/vanilladeck/peer/peer.capnp.h
+++ b/src/vanilladeck/peer/peer.capnp.h
@@ -649,6 +649,8 @@
   inline bool hasShards() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getShards() const;
 
+  inline bool getGone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -733,6 +735,9 @@
   inline void adoptShards(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownShards();
 
+  inline bool getGone();
+  inline void setGone(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3634,6 +3639,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool Member::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Member::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasDeployment() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
