--- a/src/vanilladeck/daemon/messages.h
+++ b/src/vanilladeck/daemon/messages.h
@@ -35,6 +35,10 @@
   std::vector<std::uint32_t> seats;
   /// Steady time in nanoseconds until which `seats` holds; checked before each dispatch.
   std::int64_t seats_valid_until_ns = 0;
+  /// Shard of operation records named in the keys that lookup responses hand out, and the salt of
+  /// their client digests; see `operations::OperationKey::Issue`.
+  std::string operations_shard;
+  std::string operations_salt;
 };
 
 // Serving thread to control thread. `id` pairs an answer with its question.
--- a/src/vanilladeck/peer/call.h
+++ b/src/vanilladeck/peer/call.h
@@ -29,16 +29,27 @@
   std::vector<std::string> records;
 };
 
-/// Asks whether the peer knows no newer holder of a seat than `holder`.
-struct ConfirmSeat {
+/// A claim to a seat of a failure domain; a higher term is a newer claim.
+struct SeatClaim {
   std::string failure_domain;
   std::uint32_t seat = 0;
   core::InstanceId holder;
+  std::uint64_t term = 0;
+};
+
+/// Asks whether the peer knows no newer holder of the seat.
+struct ConfirmSeat {
+  SeatClaim claim;
+};
+
+/// Tells the peer of a claim; the answer is its acknowledgement.
+struct AnnounceSeat {
+  SeatClaim claim;
 };
 
 using Call = std::variant<membership::Heartbeat, ForwardRequest, operations::ClaimRequest,
                           operations::CompleteRequest, CreditRequest, FetchVersions, OfferVersions,
-                          ConfirmSeat>;
+                          ConfirmSeat, AnnounceSeat>;
 
 struct Versions {
   std::vector<std::string> records;
@@ -52,10 +63,12 @@
   bool confirmed = false;
 };
 
+struct SeatNoted {};
+
 /// Answers, in the order of the alternatives of `Call`.
-using Answer =
-    std::variant<membership::Heartbeat, ForwardReply, operations::ClaimReply,
-                 operations::CompleteReply, CreditGrant, Versions, VersionHeld, SeatConfirmed>;
+using Answer = std::variant<membership::Heartbeat, ForwardReply, operations::ClaimReply,
+                            operations::CompleteReply, CreditGrant, Versions, VersionHeld,
+                            SeatConfirmed, SeatNoted>;
 
 enum class CallErrorCode : std::uint8_t {
   kUnreachable,     ///< No connection; the call was not sent.
--- a/src/vanilladeck/peer/impl/client.cc
+++ b/src/vanilladeck/peer/impl/client.cc
@@ -58,12 +58,15 @@
   }
   kj::Promise<Answer> operator()(const ConfirmSeat& call) {
     auto request = peer.confirmSeatRequest();
-    request.setFailureDomain(call.failure_domain);
-    request.setSeat(call.seat);
-    Encode(call.holder, request.initHolder());
+    Encode(call.claim, request.initClaim());
     return request.send().then(
         [](auto&& reply) -> Answer { return SeatConfirmed{reply.getConfirmed()}; });
   }
+  kj::Promise<Answer> operator()(const AnnounceSeat& call) {
+    auto request = peer.announceSeatRequest();
+    Encode(call.claim, request.initClaim());
+    return request.send().then([](auto&&) -> Answer { return SeatNoted{}; });
+  }
 };
 
 kj::Duration ToKj(core::Duration duration) { return duration.count() * kj::NANOSECONDS; }
--- a/src/vanilladeck/peer/impl/server.cc
+++ b/src/vanilladeck/peer/impl/server.cc
@@ -92,13 +92,14 @@
 }
 
 kj::Promise<void> Server::confirmSeat(ConfirmSeatContext context) {
-  auto params = context.getParams();
-  return pending_
-      .Ask(ConfirmSeat{Text(params.getFailureDomain()), params.getSeat(),
-                       Decode(params.getHolder())})
+  return pending_.Ask(ConfirmSeat{Decode(context.getParams().getClaim())})
       .then([context](Answer answer) mutable {
         context.getResults().setConfirmed(std::get<SeatConfirmed>(answer).confirmed);
       });
 }
 
+kj::Promise<void> Server::announceSeat(AnnounceSeatContext context) {
+  return pending_.Ask(AnnounceSeat{Decode(context.getParams().getClaim())}).ignoreResult();
+}
+
 }  // namespace vanilladeck::peer::impl
--- a/src/vanilladeck/peer/impl/server.h
+++ b/src/vanilladeck/peer/impl/server.h
@@ -43,6 +43,7 @@
   kj::Promise<void> fetchVersions(FetchVersionsContext context) override;
   kj::Promise<void> offerVersions(OfferVersionsContext context) override;
   kj::Promise<void> confirmSeat(ConfirmSeatContext context) override;
+  kj::Promise<void> announceSeat(AnnounceSeatContext context) override;
 
  private:
   PendingCalls& pending_;
--- a/src/vanilladeck/peer/impl/wire.cc
+++ b/src/vanilladeck/peer/impl/wire.cc
@@ -140,6 +140,7 @@
   to.setFingerprint(from.fingerprint);
   to.setRank(static_cast<std::uint8_t>(from.rank));
   Encode(from.holder, to.initHolder());
+  to.setClaimId(from.claim_id);
 }
 
 void Encode(const operations::ClaimReply& from, wire::ClaimReply::Builder to) {
@@ -149,11 +150,19 @@
 void Encode(const operations::CompleteRequest& from, wire::CompleteRequest::Builder to) {
   to.setKey(from.key);
   to.setAttempt(from.attempt);
+  to.setClaimId(from.claim_id);
   Encode(from.holder, to.initHolder());
   to.setOutcome(static_cast<std::uint8_t>(from.outcome));
   EncodeAnswer(from.answer, to.initAnswer());
 }
 
+void Encode(const SeatClaim& from, wire::SeatClaim::Builder to) {
+  to.setFailureDomain(from.failure_domain);
+  to.setSeat(from.seat);
+  Encode(from.holder, to.initHolder());
+  to.setTerm(from.term);
+}
+
 void Encode(const CreditRequest& from, wire::CreditRequest::Builder to) {
   Encode(from.sender, to.initSender());
   to.setFromRegion(from.from_region);
@@ -208,8 +217,13 @@
 }
 
 operations::ClaimRequest Decode(wire::ClaimRequest::Reader from) {
-  return {Text(from.getKey()),         Text(from.getClient()),       Text(from.getService()),
-          Text(from.getFingerprint()), RankFromWire(from.getRank()), Decode(from.getHolder())};
+  return {Text(from.getKey()),
+          Text(from.getClient()),
+          Text(from.getService()),
+          Text(from.getFingerprint()),
+          RankFromWire(from.getRank()),
+          Decode(from.getHolder()),
+          from.getClaimId()};
 }
 
 operations::ClaimReply Decode(wire::ClaimReply::Reader from) {
@@ -233,8 +247,16 @@
 }
 
 operations::CompleteRequest Decode(wire::CompleteRequest::Reader from) {
-  return {Text(from.getKey()), from.getAttempt(), Decode(from.getHolder()),
-          OutcomeFromWire(from.getOutcome()), DecodeAnswer(from.getAnswer())};
+  return {Text(from.getKey()),
+          from.getAttempt(),
+          from.getClaimId(),
+          Decode(from.getHolder()),
+          OutcomeFromWire(from.getOutcome()),
+          DecodeAnswer(from.getAnswer())};
+}
+
+SeatClaim Decode(wire::SeatClaim::Reader from) {
+  return {Text(from.getFailureDomain()), from.getSeat(), Decode(from.getHolder()), from.getTerm()};
 }
 
 CreditRequest Decode(wire::CreditRequest::Reader from) {
--- a/src/vanilladeck/peer/peer.capnp
+++ b/src/vanilladeck/peer/peer.capnp
@@ -69,6 +69,7 @@
   fingerprint @3 :Text;
   rank @4 :UInt8;
   holder @5 :InstanceId;
+  claimId @6 :UInt64;
 }
 
 struct ClaimReply {
@@ -89,6 +90,7 @@
   holder @2 :InstanceId;
   outcome @3 :UInt8;
   answer @4 :RecordedAnswer;
+  claimId @5 :UInt64;
 }
 
 struct CreditRequest {
@@ -104,6 +106,13 @@
   granter @2 :InstanceId;
 }
 
+struct SeatClaim {
+  failureDomain @0 :Text;
+  seat @1 :UInt32;
+  holder @2 :InstanceId;
+  term @3 :UInt64;
+}
+
 interface Peer {
   heartbeat @0 (own :Heartbeat) -> (peer :Heartbeat);
   forward @1 (request :ForwardRequest) -> (reply :ForwardReply);
@@ -114,5 +123,7 @@
   fetchVersions @5 (deployment :Text, after :UInt64) -> (records :List(Text));
   offerVersions @6 (deployment :Text, records :List(Text)) -> (version :UInt64);
   # Whether the answering peer knows no newer holder of the seat than the one given.
-  confirmSeat @7 (failureDomain :Text, seat :UInt32, holder :InstanceId) -> (confirmed :Bool);
+  confirmSeat @7 (claim :SeatClaim) -> (confirmed :Bool);
+  # Tells of a claim; answered once the peer has noted it.
+  announceSeat @8 (claim :SeatClaim) -> ();
 }
--- a/src/vanilladeck/peer/peer.capnp.h
+++ b/src/vanilladeck/peer/peer.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(ea78bbe6a59a6bc1);
 CAPNP_DECLARE_SCHEMA(d8da15ee342bef48);
 CAPNP_DECLARE_SCHEMA(b7211bc2c1c98009);
+CAPNP_DECLARE_SCHEMA(a0509a31ab3c4555);
 CAPNP_DECLARE_SCHEMA(86e1047edcc26d6c);
 CAPNP_DECLARE_SCHEMA(fa81935346482060);
 CAPNP_DECLARE_SCHEMA(d81fd9e173895313);
@@ -48,6 +49,8 @@
 CAPNP_DECLARE_SCHEMA(ad8a722bb1efce01);
 CAPNP_DECLARE_SCHEMA(8f316a8f3b82b4aa);
 CAPNP_DECLARE_SCHEMA(e082f174b6aeb471);
+CAPNP_DECLARE_SCHEMA(955e31a2012377ea);
+CAPNP_DECLARE_SCHEMA(8c7ee8239cfc1be1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -65,9 +68,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(87a986f3e43ad16a, 1, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -80,9 +83,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(887f532a771464fe, 4, 6)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -95,9 +98,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d26f85282f1a0e60, 0, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -110,9 +113,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fa4785fff89bfff3, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -125,9 +128,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9faaa5358bafc8f2, 1, 8)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -140,9 +143,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b9a774a469bde815, 2, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -155,9 +158,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e7a6782393e1d4c2, 1, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -169,10 +172,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c49ec78a88173f6c, 1, 5)
-    #if !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(c49ec78a88173f6c, 2, 5)
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -182,7 +185,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
+  enum Which : uint16_t {
     GRANTED,
     RECORDED,
     IN_PROGRESS,
@@ -194,9 +197,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fd1ab21c598b6d68, 2, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -208,10 +211,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea78bbe6a59a6bc1, 2, 3)
-    #if !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(ea78bbe6a59a6bc1, 3, 3)
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -224,9 +227,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d8da15ee342bef48, 1, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -239,9 +242,24 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b7211bc2c1c98009, 1, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct SeatClaim {
+  SeatClaim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a0509a31ab3c4555, 2, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -269,13 +287,15 @@
   struct OfferVersionsResults;
   struct ConfirmSeatParams;
   struct ConfirmSeatResults;
+  struct AnnounceSeatParams;
+  struct AnnounceSeatResults;
 
-  #if !CAPNP_LITE
+#if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(86e1047edcc26d6c)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-  #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 };
 
 struct Peer::HeartbeatParams {
@@ -287,9 +307,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fa81935346482060, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -302,9 +322,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d81fd9e173895313, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -317,9 +337,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8455b019c348f04a, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -332,9 +352,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d4d75dbb177f6674, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -347,9 +367,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f353c2d2ced7f1d2, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -362,9 +382,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8be01e6f8b1c4db0, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -377,9 +397,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b92aa2da70d29753, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -392,9 +412,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a4167cdfa0e9102e, 1, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -407,9 +427,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8791b09ace1e3b41, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -422,9 +442,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e69ceb6063af444c, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -437,9 +457,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bb8b4c79ce872921, 1, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -452,9 +472,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(aa8bf4abd5abcc2f, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -467,9 +487,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bcd9e65865fc03d8, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -482,9 +502,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ad8a722bb1efce01, 1, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -496,10 +516,10 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8f316a8f3b82b4aa, 1, 2)
-    #if !CAPNP_LITE
+    CAPNP_DECLARE_STRUCT_HEADER(8f316a8f3b82b4aa, 0, 1)
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -512,24 +532,52 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e082f174b6aeb471, 1, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AnnounceSeatParams {
+  AnnounceSeatParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(955e31a2012377ea, 0, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AnnounceSeatResults {
+  AnnounceSeatResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c7ee8239cfc1be1, 0, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class InstanceId::Reader {
-public:
+ public:
   typedef InstanceId Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -538,11 +586,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -555,13 +603,13 @@
 };
 
 class InstanceId::Builder {
-public:
+ public:
   typedef InstanceId Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -571,16 +619,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -591,14 +639,14 @@
 
 #if !CAPNP_LITE
 class InstanceId::Pipeline {
-public:
+ public:
   typedef InstanceId Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -607,15 +655,13 @@
 #endif  // !CAPNP_LITE
 
 class Member::Reader {
-public:
+ public:
   typedef Member Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -624,34 +670,34 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getId() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getId() const;
 
-  inline  ::int64_t getStartedMs() const;
+  inline ::int64_t getStartedMs() const;
 
   inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
+  inline ::capnp::Text::Reader getFailureDomain() const;
 
   inline bool hasCallerAddress() const;
-  inline  ::capnp::Text::Reader getCallerAddress() const;
+  inline ::capnp::Text::Reader getCallerAddress() const;
 
-  inline  ::uint64_t getSequence() const;
+  inline ::uint64_t getSequence() const;
 
   inline bool getLeaving() const;
 
-  inline  ::uint64_t getConfigVersion() const;
+  inline ::uint64_t getConfigVersion() const;
 
   inline bool hasConfigHash() const;
-  inline  ::capnp::Text::Reader getConfigHash() const;
+  inline ::capnp::Text::Reader getConfigHash() const;
 
   inline bool hasSeats() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getSeats() const;
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader getSeats() const;
 
   inline bool hasShards() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getShards() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getShards() const;
 
   inline bool getGone() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -664,13 +710,13 @@
 };
 
 class Member::Builder {
-public:
+ public:
   typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -680,65 +726,67 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getId();
-  inline void setId( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownId();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getId();
+  inline void setId(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownId();
 
-  inline  ::int64_t getStartedMs();
-  inline void setStartedMs( ::int64_t value);
+  inline ::int64_t getStartedMs();
+  inline void setStartedMs(::int64_t value);
 
   inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+  inline ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
 
   inline bool hasCallerAddress();
-  inline  ::capnp::Text::Builder getCallerAddress();
-  inline void setCallerAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCallerAddress(unsigned int size);
-  inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
+  inline ::capnp::Text::Builder getCallerAddress();
+  inline void setCallerAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initCallerAddress(unsigned int size);
+  inline void adoptCallerAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownCallerAddress();
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline ::uint64_t getSequence();
+  inline void setSequence(::uint64_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
 
   inline bool hasConfigHash();
-  inline  ::capnp::Text::Builder getConfigHash();
-  inline void setConfigHash( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initConfigHash(unsigned int size);
-  inline void adoptConfigHash(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownConfigHash();
+  inline ::capnp::Text::Builder getConfigHash();
+  inline void setConfigHash(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initConfigHash(unsigned int size);
+  inline void adoptConfigHash(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownConfigHash();
 
   inline bool hasSeats();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getSeats();
-  inline void setSeats( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSeats(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initSeats(unsigned int size);
-  inline void adoptSeats(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSeats();
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder getSeats();
+  inline void setSeats(::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSeats(::kj::ArrayPtr<const ::uint32_t> value);
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder initSeats(unsigned int size);
+  inline void adoptSeats(
+      ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>> disownSeats();
 
   inline bool hasShards();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getShards();
-  inline void setShards( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setShards(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initShards(unsigned int size);
-  inline void adoptShards(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownShards();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getShards();
+  inline void setShards(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setShards(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initShards(unsigned int size);
+  inline void adoptShards(
+      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownShards();
 
   inline bool getGone();
   inline void setGone(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -749,15 +797,16 @@
 
 #if !CAPNP_LITE
 class Member::Pipeline {
-public:
+ public:
   typedef Member Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getId();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getId();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -766,15 +815,13 @@
 #endif  // !CAPNP_LITE
 
 class Heartbeat::Reader {
-public:
+ public:
   typedef Heartbeat Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -783,15 +830,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment() const;
-  inline  ::capnp::Text::Reader getDeployment() const;
+  inline ::capnp::Text::Reader getDeployment() const;
 
   inline bool hasSelf() const;
-  inline  ::vanilladeck::peer::wire::Member::Reader getSelf() const;
+  inline ::vanilladeck::peer::wire::Member::Reader getSelf() const;
 
   inline bool hasRelayed() const;
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
+  inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Reader
+  getRelayed() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -804,13 +852,13 @@
 };
 
 class Heartbeat::Builder {
-public:
+ public:
   typedef Heartbeat Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -820,27 +868,33 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment();
-  inline  ::capnp::Text::Builder getDeployment();
-  inline void setDeployment( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDeployment(unsigned int size);
-  inline void adoptDeployment(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDeployment();
+  inline ::capnp::Text::Builder getDeployment();
+  inline void setDeployment(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDeployment(unsigned int size);
+  inline void adoptDeployment(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDeployment();
 
   inline bool hasSelf();
-  inline  ::vanilladeck::peer::wire::Member::Builder getSelf();
-  inline void setSelf( ::vanilladeck::peer::wire::Member::Reader value);
-  inline  ::vanilladeck::peer::wire::Member::Builder initSelf();
-  inline void adoptSelf(::capnp::Orphan< ::vanilladeck::peer::wire::Member>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::Member> disownSelf();
+  inline ::vanilladeck::peer::wire::Member::Builder getSelf();
+  inline void setSelf(::vanilladeck::peer::wire::Member::Reader value);
+  inline ::vanilladeck::peer::wire::Member::Builder initSelf();
+  inline void adoptSelf(::capnp::Orphan<::vanilladeck::peer::wire::Member>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::Member> disownSelf();
 
   inline bool hasRelayed();
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Builder getRelayed();
-  inline void setRelayed( ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Builder initRelayed(unsigned int size);
-  inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>> disownRelayed();
-
-private:
+  inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Builder
+  getRelayed();
+  inline void setRelayed(
+      ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Builder
+  initRelayed(unsigned int size);
+  inline void adoptRelayed(
+      ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>
+  disownRelayed();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -851,15 +905,16 @@
 
 #if !CAPNP_LITE
 class Heartbeat::Pipeline {
-public:
+ public:
   typedef Heartbeat Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::Member::Pipeline getSelf();
-private:
+  inline ::vanilladeck::peer::wire::Member::Pipeline getSelf();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -868,15 +923,13 @@
 #endif  // !CAPNP_LITE
 
 class Header::Reader {
-public:
+ public:
   typedef Header Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -885,12 +938,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline ::capnp::Text::Reader getName() const;
 
   inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline ::capnp::Text::Reader getValue() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -903,13 +956,13 @@
 };
 
 class Header::Builder {
-public:
+ public:
   typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -919,20 +972,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline ::capnp::Text::Builder getName();
+  inline void setName(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownName();
 
   inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline ::capnp::Text::Builder getValue();
+  inline void setValue(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownValue();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -943,14 +996,14 @@
 
 #if !CAPNP_LITE
 class Header::Pipeline {
-public:
+ public:
   typedef Header Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -959,15 +1012,13 @@
 #endif  // !CAPNP_LITE
 
 class ForwardRequest::Reader {
-public:
+ public:
   typedef ForwardRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -976,34 +1027,35 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
   inline bool hasMethod() const;
-  inline  ::capnp::Text::Reader getMethod() const;
+  inline ::capnp::Text::Reader getMethod() const;
 
   inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline ::capnp::Text::Reader getTarget() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader
+  getHeaders() const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline ::capnp::Data::Reader getBody() const;
 
-  inline  ::uint8_t getRank() const;
+  inline ::uint8_t getRank() const;
 
-  inline  ::uint32_t getTimeoutMs() const;
+  inline ::uint32_t getTimeoutMs() const;
 
   inline bool hasTraceparent() const;
-  inline  ::capnp::Text::Reader getTraceparent() const;
+  inline ::capnp::Text::Reader getTraceparent() const;
 
   inline bool hasFromRegion() const;
-  inline  ::capnp::Text::Reader getFromRegion() const;
+  inline ::capnp::Text::Reader getFromRegion() const;
 
   inline bool hasSender() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getSender() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getSender() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1016,13 +1068,13 @@
 };
 
 class ForwardRequest::Builder {
-public:
+ public:
   typedef ForwardRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1032,68 +1084,74 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
   inline bool hasMethod();
-  inline  ::capnp::Text::Builder getMethod();
-  inline void setMethod( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+  inline ::capnp::Text::Builder getMethod();
+  inline void setMethod(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMethod();
 
   inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline ::capnp::Text::Builder getTarget();
+  inline void setTarget(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTarget();
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+  getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+  initHeaders(unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
 
-  inline  ::uint8_t getRank();
-  inline void setRank( ::uint8_t value);
+  inline ::uint8_t getRank();
+  inline void setRank(::uint8_t value);
 
-  inline  ::uint32_t getTimeoutMs();
-  inline void setTimeoutMs( ::uint32_t value);
+  inline ::uint32_t getTimeoutMs();
+  inline void setTimeoutMs(::uint32_t value);
 
   inline bool hasTraceparent();
-  inline  ::capnp::Text::Builder getTraceparent();
-  inline void setTraceparent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceparent(unsigned int size);
-  inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
+  inline ::capnp::Text::Builder getTraceparent();
+  inline void setTraceparent(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTraceparent(unsigned int size);
+  inline void adoptTraceparent(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTraceparent();
 
   inline bool hasFromRegion();
-  inline  ::capnp::Text::Builder getFromRegion();
-  inline void setFromRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFromRegion(unsigned int size);
-  inline void adoptFromRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFromRegion();
+  inline ::capnp::Text::Builder getFromRegion();
+  inline void setFromRegion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFromRegion(unsigned int size);
+  inline void adoptFromRegion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFromRegion();
 
   inline bool hasSender();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getSender();
-  inline void setSender( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownSender();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getSender();
+  inline void setSender(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initSender();
+  inline void adoptSender(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownSender();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1104,15 +1162,16 @@
 
 #if !CAPNP_LITE
 class ForwardRequest::Pipeline {
-public:
+ public:
   typedef ForwardRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getSender();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getSender();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1121,15 +1180,13 @@
 #endif  // !CAPNP_LITE
 
 class ForwardReply::Reader {
-public:
+ public:
   typedef ForwardReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1137,22 +1194,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getOutcome() const;
+  inline ::uint8_t getOutcome() const;
 
-  inline  ::int32_t getStatus() const;
+  inline ::int32_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader
+  getHeaders() const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline ::capnp::Data::Reader getBody() const;
 
   inline bool hasError() const;
-  inline  ::capnp::Text::Reader getError() const;
+  inline ::capnp::Text::Reader getError() const;
 
-  inline  ::uint32_t getRetryAfterMs() const;
+  inline ::uint32_t getRetryAfterMs() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1165,13 +1223,13 @@
 };
 
 class ForwardReply::Builder {
-public:
+ public:
   typedef ForwardReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1180,37 +1238,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
+  inline ::uint8_t getOutcome();
+  inline void setOutcome(::uint8_t value);
 
-  inline  ::int32_t getStatus();
-  inline void setStatus( ::int32_t value);
+  inline ::int32_t getStatus();
+  inline void setStatus(::int32_t value);
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+  getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+  initHeaders(unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
 
   inline bool hasError();
-  inline  ::capnp::Text::Builder getError();
-  inline void setError( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initError(unsigned int size);
-  inline void adoptError(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownError();
+  inline ::capnp::Text::Builder getError();
+  inline void setError(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initError(unsigned int size);
+  inline void adoptError(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownError();
 
-  inline  ::uint32_t getRetryAfterMs();
-  inline void setRetryAfterMs( ::uint32_t value);
+  inline ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1221,14 +1285,14 @@
 
 #if !CAPNP_LITE
 class ForwardReply::Pipeline {
-public:
+ public:
   typedef ForwardReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1237,15 +1301,13 @@
 #endif  // !CAPNP_LITE
 
 class RecordedAnswer::Reader {
-public:
+ public:
   typedef RecordedAnswer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1253,15 +1315,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getStatus() const;
+  inline ::int32_t getStatus() const;
 
   inline bool hasContentType() const;
-  inline  ::capnp::Text::Reader getContentType() const;
+  inline ::capnp::Text::Reader getContentType() const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline ::capnp::Data::Reader getBody() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1274,13 +1336,13 @@
 };
 
 class RecordedAnswer::Builder {
-public:
+ public:
   typedef RecordedAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1289,24 +1351,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::int32_t getStatus();
-  inline void setStatus( ::int32_t value);
+  inline ::int32_t getStatus();
+  inline void setStatus(::int32_t value);
 
   inline bool hasContentType();
-  inline  ::capnp::Text::Builder getContentType();
-  inline void setContentType( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+  inline ::capnp::Text::Builder getContentType();
+  inline void setContentType(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownContentType();
 
   inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1317,14 +1379,14 @@
 
 #if !CAPNP_LITE
 class RecordedAnswer::Pipeline {
-public:
+ public:
   typedef RecordedAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1333,15 +1395,13 @@
 #endif  // !CAPNP_LITE
 
 class ClaimRequest::Reader {
-public:
+ public:
   typedef ClaimRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1350,23 +1410,25 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline ::capnp::Text::Reader getKey() const;
 
   inline bool hasClient() const;
-  inline  ::capnp::Text::Reader getClient() const;
+  inline ::capnp::Text::Reader getClient() const;
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
   inline bool hasFingerprint() const;
-  inline  ::capnp::Text::Reader getFingerprint() const;
+  inline ::capnp::Text::Reader getFingerprint() const;
 
-  inline  ::uint8_t getRank() const;
+  inline ::uint8_t getRank() const;
 
   inline bool hasHolder() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
+
+  inline ::uint64_t getClaimId() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1379,13 +1441,13 @@
 };
 
 class ClaimRequest::Builder {
-public:
+ public:
   typedef ClaimRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1395,44 +1457,47 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline ::capnp::Text::Builder getKey();
+  inline void setKey(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownKey();
 
   inline bool hasClient();
-  inline  ::capnp::Text::Builder getClient();
-  inline void setClient( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initClient(unsigned int size);
-  inline void adoptClient(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownClient();
+  inline ::capnp::Text::Builder getClient();
+  inline void setClient(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initClient(unsigned int size);
+  inline void adoptClient(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownClient();
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
   inline bool hasFingerprint();
-  inline  ::capnp::Text::Builder getFingerprint();
-  inline void setFingerprint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFingerprint(unsigned int size);
-  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFingerprint();
+  inline ::capnp::Text::Builder getFingerprint();
+  inline void setFingerprint(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFingerprint();
 
-  inline  ::uint8_t getRank();
-  inline void setRank( ::uint8_t value);
+  inline ::uint8_t getRank();
+  inline void setRank(::uint8_t value);
 
   inline bool hasHolder();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
-  inline void setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
-  inline void adoptHolder(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownHolder();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
+  inline void setHolder(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownHolder();
+
+  inline ::uint64_t getClaimId();
+  inline void setClaimId(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1443,15 +1508,16 @@
 
 #if !CAPNP_LITE
 class ClaimRequest::Pipeline {
-public:
+ public:
   typedef ClaimRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1460,15 +1526,13 @@
 #endif  // !CAPNP_LITE
 
 class ClaimReply::Reader {
-public:
+ public:
   typedef ClaimReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1478,28 +1542,28 @@
 
   inline Which which() const;
   inline bool isGranted() const;
-  inline  ::uint64_t getGranted() const;
+  inline ::uint64_t getGranted() const;
 
   inline bool isRecorded() const;
   inline bool hasRecorded() const;
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Reader getRecorded() const;
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Reader getRecorded() const;
 
   inline bool isInProgress() const;
-  inline  ::capnp::Void getInProgress() const;
+  inline ::capnp::Void getInProgress() const;
 
   inline bool isOutcomeUnknown() const;
-  inline  ::capnp::Void getOutcomeUnknown() const;
+  inline ::capnp::Void getOutcomeUnknown() const;
 
   inline bool isMismatch() const;
-  inline  ::capnp::Void getMismatch() const;
+  inline ::capnp::Void getMismatch() const;
 
   inline bool isExpired() const;
-  inline  ::capnp::Void getExpired() const;
+  inline ::capnp::Void getExpired() const;
 
   inline bool isUnavailable() const;
-  inline  ::uint32_t getUnavailable() const;
+  inline ::uint32_t getUnavailable() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1512,13 +1576,13 @@
 };
 
 class ClaimReply::Builder {
-public:
+ public:
   typedef ClaimReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1529,38 +1593,38 @@
 
   inline Which which();
   inline bool isGranted();
-  inline  ::uint64_t getGranted();
-  inline void setGranted( ::uint64_t value);
+  inline ::uint64_t getGranted();
+  inline void setGranted(::uint64_t value);
 
   inline bool isRecorded();
   inline bool hasRecorded();
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder getRecorded();
-  inline void setRecorded( ::vanilladeck::peer::wire::RecordedAnswer::Reader value);
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder initRecorded();
-  inline void adoptRecorded(::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer> disownRecorded();
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Builder getRecorded();
+  inline void setRecorded(::vanilladeck::peer::wire::RecordedAnswer::Reader value);
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Builder initRecorded();
+  inline void adoptRecorded(::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer> disownRecorded();
 
   inline bool isInProgress();
-  inline  ::capnp::Void getInProgress();
-  inline void setInProgress( ::capnp::Void value = ::capnp::VOID);
+  inline ::capnp::Void getInProgress();
+  inline void setInProgress(::capnp::Void value = ::capnp::VOID);
 
   inline bool isOutcomeUnknown();
-  inline  ::capnp::Void getOutcomeUnknown();
-  inline void setOutcomeUnknown( ::capnp::Void value = ::capnp::VOID);
+  inline ::capnp::Void getOutcomeUnknown();
+  inline void setOutcomeUnknown(::capnp::Void value = ::capnp::VOID);
 
   inline bool isMismatch();
-  inline  ::capnp::Void getMismatch();
-  inline void setMismatch( ::capnp::Void value = ::capnp::VOID);
+  inline ::capnp::Void getMismatch();
+  inline void setMismatch(::capnp::Void value = ::capnp::VOID);
 
   inline bool isExpired();
-  inline  ::capnp::Void getExpired();
-  inline void setExpired( ::capnp::Void value = ::capnp::VOID);
+  inline ::capnp::Void getExpired();
+  inline void setExpired(::capnp::Void value = ::capnp::VOID);
 
   inline bool isUnavailable();
-  inline  ::uint32_t getUnavailable();
-  inline void setUnavailable( ::uint32_t value);
+  inline ::uint32_t getUnavailable();
+  inline void setUnavailable(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1571,14 +1635,14 @@
 
 #if !CAPNP_LITE
 class ClaimReply::Pipeline {
-public:
+ public:
   typedef ClaimReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1587,15 +1651,13 @@
 #endif  // !CAPNP_LITE
 
 class CompleteRequest::Reader {
-public:
+ public:
   typedef CompleteRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1604,19 +1666,21 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint64_t getAttempt() const;
+  inline ::uint64_t getAttempt() const;
 
   inline bool hasHolder() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
 
-  inline  ::uint8_t getOutcome() const;
+  inline ::uint8_t getOutcome() const;
 
   inline bool hasAnswer() const;
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Reader getAnswer() const;
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Reader getAnswer() const;
 
-private:
+  inline ::uint64_t getClaimId() const;
+
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1629,13 +1693,13 @@
 };
 
 class CompleteRequest::Builder {
-public:
+ public:
   typedef CompleteRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1645,33 +1709,36 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline ::capnp::Text::Builder getKey();
+  inline void setKey(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownKey();
 
-  inline  ::uint64_t getAttempt();
-  inline void setAttempt( ::uint64_t value);
+  inline ::uint64_t getAttempt();
+  inline void setAttempt(::uint64_t value);
 
   inline bool hasHolder();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
-  inline void setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
-  inline void adoptHolder(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownHolder();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
+  inline void setHolder(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownHolder();
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
+  inline ::uint8_t getOutcome();
+  inline void setOutcome(::uint8_t value);
 
   inline bool hasAnswer();
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder getAnswer();
-  inline void setAnswer( ::vanilladeck::peer::wire::RecordedAnswer::Reader value);
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer> disownAnswer();
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Builder getAnswer();
+  inline void setAnswer(::vanilladeck::peer::wire::RecordedAnswer::Reader value);
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer> disownAnswer();
+
+  inline ::uint64_t getClaimId();
+  inline void setClaimId(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1682,16 +1749,17 @@
 
 #if !CAPNP_LITE
 class CompleteRequest::Pipeline {
-public:
+ public:
   typedef CompleteRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
-  inline  ::vanilladeck::peer::wire::RecordedAnswer::Pipeline getAnswer();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
+  inline ::vanilladeck::peer::wire::RecordedAnswer::Pipeline getAnswer();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1700,15 +1768,13 @@
 #endif  // !CAPNP_LITE
 
 class CreditRequest::Reader {
-public:
+ public:
   typedef CreditRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1717,17 +1783,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasSender() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getSender() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getSender() const;
 
   inline bool hasFromRegion() const;
-  inline  ::capnp::Text::Reader getFromRegion() const;
+  inline ::capnp::Text::Reader getFromRegion() const;
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getWanted() const;
+  inline ::uint32_t getWanted() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1740,13 +1806,13 @@
 };
 
 class CreditRequest::Builder {
-public:
+ public:
   typedef CreditRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1756,30 +1822,30 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasSender();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getSender();
-  inline void setSender( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownSender();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getSender();
+  inline void setSender(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initSender();
+  inline void adoptSender(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownSender();
 
   inline bool hasFromRegion();
-  inline  ::capnp::Text::Builder getFromRegion();
-  inline void setFromRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFromRegion(unsigned int size);
-  inline void adoptFromRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFromRegion();
+  inline ::capnp::Text::Builder getFromRegion();
+  inline void setFromRegion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFromRegion(unsigned int size);
+  inline void adoptFromRegion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFromRegion();
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
-  inline  ::uint32_t getWanted();
-  inline void setWanted( ::uint32_t value);
+  inline ::uint32_t getWanted();
+  inline void setWanted(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1790,15 +1856,16 @@
 
 #if !CAPNP_LITE
 class CreditRequest::Pipeline {
-public:
+ public:
   typedef CreditRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getSender();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getSender();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1807,15 +1874,13 @@
 #endif  // !CAPNP_LITE
 
 class CreditGrant::Reader {
-public:
+ public:
   typedef CreditGrant Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1823,14 +1888,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getCount() const;
+  inline ::uint32_t getCount() const;
 
-  inline  ::uint32_t getLifeMs() const;
+  inline ::uint32_t getLifeMs() const;
 
   inline bool hasGranter() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getGranter() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getGranter() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1843,13 +1908,13 @@
 };
 
 class CreditGrant::Builder {
-public:
+ public:
   typedef CreditGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1858,20 +1923,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline ::uint32_t getCount();
+  inline void setCount(::uint32_t value);
 
-  inline  ::uint32_t getLifeMs();
-  inline void setLifeMs( ::uint32_t value);
+  inline ::uint32_t getLifeMs();
+  inline void setLifeMs(::uint32_t value);
 
   inline bool hasGranter();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getGranter();
-  inline void setGranter( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initGranter();
-  inline void adoptGranter(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownGranter();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getGranter();
+  inline void setGranter(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initGranter();
+  inline void adoptGranter(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownGranter();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1882,15 +1947,117 @@
 
 #if !CAPNP_LITE
 class CreditGrant::Pipeline {
-public:
+ public:
   typedef CreditGrant Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getGranter();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SeatClaim::Reader {
+ public:
+  typedef SeatClaim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain() const;
+  inline ::capnp::Text::Reader getFailureDomain() const;
+
+  inline ::uint32_t getSeat() const;
+
+  inline bool hasHolder() const;
+  inline ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
+
+  inline ::uint64_t getTerm() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SeatClaim::Builder {
+ public:
+  typedef SeatClaim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFailureDomain();
+  inline ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+  inline ::uint32_t getSeat();
+  inline void setSeat(::uint32_t value);
+
+  inline bool hasHolder();
+  inline ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
+  inline void setHolder(::vanilladeck::peer::wire::InstanceId::Reader value);
+  inline ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> disownHolder();
+
+  inline ::uint64_t getTerm();
+  inline void setTerm(::uint64_t value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SeatClaim::Pipeline {
+ public:
+  typedef SeatClaim Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getGranter();
-private:
+  inline ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1899,17 +2066,16 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
+class Peer::Client : public virtual ::capnp::Capability::Client {
+ public:
   typedef Peer Calls;
   typedef Peer Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1917,92 +2083,102 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::HeartbeatParams,  ::vanilladeck::peer::wire::Peer::HeartbeatResults> heartbeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::ForwardParams,  ::vanilladeck::peer::wire::Peer::ForwardResults> forwardRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::ClaimParams,  ::vanilladeck::peer::wire::Peer::ClaimResults> claimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::CompleteParams,  ::vanilladeck::peer::wire::Peer::CompleteResults> completeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::CreditsParams,  ::vanilladeck::peer::wire::Peer::CreditsResults> creditsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::FetchVersionsParams,  ::vanilladeck::peer::wire::Peer::FetchVersionsResults> fetchVersionsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::OfferVersionsParams,  ::vanilladeck::peer::wire::Peer::OfferVersionsResults> offerVersionsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::vanilladeck::peer::wire::Peer::ConfirmSeatParams,  ::vanilladeck::peer::wire::Peer::ConfirmSeatResults> confirmSeatRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::HeartbeatParams,
+                   ::vanilladeck::peer::wire::Peer::HeartbeatResults>
+  heartbeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::ForwardParams,
+                   ::vanilladeck::peer::wire::Peer::ForwardResults>
+  forwardRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::ClaimParams,
+                   ::vanilladeck::peer::wire::Peer::ClaimResults>
+  claimRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::CompleteParams,
+                   ::vanilladeck::peer::wire::Peer::CompleteResults>
+  completeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::CreditsParams,
+                   ::vanilladeck::peer::wire::Peer::CreditsResults>
+  creditsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::FetchVersionsParams,
+                   ::vanilladeck::peer::wire::Peer::FetchVersionsResults>
+  fetchVersionsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::OfferVersionsParams,
+                   ::vanilladeck::peer::wire::Peer::OfferVersionsResults>
+  offerVersionsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::ConfirmSeatParams,
+                   ::vanilladeck::peer::wire::Peer::ConfirmSeatResults>
+  confirmSeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::AnnounceSeatParams,
+                   ::vanilladeck::peer::wire::Peer::AnnounceSeatResults>
+  announceSeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+
+ protected:
   Client() = default;
 };
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
+class Peer::Server : public virtual ::capnp::Capability::Server {
+ public:
   typedef Peer Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
-protected:
-  typedef  ::vanilladeck::peer::wire::Peer::HeartbeatParams HeartbeatParams;
-  typedef  ::vanilladeck::peer::wire::Peer::HeartbeatResults HeartbeatResults;
+ protected:
+  typedef ::vanilladeck::peer::wire::Peer::HeartbeatParams HeartbeatParams;
+  typedef ::vanilladeck::peer::wire::Peer::HeartbeatResults HeartbeatResults;
   typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
   virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::ForwardParams ForwardParams;
-  typedef  ::vanilladeck::peer::wire::Peer::ForwardResults ForwardResults;
+  typedef ::vanilladeck::peer::wire::Peer::ForwardParams ForwardParams;
+  typedef ::vanilladeck::peer::wire::Peer::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::ClaimParams ClaimParams;
-  typedef  ::vanilladeck::peer::wire::Peer::ClaimResults ClaimResults;
+  typedef ::vanilladeck::peer::wire::Peer::ClaimParams ClaimParams;
+  typedef ::vanilladeck::peer::wire::Peer::ClaimResults ClaimResults;
   typedef ::capnp::CallContext<ClaimParams, ClaimResults> ClaimContext;
   virtual ::kj::Promise<void> claim(ClaimContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::CompleteParams CompleteParams;
-  typedef  ::vanilladeck::peer::wire::Peer::CompleteResults CompleteResults;
+  typedef ::vanilladeck::peer::wire::Peer::CompleteParams CompleteParams;
+  typedef ::vanilladeck::peer::wire::Peer::CompleteResults CompleteResults;
   typedef ::capnp::CallContext<CompleteParams, CompleteResults> CompleteContext;
   virtual ::kj::Promise<void> complete(CompleteContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::CreditsParams CreditsParams;
-  typedef  ::vanilladeck::peer::wire::Peer::CreditsResults CreditsResults;
+  typedef ::vanilladeck::peer::wire::Peer::CreditsParams CreditsParams;
+  typedef ::vanilladeck::peer::wire::Peer::CreditsResults CreditsResults;
   typedef ::capnp::CallContext<CreditsParams, CreditsResults> CreditsContext;
   virtual ::kj::Promise<void> credits(CreditsContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::FetchVersionsParams FetchVersionsParams;
-  typedef  ::vanilladeck::peer::wire::Peer::FetchVersionsResults FetchVersionsResults;
+  typedef ::vanilladeck::peer::wire::Peer::FetchVersionsParams FetchVersionsParams;
+  typedef ::vanilladeck::peer::wire::Peer::FetchVersionsResults FetchVersionsResults;
   typedef ::capnp::CallContext<FetchVersionsParams, FetchVersionsResults> FetchVersionsContext;
   virtual ::kj::Promise<void> fetchVersions(FetchVersionsContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::OfferVersionsParams OfferVersionsParams;
-  typedef  ::vanilladeck::peer::wire::Peer::OfferVersionsResults OfferVersionsResults;
+  typedef ::vanilladeck::peer::wire::Peer::OfferVersionsParams OfferVersionsParams;
+  typedef ::vanilladeck::peer::wire::Peer::OfferVersionsResults OfferVersionsResults;
   typedef ::capnp::CallContext<OfferVersionsParams, OfferVersionsResults> OfferVersionsContext;
   virtual ::kj::Promise<void> offerVersions(OfferVersionsContext context);
-  typedef  ::vanilladeck::peer::wire::Peer::ConfirmSeatParams ConfirmSeatParams;
-  typedef  ::vanilladeck::peer::wire::Peer::ConfirmSeatResults ConfirmSeatResults;
+  typedef ::vanilladeck::peer::wire::Peer::ConfirmSeatParams ConfirmSeatParams;
+  typedef ::vanilladeck::peer::wire::Peer::ConfirmSeatResults ConfirmSeatResults;
   typedef ::capnp::CallContext<ConfirmSeatParams, ConfirmSeatResults> ConfirmSeatContext;
   virtual ::kj::Promise<void> confirmSeat(ConfirmSeatContext context);
+  typedef ::vanilladeck::peer::wire::Peer::AnnounceSeatParams AnnounceSeatParams;
+  typedef ::vanilladeck::peer::wire::Peer::AnnounceSeatResults AnnounceSeatResults;
+  typedef ::capnp::CallContext<AnnounceSeatParams, AnnounceSeatResults> AnnounceSeatContext;
+  virtual ::kj::Promise<void> announceSeat(AnnounceSeatContext context);
 
-  inline  ::vanilladeck::peer::wire::Peer::Client thisCap() {
+  inline ::vanilladeck::peer::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::vanilladeck::peer::wire::Peer>();
+        .template castAs<::vanilladeck::peer::wire::Peer>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Peer::HeartbeatParams::Reader {
-public:
+ public:
   typedef HeartbeatParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2011,9 +2187,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOwn() const;
-  inline  ::vanilladeck::peer::wire::Heartbeat::Reader getOwn() const;
+  inline ::vanilladeck::peer::wire::Heartbeat::Reader getOwn() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2026,13 +2202,13 @@
 };
 
 class Peer::HeartbeatParams::Builder {
-public:
+ public:
   typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2042,13 +2218,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasOwn();
-  inline  ::vanilladeck::peer::wire::Heartbeat::Builder getOwn();
-  inline void setOwn( ::vanilladeck::peer::wire::Heartbeat::Reader value);
-  inline  ::vanilladeck::peer::wire::Heartbeat::Builder initOwn();
-  inline void adoptOwn(::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat> disownOwn();
+  inline ::vanilladeck::peer::wire::Heartbeat::Builder getOwn();
+  inline void setOwn(::vanilladeck::peer::wire::Heartbeat::Reader value);
+  inline ::vanilladeck::peer::wire::Heartbeat::Builder initOwn();
+  inline void adoptOwn(::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat> disownOwn();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2059,15 +2235,16 @@
 
 #if !CAPNP_LITE
 class Peer::HeartbeatParams::Pipeline {
-public:
+ public:
   typedef HeartbeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::Heartbeat::Pipeline getOwn();
-private:
+  inline ::vanilladeck::peer::wire::Heartbeat::Pipeline getOwn();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2076,15 +2253,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::HeartbeatResults::Reader {
-public:
+ public:
   typedef HeartbeatResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2093,9 +2268,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPeer() const;
-  inline  ::vanilladeck::peer::wire::Heartbeat::Reader getPeer() const;
+  inline ::vanilladeck::peer::wire::Heartbeat::Reader getPeer() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2108,13 +2283,13 @@
 };
 
 class Peer::HeartbeatResults::Builder {
-public:
+ public:
   typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2124,13 +2299,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPeer();
-  inline  ::vanilladeck::peer::wire::Heartbeat::Builder getPeer();
-  inline void setPeer( ::vanilladeck::peer::wire::Heartbeat::Reader value);
-  inline  ::vanilladeck::peer::wire::Heartbeat::Builder initPeer();
-  inline void adoptPeer(::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat> disownPeer();
+  inline ::vanilladeck::peer::wire::Heartbeat::Builder getPeer();
+  inline void setPeer(::vanilladeck::peer::wire::Heartbeat::Reader value);
+  inline ::vanilladeck::peer::wire::Heartbeat::Builder initPeer();
+  inline void adoptPeer(::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat> disownPeer();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2141,15 +2316,16 @@
 
 #if !CAPNP_LITE
 class Peer::HeartbeatResults::Pipeline {
-public:
+ public:
   typedef HeartbeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::Heartbeat::Pipeline getPeer();
-private:
+  inline ::vanilladeck::peer::wire::Heartbeat::Pipeline getPeer();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2158,15 +2334,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ForwardParams::Reader {
-public:
+ public:
   typedef ForwardParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2175,9 +2349,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::vanilladeck::peer::wire::ForwardRequest::Reader getRequest() const;
+  inline ::vanilladeck::peer::wire::ForwardRequest::Reader getRequest() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2190,13 +2364,13 @@
 };
 
 class Peer::ForwardParams::Builder {
-public:
+ public:
   typedef ForwardParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2206,13 +2380,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::vanilladeck::peer::wire::ForwardRequest::Builder getRequest();
-  inline void setRequest( ::vanilladeck::peer::wire::ForwardRequest::Reader value);
-  inline  ::vanilladeck::peer::wire::ForwardRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::vanilladeck::peer::wire::ForwardRequest>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardRequest> disownRequest();
+  inline ::vanilladeck::peer::wire::ForwardRequest::Builder getRequest();
+  inline void setRequest(::vanilladeck::peer::wire::ForwardRequest::Reader value);
+  inline ::vanilladeck::peer::wire::ForwardRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan<::vanilladeck::peer::wire::ForwardRequest>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::ForwardRequest> disownRequest();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2223,15 +2397,16 @@
 
 #if !CAPNP_LITE
 class Peer::ForwardParams::Pipeline {
-public:
+ public:
   typedef ForwardParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::ForwardRequest::Pipeline getRequest();
-private:
+  inline ::vanilladeck::peer::wire::ForwardRequest::Pipeline getRequest();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2240,15 +2415,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ForwardResults::Reader {
-public:
+ public:
   typedef ForwardResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2257,9 +2430,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::vanilladeck::peer::wire::ForwardReply::Reader getReply() const;
+  inline ::vanilladeck::peer::wire::ForwardReply::Reader getReply() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2272,13 +2445,13 @@
 };
 
 class Peer::ForwardResults::Builder {
-public:
+ public:
   typedef ForwardResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2288,13 +2461,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::vanilladeck::peer::wire::ForwardReply::Builder getReply();
-  inline void setReply( ::vanilladeck::peer::wire::ForwardReply::Reader value);
-  inline  ::vanilladeck::peer::wire::ForwardReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::vanilladeck::peer::wire::ForwardReply>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardReply> disownReply();
+  inline ::vanilladeck::peer::wire::ForwardReply::Builder getReply();
+  inline void setReply(::vanilladeck::peer::wire::ForwardReply::Reader value);
+  inline ::vanilladeck::peer::wire::ForwardReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan<::vanilladeck::peer::wire::ForwardReply>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::ForwardReply> disownReply();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2305,15 +2478,16 @@
 
 #if !CAPNP_LITE
 class Peer::ForwardResults::Pipeline {
-public:
+ public:
   typedef ForwardResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::ForwardReply::Pipeline getReply();
-private:
+  inline ::vanilladeck::peer::wire::ForwardReply::Pipeline getReply();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2322,15 +2496,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ClaimParams::Reader {
-public:
+ public:
   typedef ClaimParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2339,9 +2511,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::vanilladeck::peer::wire::ClaimRequest::Reader getRequest() const;
+  inline ::vanilladeck::peer::wire::ClaimRequest::Reader getRequest() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2354,13 +2526,13 @@
 };
 
 class Peer::ClaimParams::Builder {
-public:
+ public:
   typedef ClaimParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2370,13 +2542,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::vanilladeck::peer::wire::ClaimRequest::Builder getRequest();
-  inline void setRequest( ::vanilladeck::peer::wire::ClaimRequest::Reader value);
-  inline  ::vanilladeck::peer::wire::ClaimRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::vanilladeck::peer::wire::ClaimRequest>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimRequest> disownRequest();
+  inline ::vanilladeck::peer::wire::ClaimRequest::Builder getRequest();
+  inline void setRequest(::vanilladeck::peer::wire::ClaimRequest::Reader value);
+  inline ::vanilladeck::peer::wire::ClaimRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan<::vanilladeck::peer::wire::ClaimRequest>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::ClaimRequest> disownRequest();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2387,15 +2559,16 @@
 
 #if !CAPNP_LITE
 class Peer::ClaimParams::Pipeline {
-public:
+ public:
   typedef ClaimParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::ClaimRequest::Pipeline getRequest();
-private:
+  inline ::vanilladeck::peer::wire::ClaimRequest::Pipeline getRequest();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2404,15 +2577,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ClaimResults::Reader {
-public:
+ public:
   typedef ClaimResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2421,9 +2592,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::vanilladeck::peer::wire::ClaimReply::Reader getReply() const;
+  inline ::vanilladeck::peer::wire::ClaimReply::Reader getReply() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2436,13 +2607,13 @@
 };
 
 class Peer::ClaimResults::Builder {
-public:
+ public:
   typedef ClaimResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2452,13 +2623,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::vanilladeck::peer::wire::ClaimReply::Builder getReply();
-  inline void setReply( ::vanilladeck::peer::wire::ClaimReply::Reader value);
-  inline  ::vanilladeck::peer::wire::ClaimReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::vanilladeck::peer::wire::ClaimReply>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimReply> disownReply();
+  inline ::vanilladeck::peer::wire::ClaimReply::Builder getReply();
+  inline void setReply(::vanilladeck::peer::wire::ClaimReply::Reader value);
+  inline ::vanilladeck::peer::wire::ClaimReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan<::vanilladeck::peer::wire::ClaimReply>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::ClaimReply> disownReply();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2469,15 +2640,16 @@
 
 #if !CAPNP_LITE
 class Peer::ClaimResults::Pipeline {
-public:
+ public:
   typedef ClaimResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::ClaimReply::Pipeline getReply();
-private:
+  inline ::vanilladeck::peer::wire::ClaimReply::Pipeline getReply();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2486,15 +2658,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::CompleteParams::Reader {
-public:
+ public:
   typedef CompleteParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2503,9 +2673,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::vanilladeck::peer::wire::CompleteRequest::Reader getRequest() const;
+  inline ::vanilladeck::peer::wire::CompleteRequest::Reader getRequest() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2518,13 +2688,13 @@
 };
 
 class Peer::CompleteParams::Builder {
-public:
+ public:
   typedef CompleteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2534,13 +2704,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::vanilladeck::peer::wire::CompleteRequest::Builder getRequest();
-  inline void setRequest( ::vanilladeck::peer::wire::CompleteRequest::Reader value);
-  inline  ::vanilladeck::peer::wire::CompleteRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::vanilladeck::peer::wire::CompleteRequest>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::CompleteRequest> disownRequest();
+  inline ::vanilladeck::peer::wire::CompleteRequest::Builder getRequest();
+  inline void setRequest(::vanilladeck::peer::wire::CompleteRequest::Reader value);
+  inline ::vanilladeck::peer::wire::CompleteRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan<::vanilladeck::peer::wire::CompleteRequest>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::CompleteRequest> disownRequest();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2551,15 +2721,16 @@
 
 #if !CAPNP_LITE
 class Peer::CompleteParams::Pipeline {
-public:
+ public:
   typedef CompleteParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::CompleteRequest::Pipeline getRequest();
-private:
+  inline ::vanilladeck::peer::wire::CompleteRequest::Pipeline getRequest();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2568,15 +2739,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::CompleteResults::Reader {
-public:
+ public:
   typedef CompleteResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2586,7 +2755,7 @@
 
   inline bool getRecorded() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2599,13 +2768,13 @@
 };
 
 class Peer::CompleteResults::Builder {
-public:
+ public:
   typedef CompleteResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2617,7 +2786,7 @@
   inline bool getRecorded();
   inline void setRecorded(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2628,14 +2797,14 @@
 
 #if !CAPNP_LITE
 class Peer::CompleteResults::Pipeline {
-public:
+ public:
   typedef CompleteResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2644,15 +2813,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::CreditsParams::Reader {
-public:
+ public:
   typedef CreditsParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2661,9 +2828,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::vanilladeck::peer::wire::CreditRequest::Reader getRequest() const;
+  inline ::vanilladeck::peer::wire::CreditRequest::Reader getRequest() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2676,13 +2843,13 @@
 };
 
 class Peer::CreditsParams::Builder {
-public:
+ public:
   typedef CreditsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2692,13 +2859,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::vanilladeck::peer::wire::CreditRequest::Builder getRequest();
-  inline void setRequest( ::vanilladeck::peer::wire::CreditRequest::Reader value);
-  inline  ::vanilladeck::peer::wire::CreditRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::vanilladeck::peer::wire::CreditRequest>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::CreditRequest> disownRequest();
+  inline ::vanilladeck::peer::wire::CreditRequest::Builder getRequest();
+  inline void setRequest(::vanilladeck::peer::wire::CreditRequest::Reader value);
+  inline ::vanilladeck::peer::wire::CreditRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan<::vanilladeck::peer::wire::CreditRequest>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::CreditRequest> disownRequest();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2709,15 +2876,16 @@
 
 #if !CAPNP_LITE
 class Peer::CreditsParams::Pipeline {
-public:
+ public:
   typedef CreditsParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::CreditRequest::Pipeline getRequest();
-private:
+  inline ::vanilladeck::peer::wire::CreditRequest::Pipeline getRequest();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2726,15 +2894,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::CreditsResults::Reader {
-public:
+ public:
   typedef CreditsResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2743,9 +2909,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasGrant() const;
-  inline  ::vanilladeck::peer::wire::CreditGrant::Reader getGrant() const;
+  inline ::vanilladeck::peer::wire::CreditGrant::Reader getGrant() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2758,13 +2924,13 @@
 };
 
 class Peer::CreditsResults::Builder {
-public:
+ public:
   typedef CreditsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2774,13 +2940,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasGrant();
-  inline  ::vanilladeck::peer::wire::CreditGrant::Builder getGrant();
-  inline void setGrant( ::vanilladeck::peer::wire::CreditGrant::Reader value);
-  inline  ::vanilladeck::peer::wire::CreditGrant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::vanilladeck::peer::wire::CreditGrant>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::CreditGrant> disownGrant();
+  inline ::vanilladeck::peer::wire::CreditGrant::Builder getGrant();
+  inline void setGrant(::vanilladeck::peer::wire::CreditGrant::Reader value);
+  inline ::vanilladeck::peer::wire::CreditGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan<::vanilladeck::peer::wire::CreditGrant>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::CreditGrant> disownGrant();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2791,15 +2957,16 @@
 
 #if !CAPNP_LITE
 class Peer::CreditsResults::Pipeline {
-public:
+ public:
   typedef CreditsResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::CreditGrant::Pipeline getGrant();
-private:
+  inline ::vanilladeck::peer::wire::CreditGrant::Pipeline getGrant();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2808,15 +2975,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::FetchVersionsParams::Reader {
-public:
+ public:
   typedef FetchVersionsParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2825,11 +2990,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment() const;
-  inline  ::capnp::Text::Reader getDeployment() const;
+  inline ::capnp::Text::Reader getDeployment() const;
 
-  inline  ::uint64_t getAfter() const;
+  inline ::uint64_t getAfter() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2842,13 +3007,13 @@
 };
 
 class Peer::FetchVersionsParams::Builder {
-public:
+ public:
   typedef FetchVersionsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2858,16 +3023,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment();
-  inline  ::capnp::Text::Builder getDeployment();
-  inline void setDeployment( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDeployment(unsigned int size);
-  inline void adoptDeployment(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDeployment();
+  inline ::capnp::Text::Builder getDeployment();
+  inline void setDeployment(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDeployment(unsigned int size);
+  inline void adoptDeployment(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDeployment();
 
-  inline  ::uint64_t getAfter();
-  inline void setAfter( ::uint64_t value);
+  inline ::uint64_t getAfter();
+  inline void setAfter(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2878,14 +3043,14 @@
 
 #if !CAPNP_LITE
 class Peer::FetchVersionsParams::Pipeline {
-public:
+ public:
   typedef FetchVersionsParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2894,15 +3059,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::FetchVersionsResults::Reader {
-public:
+ public:
   typedef FetchVersionsResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2911,9 +3074,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRecords() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRecords() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getRecords() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2926,13 +3089,13 @@
 };
 
 class Peer::FetchVersionsResults::Builder {
-public:
+ public:
   typedef FetchVersionsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2942,14 +3105,15 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRecords();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRecords();
-
-private:
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getRecords();
+  inline void setRecords(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setRecords(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(
+      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownRecords();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2960,14 +3124,14 @@
 
 #if !CAPNP_LITE
 class Peer::FetchVersionsResults::Pipeline {
-public:
+ public:
   typedef FetchVersionsResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2976,15 +3140,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::OfferVersionsParams::Reader {
-public:
+ public:
   typedef OfferVersionsParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2993,12 +3155,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment() const;
-  inline  ::capnp::Text::Reader getDeployment() const;
+  inline ::capnp::Text::Reader getDeployment() const;
 
   inline bool hasRecords() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRecords() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getRecords() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3011,13 +3173,13 @@
 };
 
 class Peer::OfferVersionsParams::Builder {
-public:
+ public:
   typedef OfferVersionsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3027,21 +3189,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDeployment();
-  inline  ::capnp::Text::Builder getDeployment();
-  inline void setDeployment( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDeployment(unsigned int size);
-  inline void adoptDeployment(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDeployment();
+  inline ::capnp::Text::Builder getDeployment();
+  inline void setDeployment(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDeployment(unsigned int size);
+  inline void adoptDeployment(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDeployment();
 
   inline bool hasRecords();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRecords();
-
-private:
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getRecords();
+  inline void setRecords(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setRecords(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(
+      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownRecords();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3052,14 +3215,14 @@
 
 #if !CAPNP_LITE
 class Peer::OfferVersionsParams::Pipeline {
-public:
+ public:
   typedef OfferVersionsParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3068,15 +3231,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::OfferVersionsResults::Reader {
-public:
+ public:
   typedef OfferVersionsResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3084,9 +3245,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline ::uint64_t getVersion() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3099,13 +3260,13 @@
 };
 
 class Peer::OfferVersionsResults::Builder {
-public:
+ public:
   typedef OfferVersionsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3114,10 +3275,10 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline ::uint64_t getVersion();
+  inline void setVersion(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3128,14 +3289,14 @@
 
 #if !CAPNP_LITE
 class Peer::OfferVersionsResults::Pipeline {
-public:
+ public:
   typedef OfferVersionsResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3144,15 +3305,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ConfirmSeatParams::Reader {
-public:
+ public:
   typedef ConfirmSeatParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3160,15 +3319,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFailureDomain() const;
-  inline  ::capnp::Text::Reader getFailureDomain() const;
-
-  inline  ::uint32_t getSeat() const;
+  inline bool hasClaim() const;
+  inline ::vanilladeck::peer::wire::SeatClaim::Reader getClaim() const;
 
-  inline bool hasHolder() const;
-  inline  ::vanilladeck::peer::wire::InstanceId::Reader getHolder() const;
-
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3181,13 +3335,13 @@
 };
 
 class Peer::ConfirmSeatParams::Builder {
-public:
+ public:
   typedef ConfirmSeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3196,24 +3350,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFailureDomain();
-  inline  ::capnp::Text::Builder getFailureDomain();
-  inline void setFailureDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
-  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
-
-  inline  ::uint32_t getSeat();
-  inline void setSeat( ::uint32_t value);
-
-  inline bool hasHolder();
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder getHolder();
-  inline void setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value);
-  inline  ::vanilladeck::peer::wire::InstanceId::Builder initHolder();
-  inline void adoptHolder(::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value);
-  inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> disownHolder();
+  inline bool hasClaim();
+  inline ::vanilladeck::peer::wire::SeatClaim::Builder getClaim();
+  inline void setClaim(::vanilladeck::peer::wire::SeatClaim::Reader value);
+  inline ::vanilladeck::peer::wire::SeatClaim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim> disownClaim();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3224,15 +3368,16 @@
 
 #if !CAPNP_LITE
 class Peer::ConfirmSeatParams::Pipeline {
-public:
+ public:
   typedef ConfirmSeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::vanilladeck::peer::wire::InstanceId::Pipeline getHolder();
-private:
+  inline ::vanilladeck::peer::wire::SeatClaim::Pipeline getClaim();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3241,15 +3386,13 @@
 #endif  // !CAPNP_LITE
 
 class Peer::ConfirmSeatResults::Reader {
-public:
+ public:
   typedef ConfirmSeatResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -3259,7 +3402,7 @@
 
   inline bool getConfirmed() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3272,13 +3415,13 @@
 };
 
 class Peer::ConfirmSeatResults::Builder {
-public:
+ public:
   typedef ConfirmSeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -3290,7 +3433,7 @@
   inline bool getConfirmed();
   inline void setConfirmed(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3301,14 +3444,164 @@
 
 #if !CAPNP_LITE
 class Peer::ConfirmSeatResults::Pipeline {
-public:
+ public:
   typedef ConfirmSeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AnnounceSeatParams::Reader {
+ public:
+  typedef AnnounceSeatParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline ::vanilladeck::peer::wire::SeatClaim::Reader getClaim() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AnnounceSeatParams::Builder {
+ public:
+  typedef AnnounceSeatParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline ::vanilladeck::peer::wire::SeatClaim::Builder getClaim();
+  inline void setClaim(::vanilladeck::peer::wire::SeatClaim::Reader value);
+  inline ::vanilladeck::peer::wire::SeatClaim::Builder initClaim();
+  inline void adoptClaim(::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>&& value);
+  inline ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim> disownClaim();
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AnnounceSeatParams::Pipeline {
+ public:
+  typedef AnnounceSeatParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+  inline ::vanilladeck::peer::wire::SeatClaim::Pipeline getClaim();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AnnounceSeatResults::Reader {
+ public:
+  typedef AnnounceSeatResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AnnounceSeatResults::Builder {
+ public:
+  typedef AnnounceSeatResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AnnounceSeatResults::Pipeline {
+ public:
+  typedef AnnounceSeatResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
