@@ -3319,1348 +3612,1265 @@
 // =======================================================================================
 
 inline bool InstanceId::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool InstanceId::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceId::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader InstanceId::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceId::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder InstanceId::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceId::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void InstanceId::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceId::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder InstanceId::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void InstanceId::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void InstanceId::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceId::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> InstanceId::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t InstanceId::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t InstanceId::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t InstanceId::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t InstanceId::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void InstanceId::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void InstanceId::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Member::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader Member::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader Member::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder Member::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder Member::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline Member::Pipeline::getId() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline Member::Pipeline::getId() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Member::Builder::setId( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setId(::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder Member::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder Member::Builder::initId() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Member::Builder::adoptId(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> Member::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> Member::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Member::Reader::getStartedMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t Member::Reader::getStartedMs() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Member::Builder::getStartedMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t Member::Builder::getStartedMs() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setStartedMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setStartedMs(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Member::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Member::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Member::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setFailureDomain(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Member::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Member::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::hasCallerAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasCallerAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getCallerAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Member::Reader::getCallerAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getCallerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Member::Builder::getCallerAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setCallerAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setCallerAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initCallerAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Member::Builder::initCallerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptCallerAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Member::Builder::adoptCallerAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownCallerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownCallerAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Reader::getSequence() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Builder::getSequence() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setSequence(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Member::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool Member::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void Member::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Reader::getConfigVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Builder::getConfigVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setConfigVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Member::Reader::hasConfigHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasConfigHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getConfigHash() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Member::Reader::getConfigHash() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getConfigHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Member::Builder::getConfigHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setConfigHash( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setConfigHash(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initConfigHash(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Member::Builder::initConfigHash(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptConfigHash(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Member::Builder::adoptConfigHash(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownConfigHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownConfigHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::hasSeats() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasSeats() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Member::Reader::getSeats() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader Member::Reader::getSeats()
+    const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Member::Builder::getSeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder Member::Builder::getSeats() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setSeats( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setSeats(
+    ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::setSeats(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setSeats(::kj::ArrayPtr<const ::uint32_t> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Member::Builder::initSeats(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder Member::Builder::initSeats(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Member::Builder::adoptSeats(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Member::Builder::disownSeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+Member::Builder::disownSeats() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::hasShards() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Member::Builder::hasShards() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Member::Reader::getShards() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader Member::Reader::getShards() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::getShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Member::Builder::getShards() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setShards( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setShards(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::setShards(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setShards(::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Member::Builder::initShards(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Member::Builder::initShards(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Member::Builder::adoptShards(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Member::Builder::disownShards() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Member::Builder::disownShards() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::getGone() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
 inline bool Member::Builder::getGone() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 inline void Member::Builder::setGone(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::hasDeployment() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasDeployment() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getDeployment() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Heartbeat::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Heartbeat::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setDeployment( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setDeployment(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initDeployment(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Heartbeat::Builder::initDeployment(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptDeployment(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Heartbeat::Builder::adoptDeployment(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Heartbeat::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasSelf() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasSelf() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::Member::Reader Heartbeat::Reader::getSelf() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Member::Reader Heartbeat::Reader::getSelf() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::Member::Builder Heartbeat::Builder::getSelf() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Member::Builder Heartbeat::Builder::getSelf() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::Member::Pipeline Heartbeat::Pipeline::getSelf() {
-  return  ::vanilladeck::peer::wire::Member::Pipeline(_typeless.getPointerField(1));
+inline ::vanilladeck::peer::wire::Member::Pipeline Heartbeat::Pipeline::getSelf() {
+  return ::vanilladeck::peer::wire::Member::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setSelf( ::vanilladeck::peer::wire::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setSelf(::vanilladeck::peer::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::Member::Builder Heartbeat::Builder::initSelf() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Member::Builder Heartbeat::Builder::initSelf() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Heartbeat::Builder::adoptSelf(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::Member> Heartbeat::Builder::disownSelf() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Member>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::Member> Heartbeat::Builder::disownSelf() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Member>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasRelayed() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasRelayed() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getRelayed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getRelayed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setRelayed( ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initRelayed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Reader
+Heartbeat::Reader::getRelayed() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Builder
+Heartbeat::Builder::getRelayed() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setRelayed(
+    ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>::Builder
+Heartbeat::Builder::initRelayed(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptRelayed(
-    ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownRelayed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>
+Heartbeat::Builder::disownRelayed() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Member, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Header::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setName(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Header::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setValue(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasMethod() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasMethod() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setMethod( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setMethod(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptMethod(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptMethod(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setTarget(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptTarget(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardRequest::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void ForwardRequest::Builder::setHeaders( ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardRequest::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader
+ForwardRequest::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+ForwardRequest::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ForwardRequest::Builder::setHeaders(
+    ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+ForwardRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ForwardRequest::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>> ForwardRequest::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>
+ForwardRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader ForwardRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder ForwardRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder ForwardRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ForwardRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> ForwardRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t ForwardRequest::Reader::getRank() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ForwardRequest::Reader::getRank() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ForwardRequest::Builder::getRank() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ForwardRequest::Builder::getRank() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setRank( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setRank(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ForwardRequest::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t ForwardRequest::Reader::getTimeoutMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ForwardRequest::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t ForwardRequest::Builder::getTimeoutMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ForwardRequest::Builder::setTimeoutMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ForwardRequest::Builder::setTimeoutMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ForwardRequest::Reader::hasTraceparent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasTraceparent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getTraceparent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardRequest::Reader::getTraceparent() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getTraceparent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardRequest::Builder::getTraceparent() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setTraceparent( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setTraceparent(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initTraceparent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardRequest::Builder::initTraceparent(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptTraceparent(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptTraceparent(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownTraceparent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardRequest::Builder::disownTraceparent() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasFromRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasFromRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardRequest::Reader::getFromRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardRequest::Reader::getFromRegion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::getFromRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardRequest::Builder::getFromRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void ForwardRequest::Builder::setFromRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setFromRegion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardRequest::Builder::initFromRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardRequest::Builder::initFromRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void ForwardRequest::Builder::adoptFromRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardRequest::Builder::adoptFromRegion(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardRequest::Builder::disownFromRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardRequest::Builder::disownFromRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardRequest::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardRequest::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader ForwardRequest::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader ForwardRequest::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder ForwardRequest::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder ForwardRequest::Builder::getSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline ForwardRequest::Pipeline::getSender() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(7));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline ForwardRequest::Pipeline::getSender() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(7));
 }
 #endif  // !CAPNP_LITE
-inline void ForwardRequest::Builder::setSender( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void ForwardRequest::Builder::setSender(
+    ::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder ForwardRequest::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder ForwardRequest::Builder::initSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void ForwardRequest::Builder::adoptSender(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> ForwardRequest::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>
+ForwardRequest::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t ForwardReply::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ForwardReply::Reader::getOutcome() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ForwardReply::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ForwardReply::Builder::getOutcome() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ForwardReply::Builder::setOutcome(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t ForwardReply::Reader::getStatus() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int32_t ForwardReply::Reader::getStatus() const {
+  return _reader.getDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t ForwardReply::Builder::getStatus() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int32_t ForwardReply::Builder::getStatus() {
+  return _builder.getDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setStatus( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ForwardReply::Builder::setStatus(::int32_t value) {
+  _builder.setDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ForwardReply::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardReply::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardReply::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ForwardReply::Builder::setHeaders( ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardReply::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader
+ForwardReply::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+ForwardReply::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardReply::Builder::setHeaders(
+    ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>::Builder
+ForwardReply::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ForwardReply::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>> ForwardReply::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::vanilladeck::peer::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>
+ForwardReply::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Header, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardReply::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardReply::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader ForwardReply::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader ForwardReply::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder ForwardReply::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder ForwardReply::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ForwardReply::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ForwardReply::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder ForwardReply::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder ForwardReply::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ForwardReply::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardReply::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> ForwardReply::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> ForwardReply::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ForwardReply::Reader::hasError() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ForwardReply::Builder::hasError() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardReply::Reader::getError() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ForwardReply::Reader::getError() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardReply::Builder::getError() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ForwardReply::Builder::getError() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ForwardReply::Builder::setError( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ForwardReply::Builder::setError(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardReply::Builder::initError(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ForwardReply::Builder::initError(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ForwardReply::Builder::adoptError(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ForwardReply::Builder::adoptError(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardReply::Builder::disownError() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ForwardReply::Builder::disownError() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ForwardReply::Reader::getRetryAfterMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t ForwardReply::Reader::getRetryAfterMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ForwardReply::Builder::getRetryAfterMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t ForwardReply::Builder::getRetryAfterMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ForwardReply::Builder::setRetryAfterMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ForwardReply::Builder::setRetryAfterMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t RecordedAnswer::Reader::getStatus() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t RecordedAnswer::Reader::getStatus() const {
+  return _reader.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t RecordedAnswer::Builder::getStatus() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int32_t RecordedAnswer::Builder::getStatus() {
+  return _builder.getDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RecordedAnswer::Builder::setStatus( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RecordedAnswer::Builder::setStatus(::int32_t value) {
+  _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RecordedAnswer::Reader::hasContentType() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RecordedAnswer::Builder::hasContentType() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordedAnswer::Reader::getContentType() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RecordedAnswer::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordedAnswer::Builder::getContentType() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RecordedAnswer::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordedAnswer::Builder::setContentType( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void RecordedAnswer::Builder::setContentType(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordedAnswer::Builder::initContentType(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder RecordedAnswer::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RecordedAnswer::Builder::adoptContentType(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordedAnswer::Builder::adoptContentType(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordedAnswer::Builder::disownContentType() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RecordedAnswer::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RecordedAnswer::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RecordedAnswer::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader RecordedAnswer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader RecordedAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RecordedAnswer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder RecordedAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordedAnswer::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RecordedAnswer::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder RecordedAnswer::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder RecordedAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RecordedAnswer::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordedAnswer::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RecordedAnswer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> RecordedAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimRequest::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimRequest::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ClaimRequest::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ClaimRequest::Builder::getKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setKey(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ClaimRequest::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimRequest::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ClaimRequest::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimRequest::Reader::hasClient() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimRequest::Builder::hasClient() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getClient() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ClaimRequest::Reader::getClient() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getClient() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ClaimRequest::Builder::getClient() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setClient( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setClient(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initClient(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ClaimRequest::Builder::initClient(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptClient(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimRequest::Builder::adoptClient(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownClient() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ClaimRequest::Builder::disownClient() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ClaimRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ClaimRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ClaimRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimRequest::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ClaimRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ClaimRequest::Reader::hasFingerprint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimRequest::Builder::hasFingerprint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ClaimRequest::Reader::getFingerprint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader ClaimRequest::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::getFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder ClaimRequest::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ClaimRequest::Builder::setFingerprint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setFingerprint(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ClaimRequest::Builder::initFingerprint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder ClaimRequest::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ClaimRequest::Builder::adoptFingerprint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void ClaimRequest::Builder::adoptFingerprint(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ClaimRequest::Builder::disownFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> ClaimRequest::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t ClaimRequest::Reader::getRank() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ClaimRequest::Reader::getRank() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t ClaimRequest::Builder::getRank() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t ClaimRequest::Builder::getRank() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimRequest::Builder::setRank( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimRequest::Builder::setRank(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ClaimRequest::Reader::hasHolder() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimRequest::Builder::hasHolder() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader ClaimRequest::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader ClaimRequest::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder ClaimRequest::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder ClaimRequest::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline ClaimRequest::Pipeline::getHolder() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(4));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline ClaimRequest::Pipeline::getHolder() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void ClaimRequest::Builder::setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void ClaimRequest::Builder::setHolder(::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder ClaimRequest::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder ClaimRequest::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void ClaimRequest::Builder::adoptHolder(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>
+ClaimRequest::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> ClaimRequest::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline ::uint64_t ClaimRequest::Reader::getClaimId() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::vanilladeck::peer::wire::ClaimReply::Which ClaimReply::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t ClaimRequest::Builder::getClaimId() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::vanilladeck::peer::wire::ClaimReply::Which ClaimReply::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void ClaimRequest::Builder::setClaimId(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::isGranted() const {
-  return which() == ClaimReply::GRANTED;
+inline ::vanilladeck::peer::wire::ClaimReply::Which ClaimReply::Reader::which() const {
+  return _reader.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline bool ClaimReply::Builder::isGranted() {
-  return which() == ClaimReply::GRANTED;
+inline ::vanilladeck::peer::wire::ClaimReply::Which ClaimReply::Builder::which() {
+  return _builder.getDataField<Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::uint64_t ClaimReply::Reader::getGranted() const {
+
+inline bool ClaimReply::Reader::isGranted() const { return which() == ClaimReply::GRANTED; }
+inline bool ClaimReply::Builder::isGranted() { return which() == ClaimReply::GRANTED; }
+inline ::uint64_t ClaimReply::Reader::getGranted() const {
   KJ_IREQUIRE((which() == ClaimReply::GRANTED),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ClaimReply::Builder::getGranted() {
+inline ::uint64_t ClaimReply::Builder::getGranted() {
   KJ_IREQUIRE((which() == ClaimReply::GRANTED),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setGranted( ::uint64_t value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::GRANTED);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setGranted(::uint64_t value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::GRANTED);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::isRecorded() const {
-  return which() == ClaimReply::RECORDED;
-}
-inline bool ClaimReply::Builder::isRecorded() {
-  return which() == ClaimReply::RECORDED;
-}
+inline bool ClaimReply::Reader::isRecorded() const { return which() == ClaimReply::RECORDED; }
+inline bool ClaimReply::Builder::isRecorded() { return which() == ClaimReply::RECORDED; }
 inline bool ClaimReply::Reader::hasRecorded() const {
   if (which() != ClaimReply::RECORDED) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ClaimReply::Builder::hasRecorded() {
   if (which() != ClaimReply::RECORDED) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Reader ClaimReply::Reader::getRecorded() const {
+inline ::vanilladeck::peer::wire::RecordedAnswer::Reader ClaimReply::Reader::getRecorded() const {
   KJ_IREQUIRE((which() == ClaimReply::RECORDED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder ClaimReply::Builder::getRecorded() {
+inline ::vanilladeck::peer::wire::RecordedAnswer::Builder ClaimReply::Builder::getRecorded() {
   KJ_IREQUIRE((which() == ClaimReply::RECORDED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ClaimReply::Builder::setRecorded( ::vanilladeck::peer::wire::RecordedAnswer::Reader value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::RECORDED);
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder ClaimReply::Builder::initRecorded() {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::RECORDED);
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimReply::Builder::setRecorded(
+    ::vanilladeck::peer::wire::RecordedAnswer::Reader value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::RECORDED);
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::vanilladeck::peer::wire::RecordedAnswer::Builder ClaimReply::Builder::initRecorded() {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::RECORDED);
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ClaimReply::Builder::adoptRecorded(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer>&& value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::RECORDED);
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer> ClaimReply::Builder::disownRecorded() {
+    ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>&& value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::RECORDED);
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>
+ClaimReply::Builder::disownRecorded() {
   KJ_IREQUIRE((which() == ClaimReply::RECORDED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ClaimReply::Reader::isInProgress() const {
-  return which() == ClaimReply::IN_PROGRESS;
-}
-inline bool ClaimReply::Builder::isInProgress() {
-  return which() == ClaimReply::IN_PROGRESS;
-}
-inline  ::capnp::Void ClaimReply::Reader::getInProgress() const {
+inline bool ClaimReply::Reader::isInProgress() const { return which() == ClaimReply::IN_PROGRESS; }
+inline bool ClaimReply::Builder::isInProgress() { return which() == ClaimReply::IN_PROGRESS; }
+inline ::capnp::Void ClaimReply::Reader::getInProgress() const {
   KJ_IREQUIRE((which() == ClaimReply::IN_PROGRESS),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void ClaimReply::Builder::getInProgress() {
+inline ::capnp::Void ClaimReply::Builder::getInProgress() {
   KJ_IREQUIRE((which() == ClaimReply::IN_PROGRESS),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setInProgress( ::capnp::Void value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::IN_PROGRESS);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setInProgress(::capnp::Void value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::IN_PROGRESS);
+  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ClaimReply::Reader::isOutcomeUnknown() const {
@@ -4669,437 +4879,487 @@
 inline bool ClaimReply::Builder::isOutcomeUnknown() {
   return which() == ClaimReply::OUTCOME_UNKNOWN;
 }
-inline  ::capnp::Void ClaimReply::Reader::getOutcomeUnknown() const {
+inline ::capnp::Void ClaimReply::Reader::getOutcomeUnknown() const {
   KJ_IREQUIRE((which() == ClaimReply::OUTCOME_UNKNOWN),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void ClaimReply::Builder::getOutcomeUnknown() {
+inline ::capnp::Void ClaimReply::Builder::getOutcomeUnknown() {
   KJ_IREQUIRE((which() == ClaimReply::OUTCOME_UNKNOWN),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setOutcomeUnknown( ::capnp::Void value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::OUTCOME_UNKNOWN);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setOutcomeUnknown(::capnp::Void value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::OUTCOME_UNKNOWN);
+  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::isMismatch() const {
-  return which() == ClaimReply::MISMATCH;
-}
-inline bool ClaimReply::Builder::isMismatch() {
-  return which() == ClaimReply::MISMATCH;
-}
-inline  ::capnp::Void ClaimReply::Reader::getMismatch() const {
+inline bool ClaimReply::Reader::isMismatch() const { return which() == ClaimReply::MISMATCH; }
+inline bool ClaimReply::Builder::isMismatch() { return which() == ClaimReply::MISMATCH; }
+inline ::capnp::Void ClaimReply::Reader::getMismatch() const {
   KJ_IREQUIRE((which() == ClaimReply::MISMATCH),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void ClaimReply::Builder::getMismatch() {
+inline ::capnp::Void ClaimReply::Builder::getMismatch() {
   KJ_IREQUIRE((which() == ClaimReply::MISMATCH),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setMismatch( ::capnp::Void value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::MISMATCH);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setMismatch(::capnp::Void value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::MISMATCH);
+  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::isExpired() const {
-  return which() == ClaimReply::EXPIRED;
-}
-inline bool ClaimReply::Builder::isExpired() {
-  return which() == ClaimReply::EXPIRED;
-}
-inline  ::capnp::Void ClaimReply::Reader::getExpired() const {
+inline bool ClaimReply::Reader::isExpired() const { return which() == ClaimReply::EXPIRED; }
+inline bool ClaimReply::Builder::isExpired() { return which() == ClaimReply::EXPIRED; }
+inline ::capnp::Void ClaimReply::Reader::getExpired() const {
   KJ_IREQUIRE((which() == ClaimReply::EXPIRED),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void ClaimReply::Builder::getExpired() {
+inline ::capnp::Void ClaimReply::Builder::getExpired() {
   KJ_IREQUIRE((which() == ClaimReply::EXPIRED),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setExpired( ::capnp::Void value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::EXPIRED);
-  _builder.setDataField< ::capnp::Void>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setExpired(::capnp::Void value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::EXPIRED);
+  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ClaimReply::Reader::isUnavailable() const {
-  return which() == ClaimReply::UNAVAILABLE;
-}
-inline bool ClaimReply::Builder::isUnavailable() {
-  return which() == ClaimReply::UNAVAILABLE;
-}
-inline  ::uint32_t ClaimReply::Reader::getUnavailable() const {
+inline bool ClaimReply::Reader::isUnavailable() const { return which() == ClaimReply::UNAVAILABLE; }
+inline bool ClaimReply::Builder::isUnavailable() { return which() == ClaimReply::UNAVAILABLE; }
+inline ::uint32_t ClaimReply::Reader::getUnavailable() const {
   KJ_IREQUIRE((which() == ClaimReply::UNAVAILABLE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ClaimReply::Builder::getUnavailable() {
+inline ::uint32_t ClaimReply::Builder::getUnavailable() {
   KJ_IREQUIRE((which() == ClaimReply::UNAVAILABLE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ClaimReply::Builder::setUnavailable( ::uint32_t value) {
-  _builder.setDataField<ClaimReply::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, ClaimReply::UNAVAILABLE);
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ClaimReply::Builder::setUnavailable(::uint32_t value) {
+  _builder.setDataField<ClaimReply::Which>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
+                                           ClaimReply::UNAVAILABLE);
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CompleteRequest::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CompleteRequest::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CompleteRequest::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CompleteRequest::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CompleteRequest::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CompleteRequest::Builder::getKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CompleteRequest::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CompleteRequest::Builder::setKey(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CompleteRequest::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CompleteRequest::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CompleteRequest::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CompleteRequest::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CompleteRequest::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CompleteRequest::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CompleteRequest::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CompleteRequest::Reader::getAttempt() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CompleteRequest::Builder::getAttempt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CompleteRequest::Builder::getAttempt() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CompleteRequest::Builder::setAttempt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CompleteRequest::Builder::setAttempt(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CompleteRequest::Reader::hasHolder() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CompleteRequest::Builder::hasHolder() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader CompleteRequest::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader CompleteRequest::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CompleteRequest::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CompleteRequest::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline CompleteRequest::Pipeline::getHolder() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(1));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline CompleteRequest::Pipeline::getHolder() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void CompleteRequest::Builder::setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void CompleteRequest::Builder::setHolder(
+    ::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CompleteRequest::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CompleteRequest::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void CompleteRequest::Builder::adoptHolder(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> CompleteRequest::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>
+CompleteRequest::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t CompleteRequest::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t CompleteRequest::Reader::getOutcome() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CompleteRequest::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t CompleteRequest::Builder::getOutcome() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void CompleteRequest::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void CompleteRequest::Builder::setOutcome(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CompleteRequest::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CompleteRequest::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Reader CompleteRequest::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::RecordedAnswer::Reader CompleteRequest::Reader::getAnswer()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder CompleteRequest::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::RecordedAnswer::Builder CompleteRequest::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Pipeline CompleteRequest::Pipeline::getAnswer() {
-  return  ::vanilladeck::peer::wire::RecordedAnswer::Pipeline(_typeless.getPointerField(2));
+inline ::vanilladeck::peer::wire::RecordedAnswer::Pipeline CompleteRequest::Pipeline::getAnswer() {
+  return ::vanilladeck::peer::wire::RecordedAnswer::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void CompleteRequest::Builder::setAnswer( ::vanilladeck::peer::wire::RecordedAnswer::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void CompleteRequest::Builder::setAnswer(
+    ::vanilladeck::peer::wire::RecordedAnswer::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::RecordedAnswer::Builder CompleteRequest::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::RecordedAnswer::Builder CompleteRequest::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void CompleteRequest::Builder::adoptAnswer(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::RecordedAnswer> CompleteRequest::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::RecordedAnswer>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::RecordedAnswer>
+CompleteRequest::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::RecordedAnswer>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t CompleteRequest::Reader::getClaimId() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t CompleteRequest::Builder::getClaimId() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CompleteRequest::Builder::setClaimId(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CreditRequest::Reader::hasSender() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CreditRequest::Builder::hasSender() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader CreditRequest::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader CreditRequest::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CreditRequest::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CreditRequest::Builder::getSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline CreditRequest::Pipeline::getSender() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline CreditRequest::Pipeline::getSender() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CreditRequest::Builder::setSender( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CreditRequest::Builder::setSender(::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CreditRequest::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CreditRequest::Builder::initSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void CreditRequest::Builder::adoptSender(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> CreditRequest::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>
+CreditRequest::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CreditRequest::Reader::hasFromRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CreditRequest::Builder::hasFromRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditRequest::Reader::getFromRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CreditRequest::Reader::getFromRegion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditRequest::Builder::getFromRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CreditRequest::Builder::getFromRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CreditRequest::Builder::setFromRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void CreditRequest::Builder::setFromRegion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditRequest::Builder::initFromRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CreditRequest::Builder::initFromRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CreditRequest::Builder::adoptFromRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void CreditRequest::Builder::adoptFromRegion(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditRequest::Builder::disownFromRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CreditRequest::Builder::disownFromRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CreditRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CreditRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CreditRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CreditRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CreditRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CreditRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CreditRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void CreditRequest::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CreditRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CreditRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void CreditRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void CreditRequest::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CreditRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CreditRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CreditRequest::Reader::getWanted() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditRequest::Reader::getWanted() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CreditRequest::Builder::getWanted() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditRequest::Builder::getWanted() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditRequest::Builder::setWanted( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CreditRequest::Builder::setWanted(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CreditGrant::Reader::getCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditGrant::Reader::getCount() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CreditGrant::Builder::getCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditGrant::Builder::getCount() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CreditGrant::Builder::setCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setCount(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CreditGrant::Reader::getLifeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditGrant::Reader::getLifeMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CreditGrant::Builder::getLifeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t CreditGrant::Builder::getLifeMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CreditGrant::Builder::setLifeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CreditGrant::Builder::setLifeMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CreditGrant::Reader::hasGranter() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CreditGrant::Builder::hasGranter() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader CreditGrant::Reader::getGranter() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Reader CreditGrant::Reader::getGranter() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CreditGrant::Builder::getGranter() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CreditGrant::Builder::getGranter() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline CreditGrant::Pipeline::getGranter() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline CreditGrant::Pipeline::getGranter() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CreditGrant::Builder::setGranter( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CreditGrant::Builder::setGranter(::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder CreditGrant::Builder::initGranter() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::InstanceId::Builder CreditGrant::Builder::initGranter() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void CreditGrant::Builder::adoptGranter(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>
+CreditGrant::Builder::disownGranter() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SeatClaim::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SeatClaim::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader SeatClaim::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder SeatClaim::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SeatClaim::Builder::setFailureDomain(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder SeatClaim::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SeatClaim::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> SeatClaim::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t SeatClaim::Reader::getSeat() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t SeatClaim::Builder::getSeat() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SeatClaim::Builder::setSeat(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SeatClaim::Reader::hasHolder() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SeatClaim::Builder::hasHolder() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::vanilladeck::peer::wire::InstanceId::Reader SeatClaim::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::vanilladeck::peer::wire::InstanceId::Builder SeatClaim::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::vanilladeck::peer::wire::InstanceId::Pipeline SeatClaim::Pipeline::getHolder() {
+  return ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void SeatClaim::Builder::setHolder(::vanilladeck::peer::wire::InstanceId::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::vanilladeck::peer::wire::InstanceId::Builder SeatClaim::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> CreditGrant::Builder::disownGranter() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void SeatClaim::Builder::adoptHolder(
+    ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::vanilladeck::peer::wire::InstanceId> SeatClaim::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::InstanceId>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t SeatClaim::Reader::getTerm() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t SeatClaim::Builder::getTerm() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SeatClaim::Builder::setTerm(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
+inline Peer::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Peer::Client::Client(::kj::Own<_t>&& server)
