@@ -5109,657 +5369,663 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Peer::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::vanilladeck::peer::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+inline ::vanilladeck::peer::wire::Peer::Client& Peer::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::vanilladeck::peer::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+inline ::vanilladeck::peer::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Peer::HeartbeatParams::Reader::hasOwn() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::HeartbeatParams::Builder::hasOwn() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Reader Peer::HeartbeatParams::Reader::getOwn() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Reader Peer::HeartbeatParams::Reader::getOwn() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::getOwn() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::getOwn() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::Heartbeat::Pipeline Peer::HeartbeatParams::Pipeline::getOwn() {
-  return  ::vanilladeck::peer::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::Heartbeat::Pipeline Peer::HeartbeatParams::Pipeline::getOwn() {
+  return ::vanilladeck::peer::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::HeartbeatParams::Builder::setOwn( ::vanilladeck::peer::wire::Heartbeat::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::HeartbeatParams::Builder::setOwn(
+    ::vanilladeck::peer::wire::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::initOwn() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatParams::Builder::initOwn() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatParams::Builder::adoptOwn(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat> Peer::HeartbeatParams::Builder::disownOwn() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>
+Peer::HeartbeatParams::Builder::disownOwn() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::HeartbeatResults::Reader::hasPeer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::HeartbeatResults::Builder::hasPeer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Reader Peer::HeartbeatResults::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Reader Peer::HeartbeatResults::Reader::getPeer()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::Heartbeat::Pipeline Peer::HeartbeatResults::Pipeline::getPeer() {
-  return  ::vanilladeck::peer::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::Heartbeat::Pipeline Peer::HeartbeatResults::Pipeline::getPeer() {
+  return ::vanilladeck::peer::wire::Heartbeat::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::HeartbeatResults::Builder::setPeer( ::vanilladeck::peer::wire::Heartbeat::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::HeartbeatResults::Builder::setPeer(
+    ::vanilladeck::peer::wire::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::initPeer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::Heartbeat::Builder Peer::HeartbeatResults::Builder::initPeer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::HeartbeatResults::Builder::adoptPeer(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::Heartbeat> Peer::HeartbeatResults::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::Heartbeat>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::Heartbeat>
+Peer::HeartbeatResults::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::Heartbeat>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::ForwardParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::ForwardParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::ForwardRequest::Reader Peer::ForwardParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardRequest::Reader Peer::ForwardParams::Reader::getRequest()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::ForwardRequest::Builder Peer::ForwardParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardRequest::Builder
+Peer::ForwardParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::ForwardRequest::Pipeline Peer::ForwardParams::Pipeline::getRequest() {
-  return  ::vanilladeck::peer::wire::ForwardRequest::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::ForwardRequest::Pipeline
+Peer::ForwardParams::Pipeline::getRequest() {
+  return ::vanilladeck::peer::wire::ForwardRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ForwardParams::Builder::setRequest( ::vanilladeck::peer::wire::ForwardRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ForwardParams::Builder::setRequest(
+    ::vanilladeck::peer::wire::ForwardRequest::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::ForwardRequest::Builder Peer::ForwardParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardRequest::Builder
+Peer::ForwardParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ForwardParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::ForwardRequest>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardRequest> Peer::ForwardParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::ForwardRequest>
+Peer::ForwardParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::ForwardResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::ForwardResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::ForwardReply::Reader Peer::ForwardResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardReply::Reader Peer::ForwardResults::Reader::getReply()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::ForwardReply::Builder Peer::ForwardResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardReply::Builder Peer::ForwardResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::ForwardReply::Pipeline Peer::ForwardResults::Pipeline::getReply() {
-  return  ::vanilladeck::peer::wire::ForwardReply::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::ForwardReply::Pipeline
+Peer::ForwardResults::Pipeline::getReply() {
+  return ::vanilladeck::peer::wire::ForwardReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ForwardResults::Builder::setReply( ::vanilladeck::peer::wire::ForwardReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ForwardResults::Builder::setReply(
+    ::vanilladeck::peer::wire::ForwardReply::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::ForwardReply::Builder Peer::ForwardResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ForwardReply::Builder Peer::ForwardResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ForwardResults::Builder::adoptReply(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardReply>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::ForwardReply>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::ForwardReply> Peer::ForwardResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ForwardReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::ForwardReply>
+Peer::ForwardResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ForwardReply>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::ClaimParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::ClaimParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::ClaimRequest::Reader Peer::ClaimParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimRequest::Reader Peer::ClaimParams::Reader::getRequest()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::ClaimRequest::Builder Peer::ClaimParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimRequest::Builder Peer::ClaimParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::ClaimRequest::Pipeline Peer::ClaimParams::Pipeline::getRequest() {
-  return  ::vanilladeck::peer::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::ClaimRequest::Pipeline Peer::ClaimParams::Pipeline::getRequest() {
+  return ::vanilladeck::peer::wire::ClaimRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ClaimParams::Builder::setRequest( ::vanilladeck::peer::wire::ClaimRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ClaimParams::Builder::setRequest(
+    ::vanilladeck::peer::wire::ClaimRequest::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::ClaimRequest::Builder Peer::ClaimParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimRequest::Builder Peer::ClaimParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ClaimParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::ClaimRequest>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimRequest> Peer::ClaimParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::ClaimRequest>
+Peer::ClaimParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::ClaimResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::ClaimResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::ClaimReply::Reader Peer::ClaimResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimReply::Reader Peer::ClaimResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::ClaimReply::Builder Peer::ClaimResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimReply::Builder Peer::ClaimResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::ClaimReply::Pipeline Peer::ClaimResults::Pipeline::getReply() {
-  return  ::vanilladeck::peer::wire::ClaimReply::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::ClaimReply::Pipeline Peer::ClaimResults::Pipeline::getReply() {
+  return ::vanilladeck::peer::wire::ClaimReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ClaimResults::Builder::setReply( ::vanilladeck::peer::wire::ClaimReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ClaimResults::Builder::setReply(
+    ::vanilladeck::peer::wire::ClaimReply::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::ClaimReply::Builder Peer::ClaimResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::ClaimReply::Builder Peer::ClaimResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::ClaimResults::Builder::adoptReply(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimReply>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::ClaimReply>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::ClaimReply> Peer::ClaimResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::ClaimReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::ClaimReply>
+Peer::ClaimResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::ClaimReply>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::CompleteParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CompleteParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::CompleteRequest::Reader Peer::CompleteParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CompleteRequest::Reader Peer::CompleteParams::Reader::getRequest()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::CompleteRequest::Builder Peer::CompleteParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CompleteRequest::Builder
+Peer::CompleteParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::CompleteRequest::Pipeline Peer::CompleteParams::Pipeline::getRequest() {
-  return  ::vanilladeck::peer::wire::CompleteRequest::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::CompleteRequest::Pipeline
+Peer::CompleteParams::Pipeline::getRequest() {
+  return ::vanilladeck::peer::wire::CompleteRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::CompleteParams::Builder::setRequest( ::vanilladeck::peer::wire::CompleteRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::CompleteParams::Builder::setRequest(
+    ::vanilladeck::peer::wire::CompleteRequest::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::CompleteRequest::Builder Peer::CompleteParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CompleteRequest::Builder
+Peer::CompleteParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CompleteParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::CompleteRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::CompleteRequest>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::CompleteRequest> Peer::CompleteParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CompleteRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::CompleteRequest>
+Peer::CompleteParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CompleteRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::CompleteResults::Reader::getRecorded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Peer::CompleteResults::Builder::getRecorded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Peer::CompleteResults::Builder::setRecorded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::CreditsParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CreditsParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::CreditRequest::Reader Peer::CreditsParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditRequest::Reader Peer::CreditsParams::Reader::getRequest()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::CreditRequest::Builder Peer::CreditsParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditRequest::Builder
+Peer::CreditsParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::CreditRequest::Pipeline Peer::CreditsParams::Pipeline::getRequest() {
-  return  ::vanilladeck::peer::wire::CreditRequest::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::CreditRequest::Pipeline
+Peer::CreditsParams::Pipeline::getRequest() {
+  return ::vanilladeck::peer::wire::CreditRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::CreditsParams::Builder::setRequest( ::vanilladeck::peer::wire::CreditRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::CreditsParams::Builder::setRequest(
+    ::vanilladeck::peer::wire::CreditRequest::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::CreditRequest::Builder Peer::CreditsParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditRequest::Builder
+Peer::CreditsParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CreditsParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::CreditRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::CreditRequest>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::CreditRequest> Peer::CreditsParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::CreditRequest>
+Peer::CreditsParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::CreditsResults::Reader::hasGrant() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::CreditsResults::Builder::hasGrant() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::CreditGrant::Reader Peer::CreditsResults::Reader::getGrant() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditGrant::Reader Peer::CreditsResults::Reader::getGrant()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::CreditGrant::Builder Peer::CreditsResults::Builder::getGrant() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditGrant::Builder Peer::CreditsResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::CreditGrant::Pipeline Peer::CreditsResults::Pipeline::getGrant() {
-  return  ::vanilladeck::peer::wire::CreditGrant::Pipeline(_typeless.getPointerField(0));
+inline ::vanilladeck::peer::wire::CreditGrant::Pipeline Peer::CreditsResults::Pipeline::getGrant() {
+  return ::vanilladeck::peer::wire::CreditGrant::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::CreditsResults::Builder::setGrant( ::vanilladeck::peer::wire::CreditGrant::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::CreditsResults::Builder::setGrant(
+    ::vanilladeck::peer::wire::CreditGrant::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::vanilladeck::peer::wire::CreditGrant::Builder Peer::CreditsResults::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::CreditGrant::Builder Peer::CreditsResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Peer::CreditsResults::Builder::adoptGrant(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::CreditGrant>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::vanilladeck::peer::wire::CreditGrant>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::CreditGrant> Peer::CreditsResults::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::CreditGrant>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::CreditGrant>
+Peer::CreditsResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::CreditGrant>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::FetchVersionsParams::Reader::hasDeployment() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::FetchVersionsParams::Builder::hasDeployment() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::FetchVersionsParams::Reader::getDeployment() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::FetchVersionsParams::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::FetchVersionsParams::Builder::getDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::FetchVersionsParams::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::FetchVersionsParams::Builder::setDeployment( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::FetchVersionsParams::Builder::setDeployment(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::FetchVersionsParams::Builder::initDeployment(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::FetchVersionsParams::Builder::initDeployment(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::FetchVersionsParams::Builder::adoptDeployment(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::FetchVersionsParams::Builder::disownDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::FetchVersionsParams::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::FetchVersionsParams::Reader::getAfter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::FetchVersionsParams::Reader::getAfter() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::FetchVersionsParams::Builder::getAfter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::FetchVersionsParams::Builder::getAfter() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::FetchVersionsParams::Builder::setAfter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::FetchVersionsParams::Builder::setAfter(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::FetchVersionsResults::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::FetchVersionsResults::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::FetchVersionsResults::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+Peer::FetchVersionsResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchVersionsResults::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::FetchVersionsResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::FetchVersionsResults::Builder::setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::FetchVersionsResults::Builder::setRecords(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::FetchVersionsResults::Builder::setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::FetchVersionsResults::Builder::setRecords(
+    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::FetchVersionsResults::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::FetchVersionsResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::FetchVersionsResults::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::FetchVersionsResults::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Peer::FetchVersionsResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::OfferVersionsParams::Reader::hasDeployment() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::OfferVersionsParams::Builder::hasDeployment() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::OfferVersionsParams::Reader::getDeployment() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Peer::OfferVersionsParams::Reader::getDeployment() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::getDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::getDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OfferVersionsParams::Builder::setDeployment( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::OfferVersionsParams::Builder::setDeployment(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::initDeployment(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::initDeployment(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Peer::OfferVersionsParams::Builder::adoptDeployment(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::OfferVersionsParams::Builder::disownDeployment() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Peer::OfferVersionsParams::Builder::disownDeployment() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::OfferVersionsParams::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Peer::OfferVersionsParams::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Peer::OfferVersionsParams::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
+Peer::OfferVersionsParams::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::OfferVersionsParams::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::OfferVersionsParams::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::OfferVersionsParams::Builder::setRecords( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Peer::OfferVersionsParams::Builder::setRecords(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Peer::OfferVersionsParams::Builder::setRecords(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Peer::OfferVersionsParams::Builder::setRecords(
+    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Peer::OfferVersionsParams::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
+Peer::OfferVersionsParams::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Peer::OfferVersionsParams::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Peer::OfferVersionsParams::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Peer::OfferVersionsParams::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::OfferVersionsResults::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::OfferVersionsResults::Reader::getVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::OfferVersionsResults::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Peer::OfferVersionsResults::Builder::getVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::OfferVersionsResults::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::OfferVersionsResults::Builder::setVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ConfirmSeatParams::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ConfirmSeatParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfirmSeatParams::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Peer::ConfirmSeatParams::Builder::hasClaim() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ConfirmSeatParams::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::SeatClaim::Reader Peer::ConfirmSeatParams::Reader::getClaim()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ConfirmSeatParams::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::SeatClaim::Builder Peer::ConfirmSeatParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ConfirmSeatParams::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline ::vanilladeck::peer::wire::SeatClaim::Pipeline
+Peer::ConfirmSeatParams::Pipeline::getClaim() {
+  return ::vanilladeck::peer::wire::SeatClaim::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ConfirmSeatParams::Builder::setClaim(
+    ::vanilladeck::peer::wire::SeatClaim::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ConfirmSeatParams::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::vanilladeck::peer::wire::SeatClaim::Builder Peer::ConfirmSeatParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ConfirmSeatParams::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::ConfirmSeatParams::Builder::adoptClaim(
+    ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ConfirmSeatParams::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>
+Peer::ConfirmSeatParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Peer::ConfirmSeatParams::Reader::getSeat() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ConfirmSeatResults::Reader::getConfirmed() const {
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Peer::ConfirmSeatParams::Builder::getSeat() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ConfirmSeatResults::Builder::getConfirmed() {
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfirmSeatParams::Builder::setSeat( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ConfirmSeatResults::Builder::setConfirmed(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ConfirmSeatParams::Reader::hasHolder() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Peer::AnnounceSeatParams::Reader::hasClaim() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfirmSeatParams::Builder::hasHolder() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool Peer::AnnounceSeatParams::Builder::hasClaim() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Reader Peer::ConfirmSeatParams::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::SeatClaim::Reader Peer::AnnounceSeatParams::Reader::getClaim()
+    const {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::vanilladeck::peer::wire::InstanceId::Builder Peer::ConfirmSeatParams::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::vanilladeck::peer::wire::SeatClaim::Builder Peer::AnnounceSeatParams::Builder::getClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::vanilladeck::peer::wire::InstanceId::Pipeline Peer::ConfirmSeatParams::Pipeline::getHolder() {
-  return  ::vanilladeck::peer::wire::InstanceId::Pipeline(_typeless.getPointerField(1));
+inline ::vanilladeck::peer::wire::SeatClaim::Pipeline
+Peer::AnnounceSeatParams::Pipeline::getClaim() {
+  return ::vanilladeck::peer::wire::SeatClaim::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ConfirmSeatParams::Builder::setHolder( ::vanilladeck::peer::wire::InstanceId::Reader value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::vanilladeck::peer::wire::InstanceId::Builder Peer::ConfirmSeatParams::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::ConfirmSeatParams::Builder::adoptHolder(
-    ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId>&& value) {
-  ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::vanilladeck::peer::wire::InstanceId> Peer::ConfirmSeatParams::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::vanilladeck::peer::wire::InstanceId>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Peer::AnnounceSeatParams::Builder::setClaim(
+    ::vanilladeck::peer::wire::SeatClaim::Reader value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Peer::ConfirmSeatResults::Reader::getConfirmed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::vanilladeck::peer::wire::SeatClaim::Builder
+Peer::AnnounceSeatParams::Builder::initClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Peer::ConfirmSeatResults::Builder::getConfirmed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Peer::AnnounceSeatParams::Builder::adoptClaim(
+    ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>&& value) {
+  ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::ConfirmSeatResults::Builder::setConfirmed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan<::vanilladeck::peer::wire::SeatClaim>
+Peer::AnnounceSeatParams::Builder::disownClaim() {
+  return ::capnp::_::PointerHelpers<::vanilladeck::peer::wire::SeatClaim>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
-}  // namespace
+}  // namespace wire
+}  // namespace peer
+}  // namespace vanilladeck
 
 CAPNP_END_HEADER
-
--- a/tests/peer/node_test.cc
+++ b/tests/peer/node_test.cc
@@ -156,7 +156,7 @@
   REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
   const std::string garbage(4096, '\xff');
   REQUIRE(send(fd, garbage.data(), garbage.size(), MSG_NOSIGNAL) > 0);
-  REQUIRE(client->Send(1, kServer, peer::ConfirmSeat{"a", 0, {"x", 1}}, 2s));
+  REQUIRE(client->Send(1, kServer, peer::ConfirmSeat{{"a", 0, {"x", 1}, 7}}, 2s));
   auto incoming = server_inbox.Wait<peer::Incoming>();
   REQUIRE(server->Respond(incoming.id, peer::SeatConfirmed{true}));
   CHECK(
