Parse and check the deployment text

Cause: the other modules need the checked deployment aggregate. Change: config::ParseDeployment reads the TOML text and reports every broken rule with file, line, column and rule name. Blocks of different regions must not overlap; links must carry their shift cap at an assumed 64 KiB a request. Ruled out: reporting through exceptions (TOML_EXCEPTIONS is 0), recursion in the cycle check (a long dependency chain could overflow the stack). Conclusion: texts that break several rules give all their errors in order of position; TOML syntax errors stop at the first one, as the parser does.

--- /dev/null
+++ b/src/vanilladeck/config/parse_deployment.cc
@@ -0,0 +1,25 @@
+#include "vanilladeck/config/parse_deployment.h"
+
+#include <string>
+
+#include "vanilladeck/config/impl/deployment_reader.h"
+
+namespace vanilladeck::config {
+
+core::Result<Deployment, std::vector<ConfigError>> ParseDeployment(std::string_view text,
+                                                                   std::string_view file_name) {
+  impl::ErrorSink sink(file_name);
+  const auto parsed = toml::parse(text);
+  if (!parsed) {
+    sink.Add(ConfigErrorCode::kMalformedToml, impl::PositionOf(parsed.error().source()),
+             std::string(parsed.error().description()));
+    return core::failure(sink.Take());
+  }
+  auto read = impl::Read(parsed.table(), sink);
+  impl::CheckDeployment(read, sink);
+  auto errors = sink.Take();
+  if (!errors.empty()) return core::failure(std::move(errors));
+  return core::success(std::move(read.deployment));
+}
+
+}  // namespace vanilladeck::config
