Add the admission and steering decision modules

Cause: the serving thread needs pure decisions on admission, slots, retries and forwarding. Ruled out: floors as whole slot counts (0.1 of 4 slots rounds to none or to a quarter); an IP trie (pointers per node cost more memory than flattened ranges). Conclusion: interfaces are ready for the serving thread.

--- /dev/null
+++ b/src/vanilladeck/admission/impl/backend_server.cc
@@ -0,0 +1,114 @@
+#include "vanilladeck/admission/impl/backend_server.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace vanilladeck::admission::impl {
+namespace {
+
+// Growth of the load on a cold server; the same factor bounds credits across regions.
+constexpr double kGrowthPerSecond = 1.5;
+// A longer step means a pause of this process; the time does not count as warming up.
+constexpr double kMaxGrowthStepS = 1.0;
+constexpr double kShedFactor = 0.5;
+constexpr std::uint32_t kEjectAfterFailures = 3;
+constexpr core::Duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaxEjectionDoublings = 6;
+
+}  // namespace
+
+std::uint32_t BackendServer::Limit() const noexcept {
+  if (!TakesWork()) return 0;
+  const std::uint32_t others = busy - std::min(busy, in_flight);
+  const std::uint32_t left = slots - std::min(slots, others);
+  const auto contradicted_limit = static_cast<std::uint32_t>(contradicted);
+  return std::min(UsableShare(), std::max(left, contradicted_limit));
+}
+
+std::uint32_t BackendServer::UsableShare() const noexcept {
+  if (!TakesWork()) return 0;
+  return std::min(
+      {share, static_cast<std::uint32_t>(ramp), static_cast<std::uint32_t>(shed_limit)});
+}
+
+bool BackendServer::TakesWork() const noexcept {
+  return listed && !leaving && !needs_probe && !ejected_until;
+}
+
+void BackendServer::OnStarted() noexcept {
+  ++in_flight;
+  busy = std::max(busy + 1, in_flight);
+}
+
+void BackendServer::OnFinished(bool success) noexcept {
+  if (in_flight > 0) --in_flight;
+  // The own request that ended is the only thing known to have left the server.
+  if (busy > 0) --busy;
+  busy = std::max(busy, in_flight);
+  if (!success) return;
+  ++finished_since_growth;
+  failures = 0;
+  const std::uint32_t others = busy - in_flight;
+  // Work that succeeds on a server reported full contradicts the report, one slot at a time.
+  if (others >= slots) contradicted = std::min(contradicted + 1 / contradicted, share + 0.0);
+}
+
+void BackendServer::OnReport(std::uint32_t reported) noexcept {
+  const bool repeated = last_report == reported;
+  const bool impossible = reported == 0 && in_flight > 0;
+  last_report = reported;
+  if (impossible) return;
+  busy = std::max(repeated ? std::max(busy, reported) : reported, in_flight);
+  if (busy < slots) contradicted = 1;
+}
+
+void BackendServer::OnShed() noexcept {
+  contradicted = 1;
+  const double current = std::min(shed_limit, std::max(1.0, in_flight + 0.0));
+  shed_limit = std::max(1.0, current * kShedFactor);
+}
+
+void BackendServer::OnFailure(core::TimePoint now, bool may_eject) noexcept {
+  ++failures;
+  if (failures < kEjectAfterFailures || !may_eject || ejected_until) return;
+  const auto factor = static_cast<int>(1U << std::min(ejections, kMaxEjectionDoublings));
+  ejected_until = now + kFirstEjection * factor;
+  ++ejections;
+}
+
+void BackendServer::OnHealthy(core::TimePoint now) noexcept {
+  if (leaving && unreachable_since_leaving && listed) {
+    leaving = false;  // A new process answers at the address.
+    StartCold(now);
+  }
+  if (needs_probe || (ejected_until && now >= *ejected_until)) StartCold(now);
+}
+
+void BackendServer::Grow(core::TimePoint now) noexcept {
+  const double step = std::chrono::duration<double>(now - grown_at).count();
+  if (step <= 0) return;
+  grown_at = now;
+  if (finished_since_growth == 0) return;  // Nothing was measured: no growth.
+  finished_since_growth = 0;
+  const double factor = std::pow(kGrowthPerSecond, std::min(step, kMaxGrowthStepS));
+  const double bound = std::max(1.0, slots + 0.0);
+  ramp = std::min(ramp * factor, bound);
+  shed_limit = std::min(shed_limit * factor, bound);
+}
+
+void BackendServer::StartCold(core::TimePoint now) noexcept {
+  needs_probe = false;
+  ejected_until.reset();
+  unreachable_since_leaving = false;
+  failures = 0;
+  ramp = 1;
+  shed_limit = std::max(1.0, slots + 0.0);
+  contradicted = 1;
+  busy = in_flight;
+  last_report.reset();
+  finished_since_growth = 0;
+  grown_at = now;
+}
+
+}  // namespace vanilladeck::admission::impl
--- /dev/null
+++ b/src/vanilladeck/admission/scheduler.cc
@@ -0,0 +1,332 @@
+#include "vanilladeck/admission/scheduler.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <variant>
+
+namespace vanilladeck::admission {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Weight of one sample in the mean service time: about the last 16 requests count.
+constexpr double kServiceWeight = 1.0 / 16;
+// Assumed for the bounds of floor credits until a request of the rank finished.
+constexpr double kUnknownServiceS = 0.01;
+// A longer step than this means that the process was paused; no credit accrues for the rest.
+constexpr double kMaxStepS = 1.0;
+// Slots left idle for urgent arrivals cost at most this share of the capacity; the target for
+// goodput leaves 5%.
+constexpr double kHeadroomShare = 0.02;
+constexpr core::Duration kHeadroomMemory = std::chrono::seconds(1);
+// Urgent requests may wait a tenth of their service time for lent work before headroom is kept.
+constexpr double kHeadroomWaitShare = 0.1;
+// In overload an urgent request waits at most this part of a service time: the target allows half
+// of the unloaded 99th percentile, and the wait of a queued request cannot be cut any later.
+constexpr double kOverloadWaitShare = 0.35;
+// A queue that never empties for this many service times is overload and not a burst.
+constexpr double kStandingServices = 4;
+constexpr double kMinStandingS = 0.02;
+constexpr core::Duration kOverloadMemory = std::chrono::seconds(1);
+constexpr core::Duration kMinRetryAfter = std::chrono::milliseconds(100);
+constexpr core::Duration kMaxRetryAfter = std::chrono::seconds(10);
+// Keeps estimates finite for a rank without a floor that has no slot.
+constexpr double kMinSlots = 0.1;
+
+core::Duration FromSeconds(double seconds) {
+  constexpr double kLongestS = 3600;
+  return std::chrono::duration_cast<core::Duration>(Seconds(std::min(seconds, kLongestS)));
+}
+
+double ToSeconds(core::Duration duration) { return Seconds(duration).count(); }
+
+std::optional<SchedulerError> Validate(const core::PerRank<config::RankTargets>& ranks) {
+  constexpr double kRounding = 1e-9;
+  double sum = 0;
+  for (core::Rank rank : core::kAllRanks) {
+    const config::RankTargets& targets = ranks[core::Index(rank)];
+    if (!(targets.floor >= 0 && targets.floor <= 1)) {
+      return SchedulerError{SchedulerErrorCode::kFloorOutOfRange, rank};
+    }
+    if (!(targets.worth > 0)) return SchedulerError{SchedulerErrorCode::kWorth, rank};
+    if (targets.target.count() <= 0) return SchedulerError{SchedulerErrorCode::kTarget, rank};
+    sum += targets.floor;
+    if (sum > 1 + kRounding) return SchedulerError{SchedulerErrorCode::kFloorSum, rank};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+core::Result<Scheduler, SchedulerError> Scheduler::Create(
+    const config::Policy& policy, const core::PerRank<config::RankTargets>& ranks) {
+  Scheduler scheduler;
+  if (auto error = Validate(ranks)) return *error;
+  scheduler.order_ = impl::MakePolicy(policy.scheduler);
+  scheduler.policy_ = policy;
+  for (std::size_t i = 0; i < core::kRankCount; ++i) scheduler.ranks_[i].targets = ranks[i];
+  return scheduler;
+}
+
+core::Result<void, SchedulerError> Scheduler::Configure(
+    const config::Policy& policy, const core::PerRank<config::RankTargets>& ranks) {
+  if (auto error = Validate(ranks)) return *error;
+  if (policy.scheduler != policy_.scheduler) order_ = impl::MakePolicy(policy.scheduler);
+  policy_ = policy;
+  for (core::Rank rank : core::kAllRanks) {
+    RankState& state = State(rank);
+    state.targets = ranks[core::Index(rank)];
+    const auto waiting = std::exchange(state.waiting, {});
+    for (const auto& [position, request] : waiting) Insert(rank, request);
+  }
+  return core::success();
+}
+
+void Scheduler::SetCapacity(std::uint32_t slots, core::TimePoint now) {
+  Advance(now);
+  capacity_ = slots;
+}
+
+core::Result<Accepted, Rejection> Scheduler::Offer(RequestId id, core::Rank rank,
+                                                   std::optional<core::TimePoint> deadline,
+                                                   core::TimePoint now) {
+  Advance(now);
+  RankState& state = State(rank);
+  state.last_arrival = now;
+  state.seen = true;
+  if (waiting_index_.contains(id) || running_.contains(id)) {
+    return Rejection{RejectionCode::kDuplicateId, rank, core::Duration::zero()};
+  }
+  if (auto code = Check(rank, deadline, now)) return Rejection{*code, rank, RetryAfter(rank)};
+  const core::Duration wait = EstimatedWait(rank);
+  if (state.waiting.empty()) state.queue_since = now;
+  Insert(rank, WaitingRequest{id, next_sequence_++, now, deadline});
+  return Accepted{wait};
+}
+
+std::optional<RequestId> Scheduler::Next(core::TimePoint now) {
+  Advance(now);
+  DropOverdueHeads(now);
+  holding_ = false;
+  if (running_.size() >= capacity_) return std::nullopt;
+  const std::optional<core::Rank> rank = Choose(now);
+  if (!rank) return std::nullopt;
+  RankState& state = State(*rank);
+  const auto it = state.waiting.begin();
+  const WaitingRequest request = it->second;
+  Remove(*rank, it);
+  ++state.running;
+  running_.emplace(request.id, RunningRequest{*rank, request});
+  return request.id;
+}
+
+void Scheduler::PutBack(RequestId id, core::TimePoint now) {
+  Advance(now);
+  const auto it = running_.find(id);
+  if (it == running_.end()) return;
+  const RunningRequest entry = it->second;
+  running_.erase(it);
+  --State(entry.rank).running;
+  Insert(entry.rank, entry.request);
+}
+
+bool Scheduler::Cancel(RequestId id, core::TimePoint now) {
+  Advance(now);
+  const auto index = waiting_index_.find(id);
+  if (index == waiting_index_.end()) return false;
+  const auto [rank, position] = index->second;
+  Remove(rank, State(rank).waiting.find(position));
+  return true;
+}
+
+void Scheduler::OnFinished(RequestId id, std::optional<core::Duration> service_time,
+                           core::TimePoint now) {
+  Advance(now);
+  const auto it = running_.find(id);
+  if (it == running_.end()) return;
+  RankState& state = State(it->second.rank);
+  --state.running;
+  running_.erase(it);
+  if (!service_time) return;
+  const double sample = ToSeconds(*service_time);
+  state.mean_service = state.mean_service > 0
+                           ? state.mean_service + kServiceWeight * (sample - state.mean_service)
+                           : sample;
+}
+
+std::vector<Dropped> Scheduler::TakeDropped(core::TimePoint now) {
+  Advance(now);
+  for (core::Rank rank : core::kAllRanks) {
+    NoteStandingQueue(rank, now);
+    auto& waiting = State(rank).waiting;
+    for (auto it = waiting.begin(); it != waiting.end();) {
+      const auto current = it++;
+      if (auto code = Overdue(rank, current->second, now)) {
+        dropped_.push_back({current->second.id, {*code, rank, RetryAfter(rank)}});
+        Remove(rank, current);
+      }
+    }
+  }
+  return std::exchange(dropped_, {});
+}
+
+std::size_t Scheduler::Waiting(core::Rank rank) const noexcept {
+  return State(rank).waiting.size();
+}
+
+std::uint32_t Scheduler::Running(core::Rank rank) const noexcept { return State(rank).running; }
+
+core::Duration Scheduler::EstimatedWait(core::Rank rank) const noexcept {
+  const RankState& state = State(rank);
+  std::size_t all_waiting = 0;
+  for (const RankState& other : ranks_) all_waiting += other.waiting.size();
+  if (running_.size() + all_waiting < capacity_) return core::Duration::zero();
+  // In saturation the slots that a rank holds are its present share of the capacity.
+  const double slots = std::max({static_cast<double>(state.running),
+                                 state.targets.floor * static_cast<double>(capacity_), kMinSlots});
+  const auto ahead = static_cast<double>(state.waiting.size()) + 1;
+  return FromSeconds(ahead * state.mean_service / slots);
+}
+
+void Scheduler::Advance(core::TimePoint now) {
+  if (!started_) {
+    started_ = true;
+    advanced_to_ = now;
+  }
+  const double step = std::clamp(ToSeconds(now - advanced_to_), 0.0, kMaxStepS);
+  advanced_to_ = std::max(advanced_to_, now);
+  if (step == 0) return;
+  const auto slots = static_cast<double>(capacity_);
+  for (RankState& state : ranks_) {
+    const double floor_slots = state.targets.floor * slots;
+    const auto running = static_cast<double>(state.running);
+    const double demand = running + static_cast<double>(state.waiting.size());
+    state.floor_credit += (std::min(floor_slots, demand) - running) * step;
+    // The bounds let a floor of a fraction of a slot pay for one whole request, and forgive what a
+    // rank borrowed beyond that.
+    const double service = state.mean_service > 0 ? state.mean_service : kUnknownServiceS;
+    const double limit = service * std::max(1.0, floor_slots);
+    state.floor_credit = std::clamp(state.floor_credit, -limit, demand > 0 ? 2 * limit : 0.0);
+  }
+  const double earned = kHeadroomShare * slots * step;
+  headroom_credit_ = std::min(headroom_credit_ + earned - (holding_ ? step : 0),
+                              kHeadroomShare * slots * kMaxStepS);
+}
+
+Scheduler::Position Scheduler::PositionOf(const RankState& state,
+                                          const WaitingRequest& request) const {
+  const auto sequence = static_cast<std::int64_t>(request.sequence);
+  if (policy_.scheduler != config::SchedulerKind::kDeadline) return {sequence, request.sequence};
+  const core::TimePoint due = request.arrived + state.targets.target;
+  const core::TimePoint first = request.deadline ? std::min(due, *request.deadline) : due;
+  return {first.time_since_epoch().count(), request.sequence};
+}
+
+void Scheduler::Insert(core::Rank rank, const WaitingRequest& request) {
+  RankState& state = State(rank);
+  const Position position = PositionOf(state, request);
+  state.waiting.emplace(position, request);
+  waiting_index_[request.id] = {rank, position};
+}
+
+void Scheduler::Remove(core::Rank rank, std::map<Position, WaitingRequest>::iterator it) {
+  waiting_index_.erase(it->second.id);
+  State(rank).waiting.erase(it);
+}
+
+std::optional<RejectionCode> Scheduler::Check(core::Rank rank,
+                                              std::optional<core::TimePoint> deadline,
+                                              core::TimePoint now) {
+  RankState& state = State(rank);
+  if (state.waiting.size() >= policy_.queue_limit) return RejectionCode::kQueueFull;
+  NoteStandingQueue(rank, now);
+  const core::Duration wait = EstimatedWait(rank);
+  const core::Duration service = FromSeconds(state.mean_service);
+  if (deadline && now + wait + service > *deadline) return RejectionCode::kDeadline;
+  if (wait > state.targets.target) return RejectionCode::kDeadline;
+  if (!Overloaded(rank, now) || state.waiting.empty()) return std::nullopt;
+  if (wait <= FromSeconds(kOverloadWaitShare * state.mean_service)) return std::nullopt;
+  state.overloaded_until = now + kOverloadMemory;
+  return RejectionCode::kOverload;
+}
+
+std::optional<RejectionCode> Scheduler::Overdue(core::Rank rank, const WaitingRequest& request,
+                                                core::TimePoint now) const {
+  const RankState& state = State(rank);
+  if (request.deadline && now >= *request.deadline) return RejectionCode::kDeadline;
+  const double waited = ToSeconds(now - request.arrived);
+  if (Overloaded(rank, now) && waited > kOverloadWaitShare * state.mean_service) {
+    return RejectionCode::kOverload;
+  }
+  return std::nullopt;
+}
+
+void Scheduler::DropOverdueHeads(core::TimePoint now) {
+  for (core::Rank rank : core::kAllRanks) {
+    auto& waiting = State(rank).waiting;
+    while (!waiting.empty()) {
+      const auto head = waiting.begin();
+      const auto code = Overdue(rank, head->second, now);
+      if (!code) break;
+      dropped_.push_back({head->second.id, {*code, rank, RetryAfter(rank)}});
+      Remove(rank, head);
+    }
+  }
+}
+
+void Scheduler::NoteStandingQueue(core::Rank rank, core::TimePoint now) {
+  RankState& state = State(rank);
+  if (rank != core::Rank::kUrgent || state.waiting.empty()) return;
+  const double limit = std::max(kStandingServices * state.mean_service, kMinStandingS);
+  if (ToSeconds(now - state.queue_since) > limit) state.overloaded_until = now + kOverloadMemory;
+}
+
+bool Scheduler::Overloaded(core::Rank rank, core::TimePoint now) const noexcept {
+  return rank == core::Rank::kUrgent && now < State(rank).overloaded_until;
+}
+
+bool Scheduler::BelowFloor(core::Rank rank) const noexcept {
+  const RankState& state = State(rank);
+  const double floor_slots = state.targets.floor * static_cast<double>(capacity_);
+  return state.running + 1 <= floor_slots || (floor_slots > 0 && state.floor_credit > 0);
+}
+
+std::optional<core::Rank> Scheduler::Choose(core::TimePoint now) {
+  impl::Candidates candidates;
+  for (core::Rank rank : core::kAllRanks) {
+    const RankState& state = State(rank);
+    if (state.waiting.empty()) continue;
+    if (BelowFloor(rank)) return rank;
+    const WaitingRequest& head = state.waiting.begin()->second;
+    const core::TimePoint due = head.arrived + state.targets.target;
+    const core::TimePoint end = head.deadline ? std::min(due, *head.deadline) : due;
+    candidates[core::Index(rank)] = impl::Candidate{
+        state.targets.worth, ToSeconds(end - now) - state.mean_service, state.mean_service};
+  }
+  const auto rank = std::visit([&](auto& order) { return order.Choose(candidates); }, order_);
+  if (!rank || (*rank != core::Rank::kUrgent && HoldForUrgent(now))) return std::nullopt;
+  std::visit([&](auto& order) { order.OnDispatched(*rank, *candidates[core::Index(*rank)]); },
+             order_);
+  return rank;
+}
+
+bool Scheduler::HoldForUrgent(core::TimePoint now) {
+  const RankState& urgent = State(core::Rank::kUrgent);
+  if (running_.size() + 1 < capacity_ || headroom_credit_ <= 0) return false;
+  if (!urgent.seen || now - urgent.last_arrival > kHeadroomMemory) return false;
+  double lent_rate = 0;  // Requests per second that free a slot.
+  for (const RankState& state : ranks_) {
+    if (state.mean_service > 0) lent_rate += state.running / state.mean_service;
+  }
+  if (lent_rate * kHeadroomWaitShare * urgent.mean_service >= 1) return false;
+  holding_ = true;
+  return true;
+}
+
+core::Duration Scheduler::RetryAfter(core::Rank rank) const noexcept {
+  return std::clamp(EstimatedWait(rank), kMinRetryAfter, kMaxRetryAfter);
+}
+
+}  // namespace vanilladeck::admission
--- /dev/null
+++ b/src/vanilladeck/steering/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// Forward declarations of the steering module.
+
+namespace vanilladeck::steering {
+
+class AnswerLedger;
+class CreditLedger;
+class CreditWallet;
+class LookupTable;
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/lookup_table.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "vanilladeck/config/deployment.h"
+#include "vanilladeck/core/result.h"
+#include "vanilladeck/core/runtime_clock.h"
+#include "vanilladeck/steering/impl/block_map.h"
+
+namespace vanilladeck::steering {
+
+/// An entry instance that may be named in lookup responses.
+struct EntryInstance {
+  std::string caller_address;  ///< "IP:port" of the callers' listener.
+  std::string failure_domain;
+  std::string region;
+  bool leaving = false;
+  bool healthy = true;  ///< False while its heartbeats are missing; named last, never dropped.
+};
+
+/// One-way latency between regions, from the heartbeats' round trips.
+using RegionLatencies = std::map<std::pair<std::string, std::string>, core::Duration>;
+
+struct LookupInputs {
+  std::string own_region;  ///< Used for clients that no block names.
+  std::vector<EntryInstance> entry_instances;
+  RegionLatencies latencies;  ///< Pairs that were never measured count as `kUnknownLatency`.
+};
+
+/// Above every measured latency between regions, so that an unmeasured path is never preferred.
+inline constexpr core::Duration kUnknownLatency = std::chrono::seconds(1);
+
+/// Entry instances in one answer; more do not help a caller and lengthen the response.
+inline constexpr std::size_t kMaxAnswerInstances = 8;
+
+/// Entry instances for one caller, nearest first.
+class Answer {
+ public:
+  [[nodiscard]] std::span<const EntryInstance* const> instances() const noexcept {
+    return {instances_.data(), count_};
+  }
+  [[nodiscard]] std::chrono::seconds ttl() const noexcept { return ttl_; }
+  [[nodiscard]] std::string_view client_region() const noexcept { return client_region_; }
+
+ private:
+  friend class LookupTable;
+  std::array<const EntryInstance*, kMaxAnswerInstances> instances_{};
+  std::size_t count_ = 0;
+  std::chrono::seconds ttl_{0};
+  std::string_view client_region_;
+};
+
+enum class LookupTableErrorCode : std::uint8_t { kInvalidBlock, kTooManyRegions, kUnknownRegion };
+
+inline constexpr std::array<std::string_view, 3> kLookupTableErrorNames{
+    "invalid-client-block", "too-many-regions", "unknown-region"};
+
+struct LookupTableError {
+  LookupTableErrorCode code = LookupTableErrorCode::kInvalidBlock;
+  std::string subject;  ///< The block or region.
+};
+
+enum class LookupErrorCode : std::uint8_t { kUnknownService, kNoEntryInstance };
+
+inline constexpr std::array<std::string_view, 2> kLookupErrorNames{"unknown-service",
+                                                                   "no-entry-instance"};
+
+struct LookupError {
+  LookupErrorCode code = LookupErrorCode::kUnknownService;
+};
+
+/// Client blocks of a deployment; rebuilt only when the blocks change, shared between tables.
+class ClientBlocks {
+ public:
+  [[nodiscard]] static core::Result<std::shared_ptr<const ClientBlocks>, LookupTableError> Create(
+      const std::vector<config::Region>& regions);
+
+  [[nodiscard]] const impl::BlockMap& map() const noexcept { return map_; }
+  [[nodiscard]] const std::vector<std::string>& regions() const noexcept { return regions_; }
+
+ private:
+  ClientBlocks() = default;
+  impl::BlockMap map_;
+  std::vector<std::string> regions_;
+};
+
+/// Immutable table that answers which entry instances a client should use for a service.
+///
+/// Instances whose failure domain has servers of the service come before those that would forward;
+/// within that, order is by latency from the client's region; equally good instances rotate by
+/// client, which spreads the callers. Leaving instances are left out.
+class LookupTable {
+ public:
+  [[nodiscard]] static core::Result<LookupTable, LookupTableError> Create(
+      const config::Deployment& deployment, const LookupInputs& inputs);
+
+  /// Reuses `blocks`, for when only instances or latencies changed.
+  [[nodiscard]] static core::Result<LookupTable, LookupTableError> Create(
+      const config::Deployment& deployment, const LookupInputs& inputs,
+      std::shared_ptr<const ClientBlocks> blocks);
+
+  /// Pointers in the answer stay valid as long as the table.
+  [[nodiscard]] core::Result<Answer, LookupError> Lookup(const boost::asio::ip::address& client,
+                                                         std::string_view service) const;
+
+  [[nodiscard]] const std::shared_ptr<const ClientBlocks>& blocks() const noexcept {
+    return blocks_;
+  }
+
+ private:
+  /// Instances of equal preference: a range in `Service::order`.
+  struct Tier {
+    std::uint32_t begin = 0;
+    std::uint32_t end = 0;
+  };
+  struct RegionOrder {
+    std::vector<std::uint32_t> instances;
+    std::vector<Tier> tiers;
+  };
+  struct Service {
+    std::string name;
+    std::vector<RegionOrder> by_region;
+  };
+  struct Preference;
+
+  LookupTable() = default;
+  [[nodiscard]] RegionOrder Order(const std::vector<bool>& serving_domains,
+                                  const std::string& client_region,
+                                  const LookupInputs& inputs) const;
+
+  std::shared_ptr<const ClientBlocks> blocks_;
+  std::shared_ptr<const std::vector<EntryInstance>> instances_;
+  std::vector<std::uint32_t> instance_domains_;  ///< Failure domain number per instance.
+  std::vector<Service> services_;                ///< Sorted by name.
+  std::chrono::seconds ttl_{0};
+  impl::RegionIndex own_region_ = 0;
+};
+
+}  // namespace vanilladeck::steering
