--- a/src/vanilladeck/daemon/settings.cc
+++ b/src/vanilladeck/daemon/settings.cc
@@ -99,6 +99,27 @@
          "\"" + text + "\" is not an IP address and port such as \"127.0.0.1:7000\"");
   }
 
+  /// Reads an optional list of addresses.
+  void Addresses(const toml::table& table, const std::string& prefix, std::string_view name,
+                 std::vector<std::string>& out) {
+    const toml::node* node = table.get(name);
+    if (node == nullptr) return;
+    const std::string key = prefix + std::string(name);
+    const toml::array* list = node->as_array();
+    if (list == nullptr) {
+      return Fail(SettingsErrorCode::kWrongType, node->source(), key, "must be a list");
+    }
+    for (const auto& it : *list) {
+      const auto text = it.value_exact<std::string>();
+      if (text && ParseAddress(*text)) {
+        out.push_back(*text);
+      } else {
+        Fail(SettingsErrorCode::kBadAddress, it.source(), key,
+             "must list IP addresses and ports such as \"127.0.0.1:7000\"");
+      }
+    }
+  }
+
   template <class T>
   void Number(const toml::table& table, const std::string& prefix, std::string_view name,
               bool required, std::int64_t min, std::int64_t max, T& out) {
@@ -168,17 +189,35 @@
                 limits.max_connections);
 }
 
+void ReadPeers(Reader& reader, const toml::table& root, std::vector<std::string>& seeds) {
+  const toml::table* table = reader.Section(root, "peers", false);
+  if (table == nullptr) return;
+  reader.CheckKeys(*table, "peers.", {"seeds"});
+  reader.Addresses(*table, "peers.", "seeds", seeds);
+}
+
+void ReadOperations(Reader& reader, const toml::table& root, Settings& settings) {
+  std::string salt = settings.platform.token.Reveal();
+  if (const toml::table* table = reader.Section(root, "operations", false)) {
+    reader.CheckKeys(*table, "operations.", {"salt"});
+    reader.Text(*table, "operations.", "salt", true, salt);
+  }
+  settings.operations_salt = Secret(std::move(salt));
+}
+
 Settings ReadRoot(Reader& reader, const toml::table& root) {
   Settings settings;
-  reader.CheckKeys(
-      root, "",
-      {"deployment", "failure_domain", "seat", "listen", "platform", "limits", "telemetry"});
+  reader.CheckKeys(root, "",
+                   {"deployment", "failure_domain", "seat", "listen", "platform", "limits",
+                    "telemetry", "peers", "operations"});
   reader.Text(root, "", "deployment", true, settings.deployment);
   reader.Text(root, "", "failure_domain", true, settings.failure_domain);
   reader.Number(root, "", "seat", true, 0, kMaxSeat, settings.seat);
   ReadListen(reader, root, settings.listen);
   ReadPlatform(reader, root, settings.platform);
   ReadLimits(reader, root, settings.limits);
+  ReadPeers(reader, root, settings.peer_seeds);
+  ReadOperations(reader, root, settings);
   if (const toml::table* table = reader.Section(root, "telemetry", false)) {
     reader.CheckKeys(*table, "telemetry.", {"spans_file"});
     reader.Text(*table, "telemetry.", "spans_file", false, settings.telemetry.spans_file);
--- a/src/vanilladeck/daemon/settings.h
+++ b/src/vanilladeck/daemon/settings.h
@@ -90,6 +90,11 @@
   PlatformSettings platform;
   LimitSettings limits;
   TelemetrySettings telemetry;
+  /// Peers' listeners to try first, "IP:port"; the rest are found by the platform's list.
+  std::vector<std::string> peer_seeds;
+  /// Salt of the client digests in operation keys, the same on all instances of a deployment.
+  /// Default: the platform's token.
+  Secret operations_salt;
 
   /// Reads and checks a TOML file; all faults are reported together.
   [[nodiscard]] static core::Result<Settings, std::vector<SettingsError>> Load(
--- a/src/vanilladeck/membership/view.cc
+++ b/src/vanilladeck/membership/view.cc
@@ -16,6 +16,14 @@
 /// A silent member is still sent heartbeats for this long, so that a healed partition is noticed.
 constexpr core::Duration kForgetAfter = std::chrono::minutes(10);
 
+/// What is relayed of a member. Versions are offered by their holders only, so the hash, which would
+/// be a third of a heartbeat's bytes, is left out.
+Member Relayed(const Member& member) {
+  Member relayed = member;
+  relayed.config_hash.clear();
+  return relayed;
+}
+
 /// Takes up to `limit` items in rotation, starting at `cursor`, which moves on.
 std::vector<std::string> Rotate(const std::vector<std::string>& items, std::size_t limit,
                                 std::size_t cursor) {
@@ -71,7 +79,7 @@
     if (tracked.change_relays == 0) continue;
     if (added++ == kRelayedChanges) return;
     --tracked.change_relays;
-    heartbeat.relayed.push_back(tracked.member);
+    heartbeat.relayed.push_back(Relayed(tracked.member));
     heartbeat.relayed.back().gone = tracked.gone;
   }
 }
@@ -85,7 +93,7 @@
     if (it == members_.end()) it = members_.begin();
     cursor = it->first;
     if (IsNear(it->second.member) != near || !IsLive(it->second, now)) continue;
-    heartbeat.relayed.push_back(it->second.member);
+    heartbeat.relayed.push_back(Relayed(it->second.member));
     ++added;
   }
 }
@@ -153,18 +161,23 @@
 
 void View::OnList(const std::vector<store::ListedInstance>& instances) {
   listed_.clear();
-  for (const auto& it : instances) listed_.push_back(it.address);
-  std::sort(listed_.begin(), listed_.end());
+  for (const auto& it : instances) listed_.emplace(it.address, it.failure_domain);
   has_list_ = true;
 }
 
-bool View::IsListed(const std::string& address) const {
-  return std::binary_search(listed_.begin(), listed_.end(), address);
+bool View::IsListed(const std::string& address) const { return listed_.contains(address); }
+
+std::vector<std::string> View::ListedIn(const std::string& failure_domain) const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, domain] : listed_) {
+    if (domain == failure_domain) addresses.push_back(address);
+  }
+  return addresses;
 }
 
 std::vector<std::string> View::PickTargets(core::TimePoint now) {
-  std::set<std::string> unknown(listed_.begin(), listed_.end());
-  unknown.insert(seeds_.begin(), seeds_.end());
+  std::set<std::string> unknown(seeds_.begin(), seeds_.end());
+  for (const auto& [address, domain] : listed_) unknown.insert(address);
   unknown.erase(self_.id.address);
   std::vector<std::string> near;
   std::vector<std::string> far;
--- a/src/vanilladeck/membership/view.h
+++ b/src/vanilladeck/membership/view.h
@@ -59,6 +59,8 @@
   /// Whether the platform's list names the address; false while no list has been read.
   [[nodiscard]] bool IsListed(const std::string& address) const;
   [[nodiscard]] bool HasList() const noexcept { return has_list_; }
+  /// Listed addresses of a failure domain.
+  [[nodiscard]] std::vector<std::string> ListedIn(const std::string& failure_domain) const;
 
   /// True when a later incarnation runs on the own address: this process was replaced.
   [[nodiscard]] bool superseded() const noexcept { return superseded_; }
@@ -88,7 +90,7 @@
   std::vector<std::string> seeds_;
   std::map<std::string, Tracked> members_;  ///< By address of the peers' listener.
   std::size_t near_count_ = 0;
-  std::vector<std::string> listed_;  ///< Sorted.
+  std::map<std::string, std::string> listed_;  ///< Failure domain by address.
   bool has_list_ = false;
   bool superseded_ = false;
   std::vector<core::InstanceId> newly_gone_;
--- a/src/vanilladeck/peer/call.h
+++ b/src/vanilladeck/peer/call.h
@@ -13,6 +13,7 @@
 #include "vanilladeck/operations/claim.h"
 #include "vanilladeck/peer/credit.h"
 #include "vanilladeck/peer/forward.h"
+#include "vanilladeck/store/request.h"
 
 /// Calls between daemons, independent of their encoding.
 namespace vanilladeck::peer {
@@ -23,11 +24,8 @@
   std::uint64_t after = 0;
 };
 
-/// Hands over configuration records, oldest first.
-struct OfferVersions {
-  std::string deployment;
-  std::vector<std::string> records;
-};
+/// Asks for the list of backend servers as the peer read it last, for a start without the platform.
+struct FetchServers {};
 
 /// A claim to a seat of a failure domain; a higher term is a newer claim.
 struct SeatClaim {
@@ -48,15 +46,15 @@
 };
 
 using Call = std::variant<membership::Heartbeat, ForwardRequest, operations::ClaimRequest,
-                          operations::CompleteRequest, CreditRequest, FetchVersions, OfferVersions,
+                          operations::CompleteRequest, CreditRequest, FetchVersions, FetchServers,
                           ConfirmSeat, AnnounceSeat>;
 
 struct Versions {
   std::vector<std::string> records;
 };
 
-struct VersionHeld {
-  std::uint64_t version = 0;
+struct Servers {
+  std::vector<store::ListedInstance> servers;
 };
 
 struct SeatConfirmed {
@@ -67,7 +65,7 @@
 
 /// Answers, in the order of the alternatives of `Call`.
 using Answer = std::variant<membership::Heartbeat, ForwardReply, operations::ClaimReply,
-                            operations::CompleteReply, CreditGrant, Versions, VersionHeld,
+                            operations::CompleteReply, CreditGrant, Versions, Servers,
                             SeatConfirmed, SeatNoted>;
 
 enum class CallErrorCode : std::uint8_t {
--- a/src/vanilladeck/peer/impl/client.cc
+++ b/src/vanilladeck/peer/impl/client.cc
@@ -49,12 +49,9 @@
     return request.send().then(
         [](auto&& reply) -> Answer { return Versions{Decode(reply.getRecords())}; });
   }
-  kj::Promise<Answer> operator()(const OfferVersions& call) {
-    auto request = peer.offerVersionsRequest();
-    request.setDeployment(call.deployment);
-    Encode(call.records, request.initRecords(static_cast<unsigned>(call.records.size())));
-    return request.send().then(
-        [](auto&& reply) -> Answer { return VersionHeld{reply.getVersion()}; });
+  kj::Promise<Answer> operator()(const FetchServers&) {
+    return peer.fetchServersRequest().send().then(
+        [](auto&& reply) -> Answer { return Servers{Decode(reply.getServers())}; });
   }
   kj::Promise<Answer> operator()(const ConfirmSeat& call) {
     auto request = peer.confirmSeatRequest();
--- a/src/vanilladeck/peer/impl/server.cc
+++ b/src/vanilladeck/peer/impl/server.cc
@@ -83,12 +83,11 @@
       });
 }
 
-kj::Promise<void> Server::offerVersions(OfferVersionsContext context) {
-  auto params = context.getParams();
-  return pending_.Ask(OfferVersions{Text(params.getDeployment()), Decode(params.getRecords())})
-      .then([context](Answer answer) mutable {
-        context.getResults().setVersion(std::get<VersionHeld>(answer).version);
-      });
+kj::Promise<void> Server::fetchServers(FetchServersContext context) {
+  return pending_.Ask(FetchServers{}).then([context](Answer answer) mutable {
+    const auto& servers = std::get<Servers>(answer).servers;
+    Encode(servers, context.getResults().initServers(static_cast<unsigned>(servers.size())));
+  });
 }
 
 kj::Promise<void> Server::confirmSeat(ConfirmSeatContext context) {
--- a/src/vanilladeck/peer/impl/server.h
+++ b/src/vanilladeck/peer/impl/server.h
@@ -41,7 +41,7 @@
   kj::Promise<void> complete(CompleteContext context) override;
   kj::Promise<void> credits(CreditsContext context) override;
   kj::Promise<void> fetchVersions(FetchVersionsContext context) override;
-  kj::Promise<void> offerVersions(OfferVersionsContext context) override;
+  kj::Promise<void> fetchServers(FetchServersContext context) override;
   kj::Promise<void> confirmSeat(ConfirmSeatContext context) override;
   kj::Promise<void> announceSeat(AnnounceSeatContext context) override;
 
--- a/src/vanilladeck/peer/impl/wire.cc
+++ b/src/vanilladeck/peer/impl/wire.cc
@@ -163,6 +163,15 @@
   to.setTerm(from.term);
 }
 
+void Encode(const std::vector<store::ListedInstance>& from, capnp::List<wire::Server>::Builder to) {
+  for (unsigned i = 0; i < from.size(); ++i) {
+    to[i].setService(from[i].service);
+    to[i].setAddress(from[i].address);
+    to[i].setFailureDomain(from[i].failure_domain);
+    to[i].setLeaving(from[i].state == store::InstanceState::kLeaving);
+  }
+}
+
 void Encode(const CreditRequest& from, wire::CreditRequest::Builder to) {
   Encode(from.sender, to.initSender());
   to.setFromRegion(from.from_region);
@@ -259,6 +268,17 @@
   return {Text(from.getFailureDomain()), from.getSeat(), Decode(from.getHolder()), from.getTerm()};
 }
 
+std::vector<store::ListedInstance> Decode(capnp::List<wire::Server>::Reader from) {
+  std::vector<store::ListedInstance> servers;
+  servers.reserve(from.size());
+  for (auto it : from) {
+    servers.push_back(
+        {Text(it.getService()), Text(it.getAddress()), Text(it.getFailureDomain()),
+         it.getLeaving() ? store::InstanceState::kLeaving : store::InstanceState::kLive});
+  }
+  return servers;
+}
+
 CreditRequest Decode(wire::CreditRequest::Reader from) {
   return {Decode(from.getSender()), Text(from.getFromRegion()), Text(from.getService()),
           from.getWanted()};
--- a/src/vanilladeck/peer/impl/wire.h
+++ b/src/vanilladeck/peer/impl/wire.h
@@ -14,6 +14,7 @@
 void Encode(const operations::ClaimReply& from, wire::ClaimReply::Builder to);
 void Encode(const operations::CompleteRequest& from, wire::CompleteRequest::Builder to);
 void Encode(const SeatClaim& from, wire::SeatClaim::Builder to);
+void Encode(const std::vector<store::ListedInstance>& from, capnp::List<wire::Server>::Builder to);
 void Encode(const CreditRequest& from, wire::CreditRequest::Builder to);
 void Encode(const CreditGrant& from, wire::CreditGrant::Builder to);
 void Encode(const std::vector<std::string>& from, capnp::List<capnp::Text>::Builder to);
@@ -26,6 +27,7 @@
 [[nodiscard]] operations::ClaimReply Decode(wire::ClaimReply::Reader from);
 [[nodiscard]] operations::CompleteRequest Decode(wire::CompleteRequest::Reader from);
 [[nodiscard]] SeatClaim Decode(wire::SeatClaim::Reader from);
+[[nodiscard]] std::vector<store::ListedInstance> Decode(capnp::List<wire::Server>::Reader from);
 [[nodiscard]] CreditRequest Decode(wire::CreditRequest::Reader from);
 [[nodiscard]] CreditGrant Decode(wire::CreditGrant::Reader from);
 [[nodiscard]] std::vector<std::string> Decode(capnp::List<capnp::Text>::Reader from);
--- a/src/vanilladeck/peer/peer.capnp
+++ b/src/vanilladeck/peer/peer.capnp
@@ -106,6 +106,13 @@
   granter @2 :InstanceId;
 }
 
+struct Server {
+  service @0 :Text;
+  address @1 :Text;
+  failureDomain @2 :Text;
+  leaving @3 :Bool;
+}
+
 struct SeatClaim {
   failureDomain @0 :Text;
   seat @1 :UInt32;
@@ -121,7 +128,8 @@
   credits @4 (request :CreditRequest) -> (grant :CreditGrant);
   # Configuration records after a version, oldest first.
   fetchVersions @5 (deployment :Text, after :UInt64) -> (records :List(Text));
-  offerVersions @6 (deployment :Text, records :List(Text)) -> (version :UInt64);
+  # The platform's list of backend servers as the answering peer read it last.
+  fetchServers @6 () -> (servers :List(Server));
   # Whether the answering peer knows no newer holder of the seat than the one given.
   confirmSeat @7 (claim :SeatClaim) -> (confirmed :Bool);
   # Tells of a claim; answered once the peer has noted it.
--- a/src/vanilladeck/peer/peer.capnp.c++
+++ b/src/vanilladeck/peer/peer.capnp.c++
@@ -1374,6 +1374,95 @@
   1, 3, i_b7211bc2c1c98009, nullptr, nullptr, { &s_b7211bc2c1c98009, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<78> b_fa1753ac39f74009 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      9,  64, 247,  57, 172,  83,  23, 250,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     97,  90, 126,  77, 169, 194, 241, 179,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 146,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 101, 114, 118, 101,
+    114,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0, 114,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 105, 108, 117, 114, 101,  68,
+    111, 109,  97, 105, 110,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 105, 110, 103,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fa1753ac39f74009 = b_fa1753ac39f74009.words;
+#if !CAPNP_LITE
+static const uint16_t m_fa1753ac39f74009[] = {1, 2, 3, 0};
+static const uint16_t i_fa1753ac39f74009[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_fa1753ac39f74009 = {
+  0xfa1753ac39f74009, b_fa1753ac39f74009.words, 78, nullptr, m_fa1753ac39f74009,
+  0, 4, i_fa1753ac39f74009, nullptr, nullptr, { &s_fa1753ac39f74009, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<78> b_a0509a31ab3c4555 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      85,  69,  60, 171,  49, 154,  80, 160,
@@ -1534,7 +1623,7 @@
       6,   0,   0,   0,   0,   0,   0,   0,
     216,   3, 252, 101,  88, 230, 217, 188,
       1, 206, 239, 177,  43, 114, 138, 173,
-    141,   0,   0,   0, 114,   0,   0,   0,
+    141,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1570,8 +1659,8 @@
     102, 101, 116,  99, 104,  86, 101, 114,
     115, 105, 111, 110, 115,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-    111, 102, 102, 101, 114,  86, 101, 114,
-    115, 105, 111, 110, 115,   0,   0,   0,
+    102, 101, 116,  99, 104,  83, 101, 114,
+    118, 101, 114, 115,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      99, 111, 110, 102, 105, 114, 109,  83,
     101,  97, 116,   0,   0,   0,   0,   0,
@@ -1603,7 +1692,7 @@
   &s_f353c2d2ced7f1d2,
   &s_fa81935346482060,
 };
-static const uint16_t m_86e1047edcc26d6c[] = {8, 2, 3, 7, 4, 5, 1, 0, 6};
+static const uint16_t m_86e1047edcc26d6c[] = {8, 2, 3, 7, 4, 6, 5, 1, 0};
 const ::capnp::_::RawSchema s_86e1047edcc26d6c = {
   0x86e1047edcc26d6c, b_86e1047edcc26d6c.words, 113, d_86e1047edcc26d6c, m_86e1047edcc26d6c,
   18, 9, nullptr, nullptr, nullptr, { &s_86e1047edcc26d6c, nullptr, nullptr, 0, 0, nullptr }
@@ -2178,78 +2267,40 @@
   0, 1, i_aa8bf4abd5abcc2f, nullptr, nullptr, { &s_aa8bf4abd5abcc2f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<53> b_bcd9e65865fc03d8 = {
+static const ::capnp::_::AlignedData<17> b_bcd9e65865fc03d8 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     216,   3, 252, 101,  88, 230, 217, 188,
      16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    111, 102, 102, 101, 114,  86, 101, 114,
-    115, 105, 111, 110, 115,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  90,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  66,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     72,   0,   0,   0,   2,   0,   1,   0,
-    100, 101, 112, 108, 111, 121, 109, 101,
-    110, 116,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    114, 101,  99, 111, 114, 100, 115,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   3,   0,   1,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
+    102, 101, 116,  99, 104,  83, 101, 114,
+    118, 101, 114, 115,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_bcd9e65865fc03d8 = b_bcd9e65865fc03d8.words;
 #if !CAPNP_LITE
-static const uint16_t m_bcd9e65865fc03d8[] = {0, 1};
-static const uint16_t i_bcd9e65865fc03d8[] = {0, 1};
 const ::capnp::_::RawSchema s_bcd9e65865fc03d8 = {
-  0xbcd9e65865fc03d8, b_bcd9e65865fc03d8.words, 53, nullptr, m_bcd9e65865fc03d8,
-  0, 2, i_bcd9e65865fc03d8, nullptr, nullptr, { &s_bcd9e65865fc03d8, nullptr, nullptr, 0, 0, nullptr }
+  0xbcd9e65865fc03d8, b_bcd9e65865fc03d8.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_bcd9e65865fc03d8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<33> b_ad8a722bb1efce01 = {
+static const ::capnp::_::AlignedData<37> b_ad8a722bb1efce01 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       1, 206, 239, 177,  43, 114, 138, 173,
-     16,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   7,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0,  63,   0,   0,   0,
@@ -2257,9 +2308,9 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,  46,
-    111, 102, 102, 101, 114,  86, 101, 114,
-    115, 105, 111, 110, 115,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0,
+    102, 101, 116,  99, 104,  83, 101, 114,
+    118, 101, 114, 115,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
       4,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
@@ -2267,23 +2318,30 @@
      13,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
-    118, 101, 114, 115, 105, 111, 110,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    115, 101, 114, 118, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      9,  64, 247,  57, 172,  83,  23, 250,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_ad8a722bb1efce01 = b_ad8a722bb1efce01.words;
 #if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ad8a722bb1efce01[] = {
+  &s_fa1753ac39f74009,
+};
 static const uint16_t m_ad8a722bb1efce01[] = {0};
 static const uint16_t i_ad8a722bb1efce01[] = {0};
 const ::capnp::_::RawSchema s_ad8a722bb1efce01 = {
-  0xad8a722bb1efce01, b_ad8a722bb1efce01.words, 33, nullptr, m_ad8a722bb1efce01,
-  0, 1, i_ad8a722bb1efce01, nullptr, nullptr, { &s_ad8a722bb1efce01, nullptr, nullptr, 0, 0, nullptr }
+  0xad8a722bb1efce01, b_ad8a722bb1efce01.words, 37, d_ad8a722bb1efce01, m_ad8a722bb1efce01,
+  1, 1, i_ad8a722bb1efce01, nullptr, nullptr, { &s_ad8a722bb1efce01, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_8f316a8f3b82b4aa = {
@@ -2556,6 +2614,14 @@
 constexpr ::capnp::_::RawSchema const* CreditGrant::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Server
+constexpr uint16_t Server::_capnpPrivate::dataWordSize;
+constexpr uint16_t Server::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Server::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Server::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // SeatClaim
 constexpr uint16_t SeatClaim::_capnpPrivate::dataWordSize;
 constexpr uint16_t SeatClaim::_capnpPrivate::pointerCount;
@@ -2625,14 +2691,14 @@
       "peer.capnp:Peer", "fetchVersions",
       0x86e1047edcc26d6cull, 5);
 }
-::capnp::Request< ::vanilladeck::peer::wire::Peer::OfferVersionsParams,  ::vanilladeck::peer::wire::Peer::OfferVersionsResults>
-Peer::Client::offerVersionsRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::vanilladeck::peer::wire::Peer::OfferVersionsParams,  ::vanilladeck::peer::wire::Peer::OfferVersionsResults>(
+::capnp::Request< ::vanilladeck::peer::wire::Peer::FetchServersParams,  ::vanilladeck::peer::wire::Peer::FetchServersResults>
+Peer::Client::fetchServersRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::vanilladeck::peer::wire::Peer::FetchServersParams,  ::vanilladeck::peer::wire::Peer::FetchServersResults>(
       0x86e1047edcc26d6cull, 6, sizeHint);
 }
-::kj::Promise<void> Peer::Server::offerVersions(OfferVersionsContext) {
+::kj::Promise<void> Peer::Server::fetchServers(FetchServersContext) {
   return ::capnp::Capability::Server::internalUnimplemented(
-      "peer.capnp:Peer", "offerVersions",
+      "peer.capnp:Peer", "fetchServers",
       0x86e1047edcc26d6cull, 6);
 }
 ::capnp::Request< ::vanilladeck::peer::wire::Peer::ConfirmSeatParams,  ::vanilladeck::peer::wire::Peer::ConfirmSeatResults>
@@ -2707,8 +2773,8 @@
       };
     case 6:
       return {
-        offerVersions(::capnp::Capability::Server::internalGetTypedContext<
-             ::vanilladeck::peer::wire::Peer::OfferVersionsParams,  ::vanilladeck::peer::wire::Peer::OfferVersionsResults>(context)),
+        fetchServers(::capnp::Capability::Server::internalGetTypedContext<
+             ::vanilladeck::peer::wire::Peer::FetchServersParams,  ::vanilladeck::peer::wire::Peer::FetchServersResults>(context)),
         false
       };
     case 7:
@@ -2834,20 +2900,20 @@
 constexpr ::capnp::_::RawSchema const* Peer::FetchVersionsResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::OfferVersionsParams
-constexpr uint16_t Peer::OfferVersionsParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::OfferVersionsParams::_capnpPrivate::pointerCount;
+// Peer::FetchServersParams
+constexpr uint16_t Peer::FetchServersParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchServersParams::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::OfferVersionsParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::OfferVersionsParams::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::FetchServersParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchServersParams::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Peer::OfferVersionsResults
-constexpr uint16_t Peer::OfferVersionsResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Peer::OfferVersionsResults::_capnpPrivate::pointerCount;
+// Peer::FetchServersResults
+constexpr uint16_t Peer::FetchServersResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::FetchServersResults::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Peer::OfferVersionsResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Peer::OfferVersionsResults::_capnpPrivate::schema;
+constexpr ::capnp::Kind Peer::FetchServersResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::FetchServersResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // Peer::ConfirmSeatParams
--- a/src/vanilladeck/peer/peer.capnp.h
+++ b/src/vanilladeck/peer/peer.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(ea78bbe6a59a6bc1);
 CAPNP_DECLARE_SCHEMA(d8da15ee342bef48);
 CAPNP_DECLARE_SCHEMA(b7211bc2c1c98009);
+CAPNP_DECLARE_SCHEMA(fa1753ac39f74009);
 CAPNP_DECLARE_SCHEMA(a0509a31ab3c4555);
 CAPNP_DECLARE_SCHEMA(86e1047edcc26d6c);
 CAPNP_DECLARE_SCHEMA(fa81935346482060);
@@ -248,6 +249,21 @@
   };
 };
 
+struct Server {
+  Server() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa1753ac39f74009, 1, 3)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
 struct SeatClaim {
   SeatClaim() = delete;
 
@@ -283,8 +299,8 @@
   struct CreditsResults;
   struct FetchVersionsParams;
   struct FetchVersionsResults;
-  struct OfferVersionsParams;
-  struct OfferVersionsResults;
+  struct FetchServersParams;
+  struct FetchServersResults;
   struct ConfirmSeatParams;
   struct ConfirmSeatResults;
   struct AnnounceSeatParams;
@@ -478,30 +494,30 @@
   };
 };
 
-struct Peer::OfferVersionsParams {
-  OfferVersionsParams() = delete;
+struct Peer::FetchServersParams {
+  FetchServersParams() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bcd9e65865fc03d8, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bcd9e65865fc03d8, 0, 0)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
   };
 };
 
-struct Peer::OfferVersionsResults {
-  OfferVersionsResults() = delete;
+struct Peer::FetchServersResults {
+  FetchServersResults() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ad8a722bb1efce01, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ad8a722bb1efce01, 0, 1)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -1964,6 +1980,110 @@
 };
 #endif  // !CAPNP_LITE
 
+class Server::Reader {
+ public:
+  typedef Server Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasFailureDomain() const;
+  inline ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool getLeaving() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Server::Builder {
+ public:
+  typedef Server Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
+
+  inline bool hasFailureDomain();
+  inline ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownFailureDomain();
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Server::Pipeline {
+ public:
+  typedef Server Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SeatClaim::Reader {
  public:
   typedef SeatClaim Reads;
@@ -2101,9 +2221,9 @@
   ::capnp::Request<::vanilladeck::peer::wire::Peer::FetchVersionsParams,
                    ::vanilladeck::peer::wire::Peer::FetchVersionsResults>
   fetchVersionsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::vanilladeck::peer::wire::Peer::OfferVersionsParams,
-                   ::vanilladeck::peer::wire::Peer::OfferVersionsResults>
-  offerVersionsRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::vanilladeck::peer::wire::Peer::FetchServersParams,
+                   ::vanilladeck::peer::wire::Peer::FetchServersResults>
+  fetchServersRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request<::vanilladeck::peer::wire::Peer::ConfirmSeatParams,
                    ::vanilladeck::peer::wire::Peer::ConfirmSeatResults>
   confirmSeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
@@ -2148,10 +2268,10 @@
   typedef ::vanilladeck::peer::wire::Peer::FetchVersionsResults FetchVersionsResults;
   typedef ::capnp::CallContext<FetchVersionsParams, FetchVersionsResults> FetchVersionsContext;
   virtual ::kj::Promise<void> fetchVersions(FetchVersionsContext context);
-  typedef ::vanilladeck::peer::wire::Peer::OfferVersionsParams OfferVersionsParams;
-  typedef ::vanilladeck::peer::wire::Peer::OfferVersionsResults OfferVersionsResults;
-  typedef ::capnp::CallContext<OfferVersionsParams, OfferVersionsResults> OfferVersionsContext;
-  virtual ::kj::Promise<void> offerVersions(OfferVersionsContext context);
+  typedef ::vanilladeck::peer::wire::Peer::FetchServersParams FetchServersParams;
+  typedef ::vanilladeck::peer::wire::Peer::FetchServersResults FetchServersResults;
+  typedef ::capnp::CallContext<FetchServersParams, FetchServersResults> FetchServersContext;
+  virtual ::kj::Promise<void> fetchServers(FetchServersContext context);
   typedef ::vanilladeck::peer::wire::Peer::ConfirmSeatParams ConfirmSeatParams;
   typedef ::vanilladeck::peer::wire::Peer::ConfirmSeatResults ConfirmSeatResults;
   typedef ::capnp::CallContext<ConfirmSeatParams, ConfirmSeatResults> ConfirmSeatContext;
@@ -3139,9 +3259,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferVersionsParams::Reader {
+class Peer::FetchServersParams::Reader {
  public:
-  typedef OfferVersionsParams Reads;
+  typedef FetchServersParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -3154,12 +3274,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDeployment() const;
-  inline ::capnp::Text::Reader getDeployment() const;
-
-  inline bool hasRecords() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getRecords() const;
-
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3172,9 +3286,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferVersionsParams::Builder {
+class Peer::FetchServersParams::Builder {
  public:
-  typedef OfferVersionsParams Builds;
+  typedef FetchServersParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3188,22 +3302,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasDeployment();
-  inline ::capnp::Text::Builder getDeployment();
-  inline void setDeployment(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDeployment(unsigned int size);
-  inline void adoptDeployment(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDeployment();
-
-  inline bool hasRecords();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getRecords();
-  inline void setRecords(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setRecords(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownRecords();
-
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3214,9 +3312,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferVersionsParams::Pipeline {
+class Peer::FetchServersParams::Pipeline {
  public:
-  typedef OfferVersionsParams Pipelines;
+  typedef FetchServersParams Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3230,9 +3328,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferVersionsResults::Reader {
+class Peer::FetchServersResults::Reader {
  public:
-  typedef OfferVersionsResults Reads;
+  typedef FetchServersResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -3245,7 +3343,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion() const;
+  inline bool hasServers() const;
+  inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Reader
+  getServers() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -3259,9 +3359,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferVersionsResults::Builder {
+class Peer::FetchServersResults::Builder {
  public:
-  typedef OfferVersionsResults Builds;
+  typedef FetchServersResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3275,8 +3375,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getVersion();
-  inline void setVersion(::uint64_t value);
+  inline bool hasServers();
+  inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Builder
+  getServers();
+  inline void setServers(
+      ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Builder
+  initServers(unsigned int size);
+  inline void adoptServers(
+      ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>
+  disownServers();
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -3288,9 +3398,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferVersionsResults::Pipeline {
+class Peer::FetchServersResults::Pipeline {
  public:
-  typedef OfferVersionsResults Pipelines;
+  typedef FetchServersResults Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5267,6 +5377,110 @@
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Server::Reader::hasService() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasService() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Server::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Server::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Server::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Server::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasAddress() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasAddress() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Server::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Server::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Server::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Server::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Server::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Server::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setFailureDomain(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Server::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptFailureDomain(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Server::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Server::Builder::getLeaving() {
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SeatClaim::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -5844,90 +6058,48 @@
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::OfferVersionsParams::Reader::hasDeployment() const {
+inline bool Peer::FetchServersResults::Reader::hasServers() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OfferVersionsParams::Builder::hasDeployment() {
+inline bool Peer::FetchServersResults::Builder::hasServers() {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Peer::OfferVersionsParams::Reader::getDeployment() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::getDeployment() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::OfferVersionsParams::Builder::setDeployment(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder Peer::OfferVersionsParams::Builder::initDeployment(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::OfferVersionsParams::Builder::adoptDeployment(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> Peer::OfferVersionsParams::Builder::disownDeployment() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::OfferVersionsParams::Reader::hasRecords() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::OfferVersionsParams::Builder::hasRecords() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-Peer::OfferVersionsParams::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Peer::OfferVersionsParams::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::OfferVersionsParams::Builder::setRecords(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Peer::OfferVersionsParams::Builder::setRecords(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Peer::OfferVersionsParams::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Reader
+Peer::FetchServersResults::Reader::getServers() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OfferVersionsParams::Builder::adoptRecords(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Builder
+Peer::FetchServersResults::Builder::getServers() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-Peer::OfferVersionsParams::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Peer::FetchServersResults::Builder::setServers(
+    ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline ::uint64_t Peer::OfferVersionsResults::Reader::getVersion() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>::Builder
+Peer::FetchServersResults::Builder::initServers(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline ::uint64_t Peer::OfferVersionsResults::Builder::getVersion() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Peer::FetchServersResults::Builder::adoptServers(
+    ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::OfferVersionsResults::Builder::setVersion(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan<::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>
+Peer::FetchServersResults::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::vanilladeck::peer::wire::Server, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Peer::ConfirmSeatParams::Reader::hasClaim() const {
