--- a/src/vanilladeck/daemon/messages.h
+++ b/src/vanilladeck/daemon/messages.h
@@ -8,6 +8,7 @@
 
 #include "vanilladeck/config/deployment.h"
 #include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/core/runtime_clock.h"
 #include "vanilladeck/operations/claim.h"
 #include "vanilladeck/peer/credit.h"
 #include "vanilladeck/peer/forward.h"
@@ -25,12 +26,19 @@
   bool leaving = false;
 };
 
+/// Latency from this instance's region, from the round trips of heartbeats.
+struct RegionLatency {
+  std::string region;
+  core::Duration one_way{0};
+};
+
 /// What the serving thread needs to decide; immutable, replaced as a whole.
 struct Snapshot {
   std::uint64_t config_version = 0;  ///< 0: no configuration in force, nothing is served.
   std::shared_ptr<const config::Deployment> deployment;
   std::vector<store::ListedInstance> backend_servers;
   std::vector<EntryInstance> entry_instances;  ///< Includes this instance.
+  std::vector<RegionLatency> latencies;        ///< Regions heard from, the own one included.
   /// Seats of the own failure domain whose share of the slots this instance may use.
   std::vector<std::uint32_t> seats;
   /// Steady time in nanoseconds until which `seats` holds; checked before each dispatch.
--- /dev/null
+++ b/src/vanilladeck/daemon/seat_duty.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/daemon/peer_calls.h"
+#include "vanilladeck/daemon/store_gateway.h"
+#include "vanilladeck/membership/seat.h"
+#include "vanilladeck/membership/seat_witness.h"
+#include "vanilladeck/membership/view.h"
+#include "vanilladeck/peer/call.h"
+
+namespace vanilladeck::daemon {
+
+/// Holds this instance's seats and answers its domain peers about theirs.
+class SeatDuty {
+ public:
+  struct Options {
+    std::string failure_domain;
+    std::uint32_t home_seat = 0;
+    core::InstanceId self;
+  };
+
+  SeatDuty(Options options, StoreGateway& store, PeerCalls& peers, const membership::View& view,
+           std::function<void()> on_change);
+
+  /// Creates the machines of the domain's seats once their number is known.
+  void SetSeatCount(std::uint32_t seats);
+
+  /// Call about every 100 ms.
+  void Tick(core::TimePoint now);
+
+  [[nodiscard]] peer::SeatConfirmed Confirm(const peer::SeatClaim& claim, core::TimePoint now);
+  void Note(const peer::SeatClaim& claim);
+
+  /// Seats in use, and the earliest time at which one of them lapses.
+  [[nodiscard]] std::vector<std::uint32_t> Usable(core::TimePoint now) const;
+  [[nodiscard]] core::TimePoint ValidUntil(core::TimePoint now) const;
+
+  /// Gives up every seat; call when no request is in flight.
+  void Release(core::TimePoint now);
+  [[nodiscard]] bool released() const;
+
+ private:
+  [[nodiscard]] membership::SeatView MakeView(core::TimePoint now) const;
+  void Pump(std::uint32_t number);
+  void Execute(std::uint32_t number, membership::SeatOutput output);
+  void Send(std::uint32_t number, const store::Call& call);
+  void Send(std::uint32_t number, const membership::ConfirmAsked& asked);
+  void Send(std::uint32_t number, const membership::ClaimAnnounced& announced);
+
+  Options options_;
+  StoreGateway& store_;
+  PeerCalls& peers_;
+  const membership::View& view_;
+  std::function<void()> on_change_;
+  membership::SeatWitness witness_;
+  std::map<std::uint32_t, membership::Seat> seats_;
+};
+
+}  // namespace vanilladeck::daemon
--- a/src/vanilladeck/membership/view.cc
+++ b/src/vanilladeck/membership/view.cc
@@ -16,8 +16,8 @@
 /// A silent member is still sent heartbeats for this long, so that a healed partition is noticed.
 constexpr core::Duration kForgetAfter = std::chrono::minutes(10);
 
-/// What is relayed of a member. Versions are offered by their holders only, so the hash, which would
-/// be a third of a heartbeat's bytes, is left out.
+/// What is relayed of a member. Versions are offered by their holders only, so the hash, which
+/// would be a third of a heartbeat's bytes, is left out.
 Member Relayed(const Member& member) {
   Member relayed = member;
   relayed.config_hash.clear();
