Add the operation shard, its ownership, seats and the call budget

Cause: non-idempotent operations need claims that are durable before they run, and instances need seats that never overlap. Change: OperationKey, Batch, RecordIndex, Shard (group claims, fencing, takeover), ShardOwnership (lease record), CallBudget, Seat and SeatWitness, all without I/O. ClaimRequest and CompleteRequest gain claim_id, so that a requester that gave up can release a claim whose attempt it does not know. Ruled out: buckets by time (two owners could create one SEQ in two buckets, so creation would not fence); renewing seats by writes (a read of the own record proves as much).

--- /dev/null
+++ b/src/vanilladeck/membership/seat.cc
@@ -0,0 +1,202 @@
+#include "vanilladeck/membership/seat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanilladeck::membership {
+namespace {
+
+constexpr core::Duration kAnnounceInterval = std::chrono::milliseconds(500);
+constexpr core::Duration kAskInterval = std::chrono::milliseconds(500);
+// Polls by an instance that does not hold the seat, as a multiple of the renewal interval.
+constexpr int kIdlePollFactor = 5;
+constexpr int kMaxBackOffSteps = 4;
+
+bool Contains(const std::vector<core::InstanceId>& ids, const core::InstanceId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+/// True when the process `holder` has ended as far as membership can tell.
+bool Gone(const core::InstanceId& holder, const core::InstanceId& self, const SeatView& view) {
+  if (holder == self || Contains(view.heard, holder)) return false;
+  if (holder.address == self.address) return true;
+  const bool replaced =
+      std::any_of(view.heard.begin(), view.heard.end(),
+                  [&holder](const core::InstanceId& id) { return id.address == holder.address; });
+  const bool listed =
+      std::find(view.listed.begin(), view.listed.end(), holder.address) != view.listed.end();
+  return replaced || !listed;
+}
+
+}  // namespace
+
+std::vector<SeatOutput> Seat::TakeOutputs() { return std::exchange(outputs_, {}); }
+
+bool Seat::release_done() const noexcept {
+  return state_ == SeatState::kReleased && call_ == 0 && fresh_ && !NamesSelf();
+}
+
+core::TimePoint Seat::NextWake() const noexcept {
+  if (release_done()) return core::TimePoint::max();
+  auto wake = call_ == 0 ? next_store_ : call_sent_ + options_.renewal;
+  if (state_ == SeatState::kHeld) wake = std::min(wake, next_ask_);
+  if (state_ == SeatState::kWaiting) {
+    wake = std::min({wake, next_announce_, std::max(known_at_ + options_.hold, call_sent_)});
+  }
+  return wake;
+}
+
+void Seat::Tick(const SeatView& view, core::TimePoint now) {
+  if (state_ == SeatState::kWaiting || state_ == SeatState::kHeld) Announce(view, now);
+  if (state_ == SeatState::kWaiting) FinishWait(view, now);
+  if (state_ == SeatState::kHeld) AskPeer(view, now);
+  if (call_ != 0 || now < next_store_ || release_done()) return;
+  if (fresh_ && release_asked_ && NamesSelf()) {
+    SeatRecord record = *seen_;
+    record.released = true;
+    Write(record, now);
+  } else if (fresh_ && !release_asked_ && state_ == SeatState::kIdle && wanted_ && MayClaim(view)) {
+    skip_wait_ = seen_ && seen_->released;
+    skip_wait_term_ = (seen_ ? seen_->term : 0) + 1;
+    Write({options_.self, skip_wait_term_, options_.home, false}, now);
+  } else {
+    Read(now);
+  }
+}
+
+bool Seat::MayClaim(const SeatView& view) const {
+  if (!seen_ || seen_->released) return true;
+  // An adopted seat goes back to the instance whose settings name it, even from a live holder.
+  if (options_.home && !seen_->home) return true;
+  return Gone(seen_->holder, options_.self, view);
+}
+
+void Seat::Read(core::TimePoint now) {
+  call_ = next_call_++;
+  call_sent_ = now;
+  call_writes_ = false;
+  outputs_.emplace_back(store::Call{call_, store::Get{SeatKey(options_.domain, options_.seat)}});
+}
+
+void Seat::Write(const SeatRecord& record, core::TimePoint now) {
+  call_ = next_call_++;
+  call_sent_ = now;
+  call_writes_ = true;
+  fresh_ = false;  // Whatever the answer, the record is read back before the next step.
+  outputs_.emplace_back(store::Call{
+      call_,
+      store::CompareAndSwap{SeatKey(options_.domain, options_.seat), Encode(record), seen_index_}});
+}
+
+void Seat::OnStoreResult(std::uint64_t call_id, const store::StoreResult& result,
+                         core::TimePoint now) {
+  if (call_id != call_) return;
+  call_ = 0;
+  if (result.has_error()) {
+    failures_ = std::min(failures_ + 1, kMaxBackOffSteps);
+    next_store_ = now + options_.renewal * failures_ / kMaxBackOffSteps;
+    return;
+  }
+  failures_ = 0;
+  next_store_ = now;
+  if (const auto* get = std::get_if<store::GetReply>(&result.value())) OnRead(*get, now);
+}
+
+void Seat::OnRead(const store::GetReply& reply, core::TimePoint now) {
+  seen_ = reply.entry ? DecodeSeatRecord(reply.entry->value) : std::nullopt;
+  seen_index_ = reply.entry ? reply.entry->modify_index : 0;
+  fresh_ = true;
+  if (NamesSelf()) {
+    if (!release_asked_) OnOwnRecord(now);
+    return;
+  }
+  Drop();
+  next_store_ = now + options_.renewal * (wanted_ ? 1 : kIdlePollFactor);
+}
+
+void Seat::OnOwnRecord(core::TimePoint now) {
+  if (state_ == SeatState::kIdle) {
+    state_ = SeatState::kWaiting;
+    known_at_ = now;
+    acks_.clear();
+    next_announce_ = now;
+  }
+  until_ = std::max(until_, call_sent_ + options_.hold);
+  next_store_ = std::max(
+      now, call_sent_ + (options_.prefer_peers ? options_.store_interval : options_.renewal));
+}
+
+void Seat::Drop() {
+  if (state_ == SeatState::kReleased) return;
+  const bool held = state_ == SeatState::kHeld;
+  state_ = SeatState::kIdle;
+  until_ = {};
+  ask_ = 0;
+  if (held) outputs_.emplace_back(SeatChanged{});
+}
+
+void Seat::Announce(const SeatView& view, core::TimePoint now) {
+  if (now < next_announce_) return;
+  next_announce_ = now + kAnnounceInterval;
+  std::erase_if(acks_, [&view](const auto& row) { return !Contains(view.heard, row); });
+  for (const auto& peer : view.heard) {
+    if (Contains(acks_, peer)) continue;
+    outputs_.emplace_back(ClaimAnnounced{peer, options_.seat, options_.self, seen_->term});
+  }
+}
+
+void Seat::OnAnnounceAcked(const core::InstanceId& peer, std::uint64_t term, core::TimePoint now) {
+  if (!NamesSelf() || term != seen_->term) return;
+  if (!Contains(acks_, peer)) acks_.push_back(peer);
+  known_at_ = std::max(known_at_, now);
+}
+
+void Seat::FinishWait(const SeatView& view, core::TimePoint now) {
+  // A peer that has not acknowledged may confirm the former holder for as long as it is heard.
+  const bool all_acked = std::all_of(view.heard.begin(), view.heard.end(),
+                                     [this](const auto& peer) { return Contains(acks_, peer); });
+  if (!all_acked) known_at_ = std::max(known_at_, now);
+  const bool nobody_before = skip_wait_ && seen_->term == skip_wait_term_;
+  if (!nobody_before && now < known_at_ + options_.hold) return;
+  state_ = SeatState::kHeld;
+  next_ask_ = now;
+  outputs_.emplace_back(SeatChanged{});
+}
+
+void Seat::OnAnnounced(const core::InstanceId& holder, std::uint64_t term) {
+  if (holder == options_.self || !seen_ || term <= seen_->term) return;
+  if (state_ != SeatState::kWaiting && state_ != SeatState::kHeld) return;
+  fresh_ = false;
+  seen_->holder = holder;
+  seen_->term = term;
+  Drop();
+}
+
+void Seat::AskPeer(const SeatView& view, core::TimePoint now) {
+  const bool store_answers = failures_ == 0 && !(call_ != 0 && now - call_sent_ > options_.renewal);
+  if (now < next_ask_ || (store_answers && !options_.prefer_peers)) return;
+  next_ask_ = now + kAskInterval;
+  ask_ = next_call_++;
+  ask_sent_ = now;
+  // With no peer in sight this instance is its own witness.
+  const auto& peer =
+      view.heard.empty() ? options_.self : view.heard[peer_turn_++ % view.heard.size()];
+  outputs_.emplace_back(ConfirmAsked{ask_, peer, options_.seat, options_.self, seen_->term});
+}
+
+void Seat::OnConfirmed(std::uint64_t ask, bool confirmed, core::TimePoint now) {
+  if (ask != ask_ || state_ != SeatState::kHeld) return;
+  ask_ = 0;
+  if (!confirmed) return;
+  until_ = std::max(until_, ask_sent_ + options_.hold);
+  if (options_.prefer_peers) next_ask_ = std::max(now, ask_sent_ + options_.renewal);
+}
+
+void Seat::Release() {
+  release_asked_ = true;
+  Drop();
+  state_ = SeatState::kReleased;
+  next_store_ = {};
+}
+
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/src/vanilladeck/membership/seat_witness.cc
@@ -0,0 +1,24 @@
+#include "vanilladeck/membership/seat_witness.h"
+
+namespace vanilladeck::membership {
+
+void SeatWitness::Tick(core::TimePoint now) {
+  if (now - last_tick_ > hold_ / 2) quiet_until_ = now + hold_;
+  last_tick_ = now;
+}
+
+void SeatWitness::Note(std::uint32_t seat, const core::InstanceId& holder, std::uint64_t term) {
+  auto& known = known_[seat];
+  if (term > known.term) known = {term, holder};
+}
+
+bool SeatWitness::Confirm(std::uint32_t seat, const core::InstanceId& holder, std::uint64_t term,
+                          core::TimePoint now) {
+  Tick(now);
+  if (now < quiet_until_) return false;
+  const auto it = known_.find(seat);
+  if (it == known_.end()) return true;
+  return it->second.term < term || (it->second.term == term && it->second.holder == holder);
+}
+
+}  // namespace vanilladeck::membership
--- a/src/vanilladeck/operations/claim.h
+++ b/src/vanilladeck/operations/claim.h
@@ -19,6 +19,9 @@
   std::string fingerprint;  ///< SHA-256 of method, path and body.
   core::Rank rank = core::Rank::kNormal;
   core::InstanceId holder;  ///< Entry instance that would run the operation.
+  /// Non-zero number of this claim, unique within the holder's incarnation. A repeat of the claim
+  /// with the same number gets the same attempt; the holder runs it on the first `Granted` only.
+  std::uint64_t claim_id = 0;
 };
 
 /// The complete answer of a backend server, recorded for repeats of the key.
@@ -46,10 +49,14 @@
 using ClaimReply = std::variant<Granted, RecordedAnswer, InProgress, OutcomeUnknown, Mismatch,
                                 Expired, Unavailable>;
 
-/// Reports the end of a granted attempt.
+/// Reports the end of a granted attempt, or gives up a claim.
+///
+/// A requester that stops waiting for the reply to a claim sends `attempt` 0 with its `claim_id`
+/// and the outcome kNotRun: the claim is released whether or not it was granted meanwhile.
 struct CompleteRequest {
   std::string key;
   std::uint64_t attempt = 0;
+  std::uint64_t claim_id = 0;
   core::InstanceId holder;
   core::Outcome outcome = core::Outcome::kUnknown;  ///< kNotRun releases the claim.
   RecordedAnswer answer;                            ///< Set when outcome is kRan.
--- /dev/null
+++ b/src/vanilladeck/operations/operation_key.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "vanilladeck/core/result.h"
+
+namespace vanilladeck::operations {
+
+enum class KeyErrorCode : std::uint8_t {
+  kTooLong,
+  kFieldCount,
+  kShard,
+  kIssueTime,
+  kDigest,
+  kRandom
+};
+
+inline constexpr std::array<std::string_view, 6> kKeyErrorNames{
+    "key is too long",
+    "key does not have four fields",
+    "shard name is empty",
+    "issue time is not a positive decimal number",
+    "client digest is not 16 hexadecimal digits",
+    "random part is not 32 hexadecimal digits"};
+
+/// A key that does not have the form of an operation key; `field` is the offending part.
+struct KeyError {
+  KeyErrorCode code = KeyErrorCode::kFieldCount;
+  std::string field;
+};
+
+/// Identity of an operation within its shard.
+struct RecordId {
+  std::int64_t issue_ms = 0;
+  std::array<std::uint64_t, 2> random{};
+
+  [[nodiscard]] auto operator<=>(const RecordId&) const = default;
+};
+
+struct RecordIdHash {
+  [[nodiscard]] std::size_t operator()(const RecordId& id) const noexcept {
+    return static_cast<std::size_t>(id.random[0] ^ static_cast<std::uint64_t>(id.issue_ms));
+  }
+};
+
+/// The `Idempotency-Key` of a non-idempotent operation: `SHARD.ISSUE_MS.CLIENTDIGEST.RANDOM`.
+///
+/// The digest is an HMAC-SHA-256 under the deployment's salt over the client and the three other
+/// fields. A client can therefore neither use another client's key nor alter the shard or the issue
+/// time, on which the retention of records relies.
+class OperationKey {
+ public:
+  /// Makes a new key for `client`; `salt` is a secret that all instances share.
+  [[nodiscard]] static OperationKey Issue(std::string_view shard, std::int64_t wall_ms,
+                                          std::string_view client, std::string_view salt);
+
+  /// Reads the form only; `BelongsTo` checks the digest.
+  [[nodiscard]] static core::Result<OperationKey, KeyError> Parse(std::string_view text);
+
+  [[nodiscard]] bool BelongsTo(std::string_view client, std::string_view salt) const;
+  [[nodiscard]] std::string Text() const;
+
+  [[nodiscard]] const std::string& shard() const noexcept { return shard_; }
+  [[nodiscard]] const RecordId& id() const noexcept { return id_; }
+
+ private:
+  OperationKey() = default;
+  [[nodiscard]] std::uint64_t Digest(std::string_view client, std::string_view salt) const;
+
+  std::string shard_;
+  RecordId id_;
+  std::uint64_t digest_ = 0;
+};
+
+}  // namespace vanilladeck::operations
--- /dev/null
+++ b/src/vanilladeck/operations/record_index.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "vanilladeck/operations/batch.h"
+
+namespace vanilladeck::operations {
+
+enum class RecordState : std::uint8_t {
+  kClaimed,   ///< The holder of the attempt may run the operation or have run it.
+  kReleased,  ///< The last attempt was not run; a new one can be claimed.
+  kRan,       ///< The answer is recorded.
+  kUnknown,   ///< The holder reported that it does not know.
+};
+
+/// What a shard knows about one key; the strings are interned in the index.
+struct Record {
+  RecordState state = RecordState::kClaimed;
+  core::Rank rank = core::Rank::kNormal;
+  bool durable = false;   ///< The last change of the record is in the store.
+  bool orphaned = false;  ///< Granted by a former owner, or the end could not be recorded.
+  std::uint32_t service = 0;
+  std::uint32_t holder = 0;
+  std::uint32_t attempt = 0;
+  std::uint64_t claim_id = 0;
+  Fingerprint fingerprint{};
+  std::unique_ptr<const RecordedAnswer> answer;
+};
+
+/// Numbers for strings that many records share.
+template <class T>
+class InternTable {
+ public:
+  std::uint32_t Add(const T& value) {
+    const auto [it, added] =
+        numbers_.try_emplace(value, static_cast<std::uint32_t>(values_.size()));
+    if (added) values_.push_back(value);
+    return it->second;
+  }
+  [[nodiscard]] std::optional<std::uint32_t> Find(const T& value) const {
+    const auto it = numbers_.find(value);
+    return it == numbers_.end() ? std::nullopt : std::optional(it->second);
+  }
+  [[nodiscard]] const T& operator[](std::uint32_t number) const { return values_[number]; }
+  [[nodiscard]] std::size_t size() const noexcept { return values_.size(); }
+
+ private:
+  std::unordered_map<T, std::uint32_t> numbers_;
+  std::vector<T> values_;
+};
+
+/// The records of one shard, rebuilt from the log at a takeover.
+class RecordIndex {
+ public:
+  [[nodiscard]] Record* Find(const RecordId& id);
+
+  /// Applies a log entry. Replaying the entries in log order yields the state of the shard.
+  ///
+  /// Returns the changed record; nullptr when the entry belongs to no known attempt.
+  Record* Apply(const LogEntry& entry);
+
+  void Erase(const RecordId& id);
+
+  /// Drops every record whose key was issued before `issue_ms`; returns how many.
+  std::size_t Trim(std::int64_t issue_ms);
+
+  /// Notes that the process `holder` has ended, or that it was seen again.
+  void SetGone(const core::InstanceId& holder, bool gone);
+
+  /// After a replay: everything is durable, and open claims were granted by a former owner.
+  void FinishReplay();
+
+  /// True for a claim whose holder is not known to be at work on it.
+  [[nodiscard]] bool Orphaned(const Record& record) const {
+    return record.orphaned || gone_[record.holder];
+  }
+
+  [[nodiscard]] std::optional<std::uint32_t> Service(const std::string& name) const {
+    return services_.Find(name);
+  }
+  [[nodiscard]] const core::InstanceId& Holder(const Record& record) const {
+    return holders_[record.holder];
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
+
+  /// Estimated memory of records and recorded answers.
+  [[nodiscard]] std::size_t bytes() const noexcept;
+
+ private:
+  Record* ApplyClaim(const ClaimEntry& claim);
+  Record* ApplyOutcome(const OutcomeEntry& end);
+  void ForgetAnswer(const Record& record);
+
+  std::unordered_map<RecordId, Record, RecordIdHash> records_;
+  /// Keys by minute of issue, so that trimming does not visit every record.
+  std::unordered_map<std::int64_t, std::vector<RecordId>> by_minute_;
+  std::int64_t first_minute_ = 0;
+  InternTable<std::string> services_;
+  InternTable<core::InstanceId> holders_;
+  std::vector<bool> gone_;  ///< By number of the holder.
+  std::size_t answer_bytes_ = 0;
+};
+
+}  // namespace vanilladeck::operations
--- /dev/null
+++ b/src/vanilladeck/operations/shard.cc
@@ -0,0 +1,277 @@
+#include "vanilladeck/operations/shard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanilladeck::operations {
+namespace {
+
+// A batch is written before the linger ends once it holds this much.
+constexpr std::size_t kFlushBytes = 256'000;
+constexpr core::Duration kHousekeepingInterval = std::chrono::seconds(1);
+// Granularity at which waiting claims are timed out.
+constexpr core::Duration kPendingCheckInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kSmallestBatchBytes = 100'000;
+
+}  // namespace
+
+Shard::Shard(ShardOptions options) : options_(std::move(options)) {}
+
+void Shard::Answer(std::uint64_t ticket, ClaimReply reply) {
+  outputs_.emplace_back(ClaimAnswer{ticket, std::move(reply)});
+}
+
+void Shard::Answer(std::uint64_t ticket, bool recorded) {
+  outputs_.emplace_back(CompleteAnswer{ticket, CompleteReply{recorded}});
+}
+
+void Shard::Send(store::Request request, core::Rank rank) {
+  outputs_.emplace_back(store::Call{next_call_++, std::move(request), rank});
+}
+
+std::vector<ShardOutput> Shard::TakeOutputs() { return std::exchange(outputs_, {}); }
+
+void Shard::TakeOver(std::uint64_t known_seq, const Now& now) {
+  known_seq_ = std::max(known_seq_, known_seq);
+  resigning_ = false;
+  failures_ = 0;
+  Restart(now);
+  Tick(now);
+}
+
+void Shard::Restart(const Now& now) {
+  phase_ = Phase::kListing;
+  list_call_ = 0;
+  write_call_ = 0;
+  delete_call_ = 0;
+  deleting_bucket_.reset();
+  writer_.Clear();
+  not_before_ =
+      now.steady + (failures_ > 0 ? impl::BackOff(failures_, next_call_) : core::Duration(0));
+}
+
+void Shard::Stop(StopReason reason) {
+  if (phase_ == Phase::kStopped) return;
+  phase_ = Phase::kStopped;
+  writer_.Clear();
+  const auto refuse = [this](const Pending& pending) {
+    const bool claim = std::holds_alternative<ClaimEntry>(pending.entry);
+    for (const auto ticket : pending.tickets) {
+      if (claim) {
+        Answer(ticket, Unavailable{});
+      } else {
+        Answer(ticket, false);
+      }
+    }
+  };
+  std::for_each(in_flight_.begin(), in_flight_.end(), refuse);
+  std::for_each(open_.begin(), open_.end(), refuse);
+  in_flight_.clear();
+  open_.clear();
+  open_bytes_ = 0;
+  outcome_backlog_bytes_ = 0;
+  outputs_.emplace_back(ShardStopped{reason});
+}
+
+void Shard::Resign(const Now& now) {
+  resigning_ = true;
+  if (phase_ != Phase::kActive) Stop(StopReason::kResigned);
+  Tick(now);
+}
+
+void Shard::OnStoreResult(std::uint64_t call_id, const store::StoreResult& result, const Now& now) {
+  if (phase_ == Phase::kStopped) return;
+  if (result.has_value()) {
+    failing_since_.reset();
+  } else if (!failing_since_) {
+    failing_since_ = now.steady;
+  }
+  if (call_id == list_call_) {
+    list_call_ = 0;
+    OnListed(result, now);
+  } else if (call_id == delete_call_) {
+    delete_call_ = 0;
+    if (result.has_value()) bucket_wall_ms_.erase(*deleting_bucket_);
+    deleting_bucket_.reset();
+  } else if (call_id == write_call_) {
+    write_call_ = 0;
+    const bool too_large =
+        result.has_error() && result.error().code == store::StoreErrorCode::kTooLarge;
+    if (too_large) {
+      options_.max_batch_bytes = std::max(kSmallestBatchBytes, options_.max_batch_bytes / 2);
+    }
+    (void)writer_.OnResult(result, now.steady);
+  }
+  Tick(now);
+}
+
+void Shard::Tick(const Now& now) {
+  last_tick_ = now.steady;
+  latest_wall_ms_ = std::max(latest_wall_ms_, now.wall_ms);
+  if (phase_ == Phase::kStopped) return;
+  if (phase_ == Phase::kListing) {
+    if (list_call_ == 0 && now.steady >= not_before_) {
+      list_call_ = next_call_;
+      list_sent_ = now.steady;
+      Send(store::List{ShardPrefix(options_.shard)}, core::Rank::kUrgent);
+    }
+    return;
+  }
+  RefuseLateClaims(now);
+  AdvanceWriter(now);
+  if (phase_ != Phase::kActive) return;
+  if (now.steady >= next_housekeeping_) Housekeep(now);
+  if (phase_ != Phase::kActive) return;
+  if (writer_.state() == impl::WriteState::kIdle && !open_.empty() && now.steady >= BatchDueAt()) {
+    StartBatch(now);
+    AdvanceWriter(now);
+  }
+  if (resigning_ && open_.empty() && in_flight_.empty()) Stop(StopReason::kResigned);
+}
+
+core::TimePoint Shard::BatchDueAt() const {
+  const bool full = open_bytes_ >= kFlushBytes || resigning_;
+  return std::max(not_before_, full ? core::TimePoint{} : open_since_ + options_.linger);
+}
+
+core::TimePoint Shard::NextWake() const {
+  if (phase_ == Phase::kStopped) return core::TimePoint::max();
+  if (phase_ == Phase::kListing) return list_call_ == 0 ? not_before_ : core::TimePoint::max();
+  auto wake = std::max(next_housekeeping_, last_tick_);
+  if (!open_.empty() || !in_flight_.empty()) {
+    wake = std::min(wake, last_tick_ + kPendingCheckInterval);
+  }
+  if (writer_.state() == impl::WriteState::kPending && !writer_.outstanding()) {
+    wake = std::min(wake, writer_.not_before());
+  }
+  if (writer_.state() == impl::WriteState::kIdle && !open_.empty()) {
+    wake = std::min(wake, BatchDueAt());
+  }
+  return wake;
+}
+
+void Shard::StartBatch(const Now& now) {
+  Batch batch;
+  batch.epoch = epoch_;
+  batch.owner = options_.owner;
+  batch.takes_over = phase_ == Phase::kAppendingEpoch;
+  batch.nonce = core::NewIncarnation();
+  batch.wall_ms = now.wall_ms;
+  batch.unknown_until_ms = unknown_until_ms_;
+  batch.floor_seq = floor_seq_;
+  in_flight_floor_seq_ = floor_seq_;
+  std::size_t bytes = 0;
+  auto rank = core::Rank::kBulk;
+  while (!open_.empty() && bytes + open_.front().bytes <= options_.max_batch_bytes) {
+    bytes += open_.front().bytes;
+    rank = std::min(rank, open_.front().rank);
+    batch.entries.push_back(open_.front().entry);
+    in_flight_.push_back(std::move(open_.front()));
+    open_.pop_front();
+  }
+  open_bytes_ -= bytes;
+  open_since_ = now.steady;
+  // Taking over and keeping the fence alive serve every rank.
+  in_flight_rank_ = batch.entries.empty() ? core::Rank::kUrgent : rank;
+  writer_.Start(BatchKey(options_.shard, next_seq_), Encode(batch), batch.nonce, now.steady);
+}
+
+void Shard::AdvanceWriter(const Now& now) {
+  using impl::WriteState;
+  switch (writer_.state()) {
+    case WriteState::kIdle:
+      return;
+    case WriteState::kPending:
+      if (now.steady - last_append_ > FenceWindow()) {
+        Stop(StopReason::kFenceExpired);
+      } else if (!writer_.outstanding() && now.steady >= writer_.not_before()) {
+        write_call_ = next_call_;
+        Send(writer_.NextRequest(now.steady), in_flight_rank_);
+      }
+      return;
+    case WriteState::kDurable:
+      OnBatchDurable(now);
+      return;
+    case WriteState::kNotSent:
+      OnBatchNotSent(now);
+      return;
+    case WriteState::kFenced:
+      if (phase_ == Phase::kAppendingEpoch) {
+        // The former owner, or another contender, wrote after the log was read.
+        ++failures_;
+        Restart(now);
+      } else {
+        Stop(StopReason::kFenced);
+      }
+      return;
+  }
+}
+
+void Shard::OnBatchDurable(const Now& now) {
+  // A paused owner may write at a SEQ that a newer owner used and that was deleted since. Batches
+  // are kept for longer than the fence window, so a write within the window cannot meet that case.
+  if (now.steady - last_append_ > FenceWindow()) {
+    Stop(StopReason::kFenceExpired);
+    return;
+  }
+  last_append_ = writer_.started();
+  failures_ = 0;
+  bucket_wall_ms_[next_seq_ / kBatchesPerBucket] = latest_wall_ms_;
+  ++next_seq_;
+  durable_floor_seq_ = in_flight_floor_seq_;
+  writer_.Clear();
+  if (phase_ == Phase::kAppendingEpoch) {
+    phase_ = Phase::kActive;
+    next_housekeeping_ = now.steady;
+    outputs_.emplace_back(ShardReady{epoch_, index_.size(), gap_});
+  }
+  for (auto& pending : std::exchange(in_flight_, {})) Settle(pending, now);
+}
+
+void Shard::OnBatchNotSent(const Now& now) {
+  ++failures_;
+  not_before_ = now.steady + impl::BackOff(failures_, next_call_);
+  writer_.Clear();
+  if (phase_ == Phase::kAppendingEpoch) {
+    Restart(now);
+    return;
+  }
+  for (auto it = in_flight_.rbegin(); it != in_flight_.rend(); ++it) {
+    if (it->abandoned) {
+      Revert(*it);
+      continue;
+    }
+    open_bytes_ += it->bytes;
+    open_.push_front(std::move(*it));
+  }
+  in_flight_.clear();
+}
+
+void Shard::OnListed(const store::StoreResult& result, const Now& now) {
+  const auto* reply = result.has_value() ? std::get_if<store::ListReply>(&result.value()) : nullptr;
+  if (reply == nullptr) {
+    ++failures_;
+    Restart(now);
+    return;
+  }
+  Replay(reply->entries, now);
+  phase_ = Phase::kAppendingEpoch;
+  last_append_ = list_sent_;
+  StartBatch(now);
+}
+
+void Shard::Housekeep(const Now& now) {
+  next_housekeeping_ = now.steady + kHousekeepingInterval;
+  index_.Trim(latest_wall_ms_ - (options_.retention + options_.clock_skew).count());
+  RaiseFloor(now);
+  DeleteOldBucket();
+  if (writer_.state() != impl::WriteState::kIdle || now.steady < not_before_) return;
+  if (now.steady - last_append_ > FenceWindow()) {
+    Stop(StopReason::kFenceExpired);
+  } else if (open_.empty() && now.steady - last_append_ > FenceWindow() / 2) {
+    StartBatch(now);  // An empty batch proves that no newer owner has appended.
+    AdvanceWriter(now);
+  }
+}
+
+}  // namespace vanilladeck::operations
--- /dev/null
+++ b/src/vanilladeck/operations/shard_ownership.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/operations/now.h"
+#include "vanilladeck/store/call.h"
+
+namespace vanilladeck::operations {
+
+struct OwnershipOptions {
+  std::string shard;
+  core::InstanceId self;
+  core::Duration lease = std::chrono::seconds(3);
+  core::Duration renewal = std::chrono::seconds(1);
+};
+
+/// Content of `ops-owner/SHARD`.
+struct OwnerRecord {
+  core::InstanceId owner;
+  std::uint64_t epoch = 0;      ///< Raised by each change of the owner.
+  std::uint64_t renewal = 0;    ///< Raised by each renewal.
+  std::int64_t renewed_ms = 0;  ///< Wall time of the owner; for operators only.
+  std::uint64_t last_seq = 0;   ///< Last durable batch of the shard when the lease was renewed.
+  bool released = false;        ///< Given up: may be taken without waiting.
+};
+
+[[nodiscard]] std::string Encode(const OwnerRecord& record);
+[[nodiscard]] std::optional<OwnerRecord> DecodeOwnerRecord(std::string_view value);
+
+/// This instance holds the lease from now on; `known_seq` goes to `Shard::TakeOver`.
+struct LeaseAcquired {
+  std::uint64_t epoch = 0;
+  std::uint64_t known_seq = 0;
+  /// Nobody else has owned the shard since this instance did: a shard that is still active goes on
+  /// without reading its log, and its fence proves that it may.
+  bool continued = false;
+};
+struct LeaseRenewed {
+  core::TimePoint until;
+};
+/// Another instance owns the shard, or the lease ran out before it could be renewed.
+struct LeaseLost {};
+/// `record` is what the store holds; tells non-owners where to send claims.
+struct OwnerObserved {
+  OwnerRecord record;
+};
+
+using OwnershipOutput =
+    std::variant<store::Call, LeaseAcquired, LeaseRenewed, LeaseLost, OwnerObserved>;
+
+/// Decides which instance of a failure domain owns the domain's shard.
+///
+/// The lease is a record that its owner rewrites every second by compare-and-swap. A peer takes it
+/// over once it has seen the record unchanged for a full lease on its own steady clock; clocks of
+/// two instances are never compared. The owner counts the lease from the moment it sent the
+/// successful write. The log of the shard stays safe even with two owners, see `Shard`.
+class ShardOwnership {
+ public:
+  ShardOwnership(OwnershipOptions options, const Now& now);
+
+  /// `position` is this instance's place in the rendezvous order of the domain's live instances.
+  /// Position p polls every 2^p seconds, at most every 16 s, so that the reads of a domain do not
+  /// grow with its size and the first in order takes over first.
+  void SetPosition(std::uint32_t position) noexcept { position_ = position; }
+
+  void OnStoreResult(std::uint64_t call_id, const store::StoreResult& result, const Now& now);
+
+  /// `last_seq` goes into the next renewal.
+  void Tick(std::uint64_t last_seq, const Now& now);
+
+  /// Gives the lease up; call after the shard has resigned.
+  void Release(const Now& now);
+
+  [[nodiscard]] bool Owns(core::TimePoint now) const noexcept { return owner_ && now < until_; }
+  [[nodiscard]] core::TimePoint until() const noexcept { return until_; }
+  [[nodiscard]] const std::optional<OwnerRecord>& seen() const noexcept { return seen_; }
+  [[nodiscard]] core::TimePoint NextWake() const noexcept;
+  [[nodiscard]] std::vector<OwnershipOutput> TakeOutputs();
+
+ private:
+  void OnRead(const store::GetReply& reply, const Now& now);
+  void OnWritten(bool swapped, const Now& now);
+  void OnError(const store::StoreError& error, const Now& now);
+  void Write(OwnerRecord record, std::uint64_t index, const Now& now);
+  void Read(const Now& now);
+  void BecomeOwner(const Now& now);
+  void Lose();
+  [[nodiscard]] bool MayTake(const Now& now) const;
+  [[nodiscard]] core::Duration Jittered(core::Duration full);
+  [[nodiscard]] core::Duration PollInterval();
+
+  OwnershipOptions options_;
+  std::uint32_t position_ = 0;
+  std::optional<OwnerRecord> seen_;
+  std::uint64_t seen_index_ = 0;
+  core::TimePoint unchanged_since_;  ///< When `seen_index_` was first read.
+  bool have_read_ = false;
+
+  bool owner_ = false;
+  bool released_ = false;
+  std::uint64_t held_epoch_ = 0;  ///< Epoch of the last lease held, 0 if none.
+  bool continues_ = false;        ///< The write being settled extends that lease.
+  core::TimePoint until_;
+  std::uint64_t last_seq_ = 0;
+
+  std::optional<OwnerRecord> writing_;  ///< The write whose effect is not known yet.
+  core::TimePoint write_sent_;
+  bool settle_by_read_ = false;
+
+  core::TimePoint next_step_;
+  int failures_ = 0;
+  std::uint64_t jitter_state_ = 0;
+  std::uint64_t next_call_ = 1;
+  std::uint64_t call_ = 0;  ///< The outstanding call, 0 if none.
+  core::TimePoint call_sent_;
+  std::vector<OwnershipOutput> outputs_;
+};
+
+}  // namespace vanilladeck::operations
