--- a/src/vanilladeck/membership/seat.h
+++ b/src/vanilladeck/membership/seat.h
@@ -3,7 +3,6 @@
 #include <array>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -131,7 +130,7 @@
   std::uint64_t skip_wait_term_ = 0;
   /// When the claim was known to the store and to every domain peer in sight.
   core::TimePoint known_at_;
-  std::set<core::InstanceId> acks_;
+  std::vector<core::InstanceId> acks_;
   core::TimePoint next_announce_;
 
   std::uint64_t next_call_ = 1;
