--- a/src/vanilladeck/admission/impl/backend_server.cc
+++ b/src/vanilladeck/admission/impl/backend_server.cc
@@ -19,11 +19,12 @@
 }  // namespace
 
 std::uint32_t BackendServer::Limit() const noexcept {
-  if (!TakesWork()) return 0;
-  const std::uint32_t others = busy - std::min(busy, in_flight);
-  const std::uint32_t left = slots - std::min(slots, others);
-  const auto contradicted_limit = static_cast<std::uint32_t>(contradicted);
-  return std::min(UsableShare(), std::max(left, contradicted_limit));
+  return std::min(UsableShare(),
+                  std::max(LeftByReports(), static_cast<std::uint32_t>(contradicted)));
+}
+
+std::uint32_t BackendServer::LeftByReports() const noexcept {
+  return slots - std::min(slots, others);
 }
 
 std::uint32_t BackendServer::UsableShare() const noexcept {
@@ -38,29 +39,33 @@
 
 void BackendServer::OnStarted() noexcept {
   ++in_flight;
-  busy = std::max(busy + 1, in_flight);
+  peak_since_report = std::max(peak_since_report, in_flight);
 }
 
 void BackendServer::OnFinished(bool success) noexcept {
   if (in_flight > 0) --in_flight;
-  // The own request that ended is the only thing known to have left the server.
-  if (busy > 0) --busy;
-  busy = std::max(busy, in_flight);
   if (!success) return;
   ++finished_since_growth;
   failures = 0;
-  const std::uint32_t others = busy - in_flight;
-  // Work that succeeds on a server reported full contradicts the report, one slot at a time.
-  if (others >= slots) contradicted = std::min(contradicted + 1 / contradicted, share + 0.0);
+  // Work that succeeds contradicts a report that leaves too little, one slot at a time.
+  if (LeftByReports() < share) {
+    contradicted = std::min(contradicted + 1 / contradicted, share + 0.0);
+  }
 }
 
 void BackendServer::OnReport(std::uint32_t reported) noexcept {
   const bool repeated = last_report == reported;
   const bool impossible = reported == 0 && in_flight > 0;
   last_report = reported;
+  // The report is older than the latest own starts and finishes. Own work that has ended since
+  // must not be counted as others', or delayed reports would lower the limit step by step.
+  const std::uint32_t own = std::max(peak_since_report, peak_before_report);
+  peak_before_report = peak_since_report;
+  peak_since_report = in_flight;
   if (impossible) return;
-  busy = std::max(repeated ? std::max(busy, reported) : reported, in_flight);
-  if (busy < slots) contradicted = 1;
+  const std::uint32_t seen = reported - std::min(reported, own);
+  others = repeated ? std::max(others, seen) : seen;
+  if (LeftByReports() >= share) contradicted = 1;
 }
 
 void BackendServer::OnShed() noexcept {
@@ -105,7 +110,7 @@
   ramp = 1;
   shed_limit = std::max(1.0, slots + 0.0);
   contradicted = 1;
-  busy = in_flight;
+  others = 0;
   last_report.reset();
   finished_since_growth = 0;
   grown_at = now;
--- a/src/vanilladeck/admission/impl/backend_server.h
+++ b/src/vanilladeck/admission/impl/backend_server.h
@@ -24,10 +24,12 @@
   bool leaving = false;
   bool needs_probe = false;  ///< Not used until `/health` answers 200.
 
-  // Load reports.
-  std::uint32_t busy = 0;  ///< Estimated requests in progress, own and others'; >= in_flight.
+  // Load reports. In use = own in flight + others; a report tells the sum.
+  std::uint32_t others = 0;  ///< Requests in progress that are not own.
   std::optional<std::uint32_t> last_report;
-  double contradicted = 1;  ///< Own requests allowed against a report that says "full".
+  std::uint32_t peak_since_report = 0;   ///< Most own requests in flight since the last report.
+  std::uint32_t peak_before_report = 0;  ///< The same for the period before.
+  double contradicted = 1;  ///< Own requests allowed against reports that leave less than that.
 
   // Limits that grow back; both at least 1.
   double ramp = 1;
@@ -47,6 +49,8 @@
   [[nodiscard]] std::uint32_t Limit() const noexcept;
   /// Limit without regard to load reports; the part of the capacity that belongs to this instance.
   [[nodiscard]] std::uint32_t UsableShare() const noexcept;
+  /// Slots that load reports leave over for own requests.
+  [[nodiscard]] std::uint32_t LeftByReports() const noexcept;
   [[nodiscard]] bool TakesWork() const noexcept;
 
   void OnStarted() noexcept;
--- a/src/vanilladeck/admission/scheduler.cc
+++ b/src/vanilladeck/admission/scheduler.cc
@@ -240,6 +240,7 @@
                                               std::optional<core::TimePoint> deadline,
                                               core::TimePoint now) {
   RankState& state = State(rank);
+  if (capacity_ == 0) return RejectionCode::kOverload;
   if (state.waiting.size() >= policy_.queue_limit) return RejectionCode::kQueueFull;
   NoteStandingQueue(rank, now);
   const core::Duration wait = EstimatedWait(rank);
@@ -256,6 +257,8 @@
                                                 core::TimePoint now) const {
   const RankState& state = State(rank);
   if (request.deadline && now >= *request.deadline) return RejectionCode::kDeadline;
+  // The estimate was wrong; serving it late only delays requests that can still be on time.
+  if (now - request.arrived > state.targets.target) return RejectionCode::kDeadline;
   const double waited = ToSeconds(now - request.arrived);
   if (Overloaded(rank, now) && waited > kOverloadWaitShare * state.mean_service) {
     return RejectionCode::kOverload;
--- /dev/null
+++ b/src/vanilladeck/replay/impl/instance.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "vanilladeck/admission/scheduler.h"
+#include "vanilladeck/admission/server_pool.h"
+#include "vanilladeck/core/instance_id.h"
+#include "vanilladeck/replay/impl/first_come.h"
+#include "vanilladeck/steering/credit_ledger.h"
+#include "vanilladeck/steering/credit_wallet.h"
+
+namespace vanilladeck::replay::impl {
+
+/// The decision modules of one entry instance.
+struct Instance {
+  core::InstanceId id;
+  std::string failure_domain;
+  std::string region;
+  admission::Scheduler scheduler;
+  admission::ServerPool pool;
+  steering::CreditLedger ledger;
+  steering::CreditWallet wallet;
+  std::optional<FirstCome> first_come;
+  std::uint32_t forward_demand = 0;  ///< Requests not served here since credits were asked for.
+  bool lost = false;
+};
+
+}  // namespace vanilladeck::replay::impl
