--- a/src/vanilladeck/steering/impl/pair_account.cc
+++ b/src/vanilladeck/steering/impl/pair_account.cc
@@ -29,9 +29,10 @@
 void PairAccount::Grow(core::TimePoint now, bool measured) {
   const double step = std::chrono::duration<double>(now - grown_at).count();
   grown_at = now;
-  if (now - last_used > kColdAfter) ramp = 1;
-  const bool grow = limited_by_ramp && measured;
+  const bool cold = now - last_used > kColdAfter;
+  const bool grow = limited_by_ramp && measured && !cold;
   limited_by_ramp = false;
+  if (cold) ramp = 1;
   if (!grow) return;
   const double factor = std::pow(kGrowthPerSecond, std::clamp(step, 0.0, kMaxGrowthStepS));
   ramp = std::min(ramp * factor, std::max(1.0, rate_cap + 0.0));
