--- /dev/null
+++ b/tests/config/schedule_test.cc
@@ -0,0 +1,69 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "config/cluster.h"
+
+using vanilladeck::config::testing::Cluster;
+using vanilladeck::config::testing::Variant;
+
+namespace {
+
+std::set<std::string> Run(const std::vector<std::uint32_t>& schedule, Variant variant) {
+  Cluster cluster(variant);
+  for (auto code : schedule) cluster.Step(code);
+  cluster.Settle();
+  return cluster.Violations();
+}
+
+std::vector<std::uint32_t> RandomSchedule(unsigned seed) {
+  constexpr std::size_t kSteps = 200;
+  std::mt19937 random(seed);
+  std::vector<std::uint32_t> schedule(kSteps);
+  for (auto& code : schedule) code = static_cast<std::uint32_t>(random());
+  return schedule;
+}
+
+/// Schedules until the variant's fault is reported, 0 when it never is.
+unsigned SchedulesToFind(Variant variant, const std::string& violation) {
+  constexpr unsigned kMaxSchedules = 500;
+  for (unsigned seed = 1; seed <= kMaxSchedules; ++seed) {
+    if (Run(RandomSchedule(seed), variant).contains(violation)) return seed;
+  }
+  return 0;
+}
+
+}  // namespace
+
+// Guards against two winners of a version, an accepted change reported failed or lost, a replica
+// that goes back, and replicas that stay apart, under lost answers, delayed writes, outages and
+// restored backups of the store.
+TEST_CASE("publishers and replicas keep their promises on generated schedules", "[config]") {
+  REQUIRE(rc::check("configuration schedules", [] {
+    const auto schedule = *rc::gen::container<std::vector<std::uint32_t>>(
+        *rc::gen::inRange<std::size_t>(0, 300), rc::gen::arbitrary<std::uint32_t>());
+    const auto violations = Run(schedule, Variant::kCorrect);
+    for (const auto& violation : violations) RC_LOG() << violation << '\n';
+    RC_ASSERT(violations.empty());
+  }));
+  constexpr unsigned kSchedules = 3000;
+  std::size_t accepted = 0;
+  for (unsigned seed = 1; seed <= kSchedules; ++seed) {
+    Cluster cluster(Variant::kCorrect);
+    for (auto code : RandomSchedule(seed)) cluster.Step(code);
+    cluster.Settle();
+    CAPTURE(seed, cluster.Violations());
+    REQUIRE(cluster.Violations().empty());
+    accepted += cluster.AcceptedCount();
+  }
+  // Guards against schedules that never get a change accepted and so check nothing.
+  REQUIRE(accepted > kSchedules);
+}
+
+// Guards against checks that cannot fail: each broken variant must be reported.
+TEST_CASE("schedules report deliberately broken variants", "[config]") {
+  REQUIRE(SchedulesToFind(Variant::kBlindRepeat, "two winners of one version") > 0);
+  REQUIRE(SchedulesToFind(Variant::kBlindRepeat, "accepted change was lost") > 0);
+  REQUIRE(SchedulesToFind(Variant::kAcceptLower, "a replica went back") > 0);
+}
