--- /dev/null
+++ b/src/vanilladeck/daemon/control_messages.cc
@@ -0,0 +1,149 @@
+#include <utility>
+
+#include "vanilladeck/daemon/control_impl.h"
+
+namespace vanilladeck::daemon {
+namespace {
+
+using core::RuntimeClock;
+
+/// Lets the far side's own refusal at the deadline arrive before this side calls it unknown.
+constexpr core::Duration kForwardMargin = std::chrono::milliseconds(200);
+constexpr core::Duration kCreditsTimeout = std::chrono::milliseconds(500);
+
+/// What a failed call says about the forwarded request.
+peer::ForwardReply FailedForward(const peer::CallError& error) {
+  peer::ForwardReply reply;
+  switch (error.code) {
+    case peer::CallErrorCode::kUnreachable:
+      reply.outcome = core::Outcome::kNotRun;
+      reply.error = "destination_unavailable";
+      break;
+    case peer::CallErrorCode::kRejected:
+      reply.outcome = core::Outcome::kNotRun;
+      reply.error = "connection_limit_reached";
+      break;
+    case peer::CallErrorCode::kOutcomeUnknown:
+      reply.outcome = core::Outcome::kUnknown;
+      reply.error = "connection_timeout";
+      break;
+  }
+  return reply;
+}
+
+}  // namespace
+
+void Control::Impl::DrainMailboxes() {
+  mailbox_.Drain(
+      [this](ToControl message) { std::visit([this](auto& it) { Handle(it); }, message); });
+  peer_mailbox_.Drain(
+      [this](peer::Event event) { std::visit([this](auto& it) { Handle(it); }, event); });
+}
+
+void Control::Impl::PostServing(const ToServing& message) {
+  // The serving thread drains its mailbox within microseconds; waiting keeps every answer.
+  while (!post_(message)) std::this_thread::yield();
+}
+
+void Control::Impl::Respond(std::uint64_t id, const peer::Answer& answer) {
+  while (!node_->Respond(id, answer)) std::this_thread::yield();
+}
+
+void Control::Impl::Handle(ClaimAsked& message) {
+  const auto answer = [this, id = message.id](operations::ClaimReply reply) {
+    PostServing(ClaimAnswered{id, std::move(reply)});
+  };
+  if (!operations_) return answer(operations::Unavailable{});
+  operations_->Claim(std::move(message.request), answer);
+}
+
+void Control::Impl::Handle(CompleteAsked& message) {
+  const auto answer = [this, id = message.id](operations::CompleteReply reply) {
+    PostServing(CompleteAnswered{id, reply});
+  };
+  if (!operations_) return answer({false});
+  operations_->Complete(message.request, answer);
+}
+
+void Control::Impl::Handle(ForwardAsked& message) {
+  const auto timeout = std::chrono::milliseconds(message.request.timeout_ms) + kForwardMargin;
+  peers_->Call(message.target.address, std::move(message.request), timeout,
+               [this, id = message.id](peer::CallResult result) {
+                 auto reply = result.has_value() ? std::get<peer::ForwardReply>(result.value())
+                                                 : FailedForward(result.error());
+                 PostServing(ForwardAnswered{id, std::move(reply)});
+               });
+}
+
+void Control::Impl::Handle(ForwardServed& message) {
+  forwards_.erase(message.id);
+  Respond(message.id, message.reply);
+}
+
+void Control::Impl::Handle(CreditsAsked& message) {
+  peers_->Call(message.target.address, std::move(message.request), kCreditsTimeout,
+               [this, id = message.id](const peer::CallResult& result) {
+                 const auto grant = result.has_value() ? std::get<peer::CreditGrant>(result.value())
+                                                       : peer::CreditGrant{};
+                 PostServing(CreditsAnswered{id, grant});
+               });
+}
+
+void Control::Impl::Handle(CreditsServed& message) { Respond(message.id, message.grant); }
+
+void Control::Impl::Handle(peer::Finished& event) { peers_->OnFinished(std::move(event)); }
+
+void Control::Impl::Handle(peer::Incoming& event) {
+  std::visit([this, id = event.id](auto& call) { Serve(id, call); }, event.call);
+}
+
+void Control::Impl::Handle(const peer::Abandoned& event) {
+  if (forwards_.erase(event.id) > 0) PostServing(ForwardCancelled{event.id});
+}
+
+void Control::Impl::Serve(std::uint64_t id, const membership::Heartbeat& call) {
+  OnPeerHeartbeat(call);
+  Respond(id, view_->MakeHeartbeat(RuntimeClock::now()));
+}
+
+void Control::Impl::Serve(std::uint64_t id, peer::ForwardRequest& call) {
+  forwards_.insert(id);
+  PostServing(ForwardArrived{id, std::move(call)});
+}
+
+void Control::Impl::Serve(std::uint64_t id, const operations::ClaimRequest& call) {
+  const auto answer = [this, id](const operations::ClaimReply& reply) { Respond(id, reply); };
+  if (!operations_) return answer(operations::Unavailable{});
+  operations_->ServeClaim(call, answer);
+}
+
+void Control::Impl::Serve(std::uint64_t id, const operations::CompleteRequest& call) {
+  const auto answer = [this, id](operations::CompleteReply reply) { Respond(id, reply); };
+  if (!operations_) return answer({false});
+  operations_->ServeComplete(call, answer);
+}
+
+void Control::Impl::Serve(std::uint64_t id, const peer::CreditRequest& call) {
+  PostServing(CreditsArrived{id, call});
+}
+
+void Control::Impl::Serve(std::uint64_t id, const peer::FetchVersions& call) {
+  const bool same = call.deployment.empty() || call.deployment == settings_.deployment;
+  Respond(id, peer::Versions{same ? config_->replica().EncodedRecordsAfter(call.after)
+                                  : std::vector<std::string>{}});
+}
+
+void Control::Impl::Serve(std::uint64_t id, const peer::FetchServers&) {
+  Respond(id, peer::Servers{servers_});
+}
+
+void Control::Impl::Serve(std::uint64_t id, const peer::ConfirmSeat& call) {
+  Respond(id, seats_->Confirm(call.claim, RuntimeClock::now()));
+}
+
+void Control::Impl::Serve(std::uint64_t id, const peer::AnnounceSeat& call) {
+  seats_->Note(call.claim);
+  Respond(id, peer::SeatNoted{});
+}
+
+}  // namespace vanilladeck::daemon
