--- a/src/vanilladeck/operations/record_index.cc
+++ b/src/vanilladeck/operations/record_index.cc
@@ -102,8 +102,10 @@
 }
 
 void RecordIndex::SetGone(const core::InstanceId& holder, bool gone) {
-  const auto number = holders_.Find(holder);
-  if (number) gone_[*number] = gone;
+  // Noted for unknown holders, too: a claim of theirs may still be on its way.
+  const auto number = holders_.Add(holder);
+  gone_.resize(holders_.size());
+  gone_[number] = gone;
 }
 
 void RecordIndex::FinishReplay() {
--- a/src/vanilladeck/operations/shard.cc
+++ b/src/vanilladeck/operations/shard.cc
@@ -155,7 +155,9 @@
   batch.epoch = epoch_;
   batch.owner = options_.owner;
   batch.takes_over = phase_ == Phase::kAppendingEpoch;
-  batch.nonce = core::NewIncarnation();
+  // Differs from every other batch of this process; the random incarnation separates processes.
+  constexpr std::uint64_t kOddStep = 0x9e3779b97f4a7c15ULL;
+  batch.nonce = options_.owner.incarnation + ++batches_started_ * kOddStep;
   batch.wall_ms = now.wall_ms;
   batch.unknown_until_ms = unknown_until_ms_;
   batch.floor_seq = floor_seq_;
--- a/src/vanilladeck/operations/shard.h
+++ b/src/vanilladeck/operations/shard.h
@@ -13,6 +13,7 @@
 #include "vanilladeck/operations/batch.h"
 #include "vanilladeck/operations/claim.h"
 #include "vanilladeck/operations/impl/batch_writer.h"
+#include "vanilladeck/operations/impl/released_claims.h"
 #include "vanilladeck/operations/now.h"
 #include "vanilladeck/operations/record_index.h"
 #include "vanilladeck/store/call.h"
@@ -47,10 +48,11 @@
 enum class StopReason : std::uint8_t {
   kFenced,        ///< Another owner's batch occupies the next SEQ.
   kFenceExpired,  ///< No append for so long that the fence of a newer owner may be deleted.
+  kReplaced,      ///< The lease record names another owner.
   kResigned,      ///< `Resign` was called and the open batch is durable.
 };
-inline constexpr std::array<std::string_view, 3> kStopReasonNames{"fenced", "fence-expired",
-                                                                  "resigned"};
+inline constexpr std::array<std::string_view, 4> kStopReasonNames{"fenced", "fence-expired",
+                                                                  "replaced", "resigned"};
 
 /// The shard answers nothing more until the next `TakeOver`.
 struct ShardStopped {
@@ -85,7 +87,8 @@
   /// New claims are granted until `until` only; the shard keeps answering what it has recorded.
   void ExtendLease(core::TimePoint until) noexcept { lease_until_ = until; }
 
-  /// Stops at once, as after a lost lease.
+  /// Stops at once. Call it when the lease record names another owner; a lease that merely ran out
+  /// needs no call, for nothing is granted after its end.
   void Stop(StopReason reason);
 
   /// Refuses new claims, writes what is pending and stops.
@@ -99,7 +102,10 @@
   void Complete(std::uint64_t ticket, const CompleteRequest& request, const Now& now);
 
   /// The process `holder` has ended: its open claims read unknown.
-  void OnInstanceGone(const core::InstanceId& holder) { index_.SetGone(holder, true); }
+  void OnInstanceGone(const core::InstanceId& holder);
+
+  /// The process `holder` was declared gone by mistake and is heard again.
+  void OnInstanceBack(const core::InstanceId& holder);
 
   void OnStoreResult(std::uint64_t call_id, const store::StoreResult& result, const Now& now);
   void Tick(const Now& now);
@@ -184,6 +190,7 @@
   impl::BatchWriter writer_;
   core::Rank in_flight_rank_ = core::Rank::kUrgent;
   std::uint64_t in_flight_floor_seq_ = 0;
+  std::uint64_t batches_started_ = 0;
   core::TimePoint not_before_;  ///< Back-off after a call that was not sent.
   int failures_ = 0;
   std::optional<core::TimePoint> failing_since_;
@@ -197,8 +204,8 @@
   std::map<std::uint64_t, std::int64_t> bucket_wall_ms_;  ///< Latest batch time by bucket.
   std::optional<std::uint64_t> deleting_bucket_;
 
-  /// Claims released before they arrived, oldest first; bounded.
-  std::deque<std::pair<core::InstanceId, std::uint64_t>> released_early_;
+  impl::ReleasedClaims released_claims_;
+  std::deque<core::InstanceId> gone_holders_;  ///< Survives the replay of the log; bounded.
 
   std::uint64_t next_call_ = 1;
   std::uint64_t list_call_ = 0;
--- a/src/vanilladeck/operations/shard_claims.cc
+++ b/src/vanilladeck/operations/shard_claims.cc
@@ -10,9 +10,11 @@
 
 // Claims are refused at once when the store has failed for so long.
 constexpr core::Duration kFailFastAfter = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxReleasedEarly = 4'096;
 constexpr int kAnswerNotKeptStatus = 409;
 
+// Claims of a process that ended long ago no longer arrive.
+constexpr std::size_t kMaxGoneHolders = 1'024;
+
 /// Part of the open batch and of the index that claims of a rank may fill, so that a flood of a
 /// less urgent rank leaves room for the others.
 constexpr core::PerRank<double> kFillLimit{1.0, 0.8, 0.6};
@@ -32,7 +34,6 @@
   }
   if (phase_ != Phase::kActive) return Answer(ticket, Unavailable{});
   const RecordId id = key.value().id();
-  index_.SetGone(request.holder, false);
   Record* record = index_.Find(id);
   if (record != nullptr) {
     if (index_.Service(request.service) != record->service ||
@@ -51,6 +52,17 @@
   AddClaim(ticket, request, id, record == nullptr ? 1 : record->attempt + 1, now);
 }
 
+void Shard::OnInstanceGone(const core::InstanceId& holder) {
+  gone_holders_.push_back(holder);
+  if (gone_holders_.size() > kMaxGoneHolders) gone_holders_.pop_front();
+  index_.SetGone(holder, true);
+}
+
+void Shard::OnInstanceBack(const core::InstanceId& holder) {
+  std::erase(gone_holders_, holder);
+  index_.SetGone(holder, false);
+}
+
 /// Answers a claim of a key that has a record; nullopt when the ticket now waits for a batch.
 std::optional<ClaimReply> Shard::AnswerFromRecord(const ClaimRequest& request, std::uint64_t ticket,
                                                   const RecordId& id, Record& record) {
@@ -83,10 +95,11 @@
   const auto skew = options_.clock_skew.count();
   const bool too_old = id.issue_ms < latest_wall_ms_ - options_.retention.count() + skew;
   if (too_old || id.issue_ms > now.wall_ms + skew) return Expired{};
-  const auto early = std::pair(request.holder, request.claim_id);
-  const bool given_up =
-      std::find(released_early_.begin(), released_early_.end(), early) != released_early_.end();
-  const bool store_failing = failing_since_ && now.steady - *failing_since_ >= kFailFastAfter;
+  const bool given_up = released_claims_.Contains(request.holder, request.claim_id);
+  // With nothing waiting to be written, the claim itself finds out whether the store is back.
+  const bool writing = writer_.state() != impl::WriteState::kIdle || !open_.empty();
+  const bool store_failing =
+      writing && failing_since_ && now.steady - *failing_since_ >= kFailFastAfter;
   const bool full = !Fits(open_bytes_, options_.max_batch_bytes, request.rank) ||
                     !Fits(index_.bytes(), options_.max_index_bytes, request.rank);
   if (given_up || store_failing || full || resigning_ || now.steady >= lease_until_) {
@@ -134,6 +147,7 @@
     return Answer(ticket, false);
   }
   if (record->state == RecordState::kRan && record->durable) return Answer(ticket, true);
+  if (not_run) released_claims_.Add(request.holder, record->claim_id);
   OutcomeEntry end{id, request.attempt, request.outcome, std::nullopt};
   if (ran) end.answer = record->answer ? *record->answer : KeptAnswer(request.answer);
   AddOutcome(ticket, std::move(end), *record, now);
@@ -145,15 +159,13 @@
   if (request.claim_id == 0 || request.outcome != core::Outcome::kNotRun) {
     return Answer(ticket, false);
   }
+  // Another delivery of the claim may still be on its way; it must not be granted.
+  released_claims_.Add(request.holder, request.claim_id);
   Record* record = index_.Find(id);
   const bool same_claim = record != nullptr && record->claim_id == request.claim_id &&
                           index_.Holder(*record) == request.holder;
-  if (!same_claim) {
-    // The claim may still be on its way; it must not be granted when it arrives.
-    if (released_early_.size() >= kMaxReleasedEarly) released_early_.pop_front();
-    released_early_.emplace_back(request.holder, request.claim_id);
-    return Answer(ticket, true);
-  }
+  // Without the lease another owner may hold the claim: the requester has to ask again.
+  if (!same_claim) return Answer(ticket, now.steady < lease_until_);
   if (record->state == RecordState::kRan || record->state == RecordState::kUnknown) {
     return Answer(ticket, false);
   }
--- a/src/vanilladeck/operations/shard_log.cc
+++ b/src/vanilladeck/operations/shard_log.cc
@@ -52,6 +52,7 @@
     for (const auto& entry : batch.entries) index_.Apply(entry);
   }
   index_.FinishReplay();
+  for (const auto& holder : gone_holders_) index_.SetGone(holder, true);
   index_.Trim(now.wall_ms - (options_.retention + options_.clock_skew).count());
   ++epoch_;
   next_seq_ = std::max(last_seq, known_seq_) + 1;
