--- a/src/vanilladeck/replay/generator.cc
+++ b/src/vanilladeck/replay/generator.cc
@@ -154,6 +154,11 @@
   load[core::Index(flood.flooding)] = kFloodFactor * slots - others;
   std::vector<Stream> streams;
   AddLoad(0, load, {}, flood.length, flood.mean_service, streams);
+  for (Stream& stream : streams) {
+    if (stream.rank != flood.flooding) continue;
+    stream.mean_service =
+        std::chrono::duration_cast<core::Duration>(stream.mean_service * flood.service_factor);
+  }
   Generate(streams, seed, trace);
   trace.expect = {1.5, 0.95, 0.95, {}, {}};
   return trace;
--- a/src/vanilladeck/replay/generator.h
+++ b/src/vanilladeck/replay/generator.h
@@ -38,6 +38,7 @@
   std::uint32_t seats = 2;
   core::Duration mean_service{0};
   core::Duration length{0};
+  double service_factor = 1;  ///< Service time of the flooding rank, in means of the others.
 };
 
 [[nodiscard]] Trace MakeFlood(const Flood& flood, std::uint64_t seed);
--- a/src/vanilladeck/steering/answer_ledger.cc
+++ b/src/vanilladeck/steering/answer_ledger.cc
@@ -19,7 +19,6 @@
     for (std::int64_t i = 1; i <= skipped; ++i) {
       counts.per_slice[static_cast<std::size_t>(counts.newest + i) % (kSlices + 1)] = 0;
     }
-    if (skipped > static_cast<std::int64_t>(kSlices)) counts.per_slice = {};
     counts.newest = std::max(counts.newest, slice);
     ++counts.per_slice[static_cast<std::size_t>(counts.newest) % (kSlices + 1)];
   }
--- a/src/vanilladeck/steering/lookup_table.cc
+++ b/src/vanilladeck/steering/lookup_table.cc
@@ -148,6 +148,19 @@
   return answer;
 }
 
+std::size_t LookupTable::Bytes() const noexcept {
+  std::size_t bytes = blocks_->map().Bytes() + instances_->capacity() * sizeof(EntryInstance) +
+                      instance_domains_.capacity() * sizeof(std::uint32_t);
+  for (const Service& service : services_) {
+    bytes += sizeof(Service) + service.by_region.capacity() * sizeof(RegionOrder);
+    for (const RegionOrder& order : service.by_region) {
+      bytes += order.instances.capacity() * sizeof(std::uint32_t) +
+               order.tiers.capacity() * sizeof(Tier);
+    }
+  }
+  return bytes;
+}
+
 LookupTable::RegionOrder LookupTable::Order(const std::vector<bool>& serving_domains,
                                             const std::string& client_region,
                                             const LookupInputs& inputs) const {
--- a/src/vanilladeck/steering/lookup_table.h
+++ b/src/vanilladeck/steering/lookup_table.h
@@ -117,6 +117,9 @@
     return blocks_;
   }
 
+  /// Memory of the table and its blocks.
+  [[nodiscard]] std::size_t Bytes() const noexcept;
+
  private:
   /// Instances of equal preference: a range in `Service::order`.
   struct Tier {
--- a/tests/admission/server_pool_test.cc
+++ b/tests/admission/server_pool_test.cc
@@ -128,6 +128,15 @@
   REQUIRE(pool.FreeSlots(At(seconds(100))) == 2);
 }
 
+// Guards against a limit that sinks with every report that was measured before own work ended.
+TEST_CASE("a delayed report does not count ended own work as others'", "[admission]") {
+  ServerPool pool = Make({0}, 2, 1);
+  REQUIRE(Fill(pool, At({})).size() == 3);
+  for (int i = 0; i < 2; ++i) pool.OnFinished("10.0.0.0:80", FinishKind::kCancelled, At({}));
+  pool.OnLoadReport("10.0.0.0:80", 6, At({}));  // Three own then, three of the other seat.
+  REQUIRE(Fill(pool, At({})).size() == 2);
+}
+
 // Guards against a broken load endpoint that takes a working server out of use, and against the
 // opposite: pushing on when the server sheds.
 TEST_CASE("success contradicts a report of a full server until it sheds", "[admission]") {
