--- a/src/vanilladeck/membership/seat.cc
+++ b/src/vanilladeck/membership/seat.cc
@@ -140,21 +140,21 @@
   next_announce_ = now + kAnnounceInterval;
   std::erase_if(acks_, [&view](const auto& row) { return !Contains(view.heard, row); });
   for (const auto& peer : view.heard) {
-    if (acks_.contains(peer)) continue;
+    if (Contains(acks_, peer)) continue;
     outputs_.emplace_back(ClaimAnnounced{peer, options_.seat, options_.self, seen_->term});
   }
 }
 
 void Seat::OnAnnounceAcked(const core::InstanceId& peer, std::uint64_t term, core::TimePoint now) {
   if (!NamesSelf() || term != seen_->term) return;
-  acks_.insert(peer);
+  if (!Contains(acks_, peer)) acks_.push_back(peer);
   known_at_ = std::max(known_at_, now);
 }
 
 void Seat::FinishWait(const SeatView& view, core::TimePoint now) {
   // A peer that has not acknowledged may confirm the former holder for as long as it is heard.
   const bool all_acked = std::all_of(view.heard.begin(), view.heard.end(),
-                                     [this](const auto& peer) { return acks_.contains(peer); });
+                                     [this](const auto& peer) { return Contains(acks_, peer); });
   if (!all_acked) known_at_ = std::max(known_at_, now);
   const bool nobody_before = skip_wait_ && seen_->term == skip_wait_term_;
   if (!nobody_before && now < known_at_ + options_.hold) return;
