Add the serving thread: listener, admission, dispatch, claims, forwards, drain

Cause: requests need one path from the callers' listener to a backend server that keeps P3 to P7. Change: http (listener, backend connections, pool, problems), telemetry (events, metrics, spans) and the serving thread with scheduler, server pool, retry budget, credits, claims, probes and drain. Ruled out: callbacks instead of coroutines (each request path would be split over many handlers); keeping a connection after a timeout (its late answer would reach the next request).

--- /dev/null
+++ b/src/vanilladeck/http/connection_pool.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "vanilladeck/admission/connection_health.h"
+#include "vanilladeck/core/result.h"
+#include "vanilladeck/http/backend_connection.h"
+
+namespace vanilladeck::http {
+
+/// Kept-alive connections to backend servers, with a limit per server.
+///
+/// Opening a connection costs about 1 ms, so the most recently used idle connection goes first.
+/// Connections that went silent are found by `admission::ConnectionHealth`.
+class ConnectionPool {
+ public:
+  /// A connection in use; give it back with `Release`.
+  struct Lease {
+    std::string server;
+    admission::ConnectionId id = 0;
+    std::shared_ptr<BackendConnection> connection;
+  };
+
+  ConnectionPool(boost::asio::any_io_executor executor, const BackendLimits& limits,
+                 admission::ConnectionHealth health);
+
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+  /// Finds or opens a connection to `server` ("IP:port") of which at most `limit` may exist.
+  [[nodiscard]] boost::asio::awaitable<core::Result<Lease, Problem>> Acquire(
+      std::string server, std::uint32_t limit, core::TimePoint deadline);
+
+  /// One exchange on a leased connection; keeps the connection's health up to date.
+  [[nodiscard]] boost::asio::awaitable<ExchangeResult> Exchange(const Lease& lease,
+                                                                const Request& request,
+                                                                core::TimePoint deadline,
+                                                                const SendCheck& check);
+
+  /// Keeps the connection for reuse if its last exchange allows that, else closes it.
+  void Release(Lease lease);
+
+  /// Closes the idle connections to a server that left.
+  void Forget(const std::string& server);
+
+  /// Probes suspect connections and closes dead ones; call every few tens of milliseconds.
+  void Check();
+
+  [[nodiscard]] std::size_t Count(const std::string& server) const { return health_.Count(server); }
+
+ private:
+  using IdleList = std::vector<Lease>;
+
+  [[nodiscard]] boost::asio::awaitable<void> Probe(Lease lease);
+  [[nodiscard]] std::optional<Lease> TakeUsable(const std::string& server, core::TimePoint now);
+  [[nodiscard]] std::optional<Lease> TakeIdle(const std::string& server,
+                                              admission::ConnectionId id);
+  /// Closes one idle connection that may not be used now, to make room for a new one.
+  [[nodiscard]] bool EvictUnusable(const std::string& server);
+
+  boost::asio::any_io_executor executor_;
+  BackendLimits limits_;
+  admission::ConnectionHealth health_;
+  std::unordered_map<std::string, IdleList> idle_;
+  std::unordered_map<admission::ConnectionId, std::string> server_of_idle_;
+  std::unordered_map<std::string, std::uint32_t> opening_;
+  admission::ConnectionId next_id_ = 1;
+};
+
+/// Parses "IP:port" of the platform's list; none when malformed.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
+
+}  // namespace vanilladeck::http
--- /dev/null
+++ b/src/vanilladeck/http/impl/caller_session.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "vanilladeck/http/caller_listener.h"
+
+namespace vanilladeck::http::impl {
+
+class CallerSession;
+
+/// State that the sessions of one listener share.
+struct Sessions {
+  ListenerLimits limits;
+  CallerHandler& handler;
+  bool closing = false;  ///< Responses carry `Connection: close`.
+  std::size_t active_requests = 0;
+  std::unordered_set<CallerSession*> open;
+
+  Sessions(const ListenerLimits& session_limits, CallerHandler& caller_handler)
+      : limits(session_limits), handler(caller_handler) {}
+
+  /// Closes the sessions that wait for a request.
+  void CloseIdle();
+};
+
+/// One connection of a caller: reads requests, has them served, writes the responses.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  /// `owner` keeps `sessions` alive.
+  CallerSession(boost::asio::ip::tcp::socket socket, Sessions& sessions,
+                std::shared_ptr<void> owner);
+  CallerSession(const CallerSession&) = delete;
+  CallerSession& operator=(const CallerSession&) = delete;
+  ~CallerSession();
+
+  /// Runs until the connection ends.
+  [[nodiscard]] boost::asio::awaitable<void> Run();
+
+  void CloseIfIdle();
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// False when the connection must end.
+  [[nodiscard]] boost::asio::awaitable<bool> ServeOne();
+  [[nodiscard]] boost::asio::awaitable<boost::system::error_code> ReadRequest(Parser& parser);
+  [[nodiscard]] boost::asio::awaitable<Response> Answer(Request request);
+  [[nodiscard]] boost::asio::awaitable<void> Refuse(boost::system::error_code reason);
+  [[nodiscard]] boost::asio::awaitable<bool> Write(Response& response);
+  /// Lets the caller read the response before the connection is reset over unread bytes.
+  [[nodiscard]] boost::asio::awaitable<void> Linger();
+  void WatchDisconnect(const std::shared_ptr<CallerExchange>& exchange);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  Sessions& sessions_;
+  std::shared_ptr<void> owner_;
+  std::string peer_ip_;
+  bool in_request_ = false;
+  bool over_limit_ = false;
+};
+
+}  // namespace vanilladeck::http::impl
--- /dev/null
+++ b/tests/daemon/forward_test.cc
@@ -0,0 +1,99 @@
+#include <catch2/catch.hpp>
+#include <future>
+
+#include "serving_fixture.h"
+
+using namespace vanilladeck;
+using namespace vanilladeck::test;
+using namespace std::chrono_literals;
+
+// Guards rule 1: without own servers a request goes to an instance of a domain that has some, and
+// only with that instance's credit.
+TEST_CASE("request is forwarded with a credit when no own server is available", "[forward]") {
+  ServingFixture fixture;
+  fixture.Start();
+  auto answer = std::async(std::launch::async, [&fixture] {
+    return fixture.Call("GET", "/svc/catalogue/x", {{"Priority", "u=0"}});
+  });
+  const auto asked = fixture.Expect<daemon::CreditsAsked>();
+  CHECK(asked.target == fixture.peer);
+  CHECK(asked.request.from_region == "r1");
+  CHECK(asked.request.wanted > 0);
+  REQUIRE(fixture.serving->Post(
+      daemon::CreditsAnswered{asked.id, peer::CreditGrant{1, 2000, fixture.peer}}));
+  const auto forward = fixture.Expect<daemon::ForwardAsked>();
+  CHECK(forward.target == fixture.peer);
+  CHECK(forward.request.rank == core::Rank::kUrgent);
+  CHECK(forward.request.timeout_ms <= 2000);
+  CHECK(forward.request.target == "/x");
+  peer::ForwardReply reply;
+  reply.outcome = core::Outcome::kRan;
+  reply.status = 207;
+  reply.headers = {{"X-Far", "1"}};
+  reply.body = "far";
+  REQUIRE(fixture.serving->Post(daemon::ForwardAnswered{forward.id, reply}));
+  const auto response = answer.get();
+  CHECK(response.result_int() == 207);
+  CHECK(response["X-Far"] == "1");
+  CHECK(response.body() == "far");
+}
+
+// Guards P4: a forward that was never sent is not run; one without an answer is unknown.
+TEST_CASE("failed forwards report what is known", "[forward]") {
+  ServingFixture fixture;
+  fixture.Start();
+  auto refused = std::async(std::launch::async,
+                            [&fixture] { return fixture.Call("GET", "/svc/catalogue/x"); });
+  auto asked = fixture.Expect<daemon::CreditsAsked>();
+  REQUIRE(fixture.serving->Post(
+      daemon::CreditsAnswered{asked.id, peer::CreditGrant{0, 0, fixture.peer}}));
+  auto response = refused.get();
+  CHECK(response.result_int() == 503);
+  CHECK(response["Request-Outcome"] == "not-run");
+  std::this_thread::sleep_for(300ms);
+  auto lost = std::async(std::launch::async, [&fixture] {
+    return fixture.Call("GET", "/svc/catalogue/x", {{"Request-Timeout-Ms", "200"}});
+  });
+  asked = fixture.Expect<daemon::CreditsAsked>();
+  REQUIRE(fixture.serving->Post(
+      daemon::CreditsAnswered{asked.id, peer::CreditGrant{1, 2000, fixture.peer}}));
+  (void)fixture.Expect<daemon::ForwardAsked>();
+  response = lost.get();
+  CHECK(response["Request-Outcome"] == "unknown");
+}
+
+// Guards P1 and P2: the receiver runs a forwarded request only for a credit it granted.
+TEST_CASE("receiver admits forwarded requests by credit", "[forward]") {
+  FakeBackend backend(
+      [](const http::Request& request) { return Ok(std::string(request.target())); });
+  ServingFixture fixture({backend.address()});
+  fixture.Start();
+  peer::ForwardRequest request;
+  request.service = "catalogue";
+  request.method = "GET";
+  request.target = "/far";
+  request.timeout_ms = 2000;
+  request.from_region = "r2";
+  request.sender = fixture.peer;
+  REQUIRE(fixture.serving->Post(daemon::ForwardArrived{1, request}));
+  auto served = fixture.Expect<daemon::ForwardServed>();
+  CHECK(served.id == 1);
+  CHECK(served.reply.status == 0);
+  CHECK(served.reply.outcome == core::Outcome::kNotRun);
+  CHECK(backend.requests().empty());
+  // Growth needs a load report, so the first grants may be empty.
+  std::uint32_t granted = 0;
+  for (int i = 0; i < 50 && granted == 0; ++i) {
+    std::this_thread::sleep_for(50ms);
+    REQUIRE(fixture.serving->Post(
+        daemon::CreditsArrived{2, peer::CreditRequest{fixture.peer, "r2", "catalogue", 5}}));
+    granted = fixture.Expect<daemon::CreditsServed>().grant.count;
+  }
+  REQUIRE(granted >= 1);
+  REQUIRE(fixture.serving->Post(daemon::ForwardArrived{3, request}));
+  served = fixture.Expect<daemon::ForwardServed>();
+  CHECK(served.id == 3);
+  CHECK(served.reply.status == 200);
+  CHECK(served.reply.body == "/far");
+  CHECK(served.reply.outcome == core::Outcome::kRan);
+}
