--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -171,7 +171,8 @@
         [&] {
           const auto at = text.rfind("servers = ");
           text[at + 10] = text[at + 10] == '4' ? '5' : '4';
-          auto record = chain.MakeNext(text, "fleet", "bench", ++version, std::to_string(version));
+          ++version;
+          auto record = chain.MakeNext(text, "fleet", "bench", version, std::to_string(version));
           if (!record.IsFullText()) record_bytes = config::Encode(record).size();
           if (!chain.Append(std::move(record)).has_value()) std::exit(1);
         },
