Add the operators' interface, vanilladeckctl and example deployments

Cause: operators publish and inspect configurations through any daemon. Decisions: every attempt of an apply carries the same mark; after a lost answer only an acceptance or a conflict is definite, a refusal is not. `show` writes the base version into the text, so that an edit of an older text ends in a conflict instead of overwriting a newer one.

--- /dev/null
+++ b/src/vanilladeck/ctl/commands.cc
@@ -0,0 +1,163 @@
+#include "vanilladeck/ctl/commands.h"
+
+#include <cctype>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <sstream>
+
+#include "vanilladeck/config/impl/json_fields.h"
+#include "vanilladeck/config/line_diff.h"
+#include "vanilladeck/config/parse_deployment.h"
+#include "vanilladeck/ctl/apply.h"
+#include "vanilladeck/ctl/ask.h"
+#include "vanilladeck/ctl/render.h"
+
+namespace vanilladeck::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kHttpOk = 200;
+
+std::string PercentEncoded(std::string_view text) {
+  std::ostringstream out;
+  out << std::hex << std::uppercase << std::setfill('0');
+  for (unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_') {
+      out << c;
+    } else {
+      out << '%' << std::setw(2) << static_cast<unsigned>(c);
+    }
+  }
+  return out.str();
+}
+
+/// The commands that only read.
+class Runner {
+ public:
+  Runner(const Options& options, const Transport& transport, Output output)
+      : options_(options), transport_(transport), output_(output) {}
+
+  ExitCode operator()(const HelpCommand&) const {
+    output_.out << kUsage;
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const CheckCommand& command) const {
+    auto text = ReadText(command.file, output_);
+    if (!text) return ExitCode::kRefused;
+    const auto parsed = config::ParseDeployment(*text, command.file);
+    if (options_.json) {
+      json errors = json::array();
+      if (!parsed) {
+        for (const auto& error : parsed.error()) errors.push_back(ToJson(error));
+      }
+      output_.out << config::impl::Dump({{"valid", parsed.has_value()}, {"errors", errors}})
+                  << '\n';
+    } else if (!parsed) {
+      output_.errors << config::Describe(parsed.error());
+    } else {
+      output_.out << command.file << ": valid\n";
+    }
+    return parsed ? ExitCode::kOk : ExitCode::kRefused;
+  }
+
+  ExitCode operator()(const DiffCommand& command) const {
+    auto text = ReadText(command.file, output_);
+    if (!text) return ExitCode::kRefused;
+    (void)TakeBaseVersion(*text);
+    return Get("/v1/config", [this, &text](const json& body) {
+      auto diff = config::FormatDiff(config::DiffLines(Field(body, "text"), *text));
+      if (!options_.json) return diff;
+      return config::impl::Dump({{"version", body["version"]}, {"difference", diff}}) + '\n';
+    });
+  }
+
+  ExitCode operator()(const ApplyCommand& command) const {
+    return RunApply(command, options_, transport_, output_);
+  }
+
+  ExitCode operator()(const HistoryCommand&) const {
+    return Get("/v1/config/history", Either(RenderHistory));
+  }
+
+  ExitCode operator()(const ShowCommand& command) const {
+    const auto target =
+        command.at_ms ? "/v1/config/show?at=" + std::to_string(*command.at_ms) : "/v1/config";
+    return Get(target, Either([](const json& body) {
+                 const auto version = config::impl::CountField(body, "version").value_or(0);
+                 return BaseVersionLine(version) + Field(body, "text");
+               }));
+  }
+
+  ExitCode operator()(const StatusCommand&) const {
+    return Get("/v1/status", Either(RenderStatus));
+  }
+
+  ExitCode operator()(const ExplainCommand& command) const {
+    std::string target = "/v1/explain?service=" + PercentEncoded(command.service) +
+                         "&client=" + PercentEncoded(command.client);
+    if (!command.rank.empty()) target += "&rank=" + PercentEncoded(command.rank);
+    return Get(target, Either(RenderExplanation));
+  }
+
+ private:
+  using Render = std::function<std::string(const json&)>;
+
+  static json ToJson(const config::ConfigError& error) {
+    return {{"file", error.file},
+            {"line", error.at.line},
+            {"column", error.at.column},
+            {"rule", config::Name(error.code)},
+            {"message", error.message}};
+  }
+
+  [[nodiscard]] Render Either(Render for_people) const {
+    if (!options_.json) return for_people;
+    return [](const json& body) { return config::impl::Dump(body) + '\n'; };
+  }
+
+  [[nodiscard]] ExitCode Get(const std::string& target, const Render& render) const {
+    const auto answer = Ask(options_, transport_, "GET", target, "", output_);
+    if (!answer) return answer.error();
+    const auto body = config::impl::ParseJson(answer.value().body);
+    if (!body.is_object()) {
+      output_.errors << "the answer is not a JSON object\n";
+      return ExitCode::kRefused;
+    }
+    if (answer.value().status != kHttpOk) {
+      (options_.json ? output_.out : output_.errors)
+          << (options_.json ? config::impl::Dump(body) + '\n' : RenderError(body));
+      return ExitCode::kRefused;
+    }
+    output_.out << render(body);
+    return ExitCode::kOk;
+  }
+
+  const Options& options_;
+  const Transport& transport_;
+  Output output_;
+};
+
+}  // namespace
+
+ExitCode Run(const Options& options, const Transport& transport, Output output) {
+  return std::visit(Runner(options, transport, output), options.command);
+}
+
+ExitCode Main(const std::vector<std::string>& arguments, Output output) {
+  const auto options = ParseOptions(arguments);
+  if (!options) {
+    output.errors << options.error() << "\nSee vanilladeckctl --help.\n";
+    return ExitCode::kUsage;
+  }
+  const auto timeout = options.value().timeout;
+  const Transport transport = [timeout](const std::string& address, const std::string& method,
+                                        const std::string& target, const std::string& body) {
+    return CallOperators(address, method, target, body, timeout);
+  };
+  return Run(options.value(), transport, output);
+}
+
+}  // namespace vanilladeck::ctl
--- /dev/null
+++ b/src/vanilladeck/ctl/operator_client.cc
@@ -0,0 +1,86 @@
+#include "vanilladeck/ctl/operator_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace vanilladeck::ctl {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Outcome = core::Result<HttpAnswer, CallError>;
+
+/// A deployment text of the largest size is about 30 MB, its JSON form below twice that.
+constexpr std::uint64_t kMaxAnswerBytes = 100'000'000;
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr int kHttp11 = 11;
+
+Outcome Failed(CallFailure failure, const std::string& step, const boost::system::error_code& ec) {
+  return core::failure(CallError{failure, step + ": " + ec.message()});
+}
+
+asio::awaitable<void> Exchange(const std::string& address, http::request<http::string_body> request,
+                               std::chrono::milliseconds timeout, Outcome& outcome) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(timeout);
+  asio::ip::tcp::resolver resolver(stream.get_executor());
+  const auto colon = address.rfind(':');
+  auto [resolve_ec, endpoints] = co_await resolver.async_resolve(
+      address.substr(0, colon), address.substr(colon + 1), kNoThrow);
+  if (resolve_ec) {
+    outcome = Failed(CallFailure::kNotSent, "resolve", resolve_ec);
+    co_return;
+  }
+  auto [connect_ec, endpoint] = co_await stream.async_connect(endpoints, kNoThrow);
+  if (connect_ec) {
+    outcome = Failed(CallFailure::kNotSent, "connect", connect_ec);
+    co_return;
+  }
+  auto [write_ec, written] = co_await http::async_write(stream, request, kNoThrow);
+  if (write_ec) {
+    // A part of the request may have arrived, but never a complete one.
+    outcome = Failed(CallFailure::kLost, "send", write_ec);
+    co_return;
+  }
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  auto [read_ec, read] = co_await http::async_read(stream, buffer, parser, kNoThrow);
+  if (read_ec) {
+    outcome = Failed(CallFailure::kLost, "receive", read_ec);
+    co_return;
+  }
+  auto response = parser.release();
+  outcome = core::success(HttpAnswer{response.result_int(), std::move(response.body())});
+}
+
+}  // namespace
+
+Outcome CallOperators(const std::string& address, const std::string& method,
+                      const std::string& target, const std::string& body,
+                      std::chrono::milliseconds timeout) {
+  if (address.rfind(':') == std::string::npos) {
+    return core::failure(CallError{CallFailure::kNotSent, "the address is not HOST:PORT"});
+  }
+  http::request<http::string_body> request(http::string_to_verb(method), target, kHttp11, body);
+  request.set(http::field::host, address);
+  request.set(http::field::content_type, "application/json");
+  request.keep_alive(false);
+  request.prepare_payload();
+  Outcome outcome = core::failure(CallError{CallFailure::kLost, "the exchange did not finish"});
+  asio::io_context context;
+  asio::co_spawn(context, Exchange(address, std::move(request), timeout, outcome), asio::detached);
+  context.run();
+  return outcome;
+}
+
+}  // namespace vanilladeck::ctl
--- /dev/null
+++ b/tests/ctl/operator_client_test.cc
@@ -0,0 +1,71 @@
+#include "vanilladeck/ctl/operator_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+using namespace vanilladeck::ctl;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Accepts one connection, reads the request's header and sends `answer`.
+class OneAnswer {
+ public:
+  explicit OneAnswer(std::string answer)
+      : acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        thread_([this, answer = std::move(answer)] {
+          tcp::socket socket(context_);
+          acceptor_.accept(socket);
+          asio::read_until(socket, asio::dynamic_buffer(request_), "\r\n\r\n");
+          asio::write(socket, asio::buffer(answer));
+          if (answer.empty()) std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        }) {}
+  ~OneAnswer() { thread_.join(); }
+
+  [[nodiscard]] std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::string request_;
+  std::thread thread_;
+};
+
+CallFailure FailureOf(const std::string& address) {
+  const auto answer =
+      CallOperators(address, "GET", "/v1/status", "", std::chrono::milliseconds(200));
+  REQUIRE_FALSE(answer);
+  return answer.error().failure;
+}
+
+}  // namespace
+
+// Guards against lost answers that are taken for requests never sent, and against endless waits.
+TEST_CASE("operator client tells not sent from lost", "[ctl]") {
+  {
+    OneAnswer server("HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}");
+    const auto answer =
+        CallOperators(server.Address(), "POST", "/v1/config/apply", "{}", std::chrono::seconds(5));
+    REQUIRE(answer);
+    REQUIRE(answer.value().status == 409);
+    REQUIRE(answer.value().body == "{}");
+  }
+  {
+    OneAnswer silent("");
+    REQUIRE(FailureOf(silent.Address()) == CallFailure::kLost);
+  }
+  {
+    OneAnswer truncated("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}");
+    REQUIRE(FailureOf(truncated.Address()) == CallFailure::kLost);
+  }
+  REQUIRE(FailureOf("127.0.0.1:1") == CallFailure::kNotSent);
+  REQUIRE(FailureOf("nonsense") == CallFailure::kNotSent);
+}
