--- a/src/vanilladeck/config/replica.cc
+++ b/src/vanilladeck/config/replica.cc
@@ -140,6 +140,7 @@
       problem_ = "the store holds version " + std::to_string(head->version) +
                  ", which is not part of the history of version " +
                  std::to_string(chain_.NewestVersion()) + " here";
+      need_store_ = false;
       Schedule(at.now + kRestoreSpread);
       return;
     }
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -107,6 +107,36 @@
   REQUIRE(replica.Intervals()[0].to_ms == 30);
 }
 
+// Guards against an instance that stays behind because its peers dropped the records it needs.
+TEST_CASE("instance cut off for long catches up through the store", "[config]") {
+  FakeStore store;
+  VersionChain peer(64);
+  Replica replica({}, kStart);
+  for (int i = 1; i <= 200; ++i) {
+    const auto mark = "m" + std::to_string(i);
+    auto outcome = Publish(store, peer, {SampleText(i), peer.NewestVersion(), "op", mark, i});
+    peer = std::get<PublishAccepted>(outcome).chain;
+    if (i == 5) OfferFrom(replica, peer, Encoded(peer));
+  }
+  REQUIRE(replica.Version() == 5);
+  REQUIRE(replica.NextTick() == core::TimePoint::max());  // Needs no store while peers suffice.
+  OfferFrom(replica, peer, Encoded(peer, 5));
+  REQUIRE(replica.Version() == 5);
+  int calls = 0;
+  while (replica.NextTick() != core::TimePoint::max()) {
+    auto actions = replica.OnTick(replica.NextTick(), 9);
+    while (!actions.empty() && std::holds_alternative<ReplicaStoreCall>(actions[0])) {
+      const auto call = std::get<ReplicaStoreCall>(actions[0]);
+      const auto result = store.Call(call.request, StoreFault::kNone);
+      actions = replica.OnStoreResult(call.id, result, kStart, 9);
+      ++calls;
+    }
+  }
+  REQUIRE(replica.Version() == 200);
+  REQUIRE(replica.Chain().NewestHash() == peer.NewestHash());
+  REQUIRE(calls == 5);  // The head and four groups of 64 versions.
+}
+
 // Guards against an operator who is not told whose change came first, and what it was.
 TEST_CASE("conflict names the other change and repeats succeed", "[config]") {
   FakeStore store;
