Serve the operators' interface from the control thread

Cause: vanilladeckctl needs check, apply, history, show, status and explain at any daemon. Change: config::Handle wired to the listener; status carries seats, shards and members; explain names the entry instances that are heard from. Ruled out: a second set of request types in the listener; config's are used.

--- a/src/vanilladeck/daemon/control.cc
+++ b/src/vanilladeck/daemon/control.cc
@@ -55,7 +55,7 @@
   node_ = std::move(node.value());
   auto operators = OperatorsListener::Create(
       context_, settings_.listen.operators.ip, settings_.listen.operators.port,
-      [this](const OperatorRequest& request, const OperatorsListener::Respond& respond) {
+      [this](const config::OperatorRequest& request, const OperatorsListener::Respond& respond) {
         OnOperator(request, respond);
       });
   if (!operators.has_value()) {
--- a/src/vanilladeck/daemon/control_impl.h
+++ b/src/vanilladeck/daemon/control_impl.h
@@ -89,7 +89,10 @@
   void PostServing(const ToServing& message);
 
   // control_operators.cc
-  void OnOperator(const OperatorRequest& request, const OperatorsListener::Respond& respond);
+  [[nodiscard]] std::string DaemonStatus() const;
+  [[nodiscard]] config::OperatorResponse Explain(const config::ExplainRequest& request) const;
+  void OnOperator(const config::OperatorRequest& request,
+                  const OperatorsListener::Respond& respond);
 
   Settings settings_;
   core::InstanceId self_;
--- a/src/vanilladeck/daemon/control_operators.cc
+++ b/src/vanilladeck/daemon/control_operators.cc
@@ -1,54 +1,78 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "vanilladeck/config/explanation.h"
+#include "vanilladeck/config/operator_api.h"
 #include "vanilladeck/daemon/control_impl.h"
 
 namespace vanilladeck::daemon {
-namespace {
 
+using core::RuntimeClock;
 using nlohmann::json;
 
-OperatorResponse Reply(unsigned status, const json& body) {
-  return {status, "application/json", body.dump()};
+std::string Control::Impl::DaemonStatus() const {
+  const auto now = RuntimeClock::now();
+  json members = json::array();
+  for (const membership::Member* it : view_->Live(now)) {
+    members.push_back({{"address", it->id.address},
+                       {"failure_domain", it->failure_domain},
+                       {"leaving", it->leaving},
+                       {"version", it->config_version},
+                       {"seats", it->seats},
+                       {"shards", it->shards}});
+  }
+  const json status = {
+      {"incarnation", self_.incarnation},
+      {"leaving", view_->self().leaving},
+      {"superseded", view_->superseded()},
+      {"seats", seats_->Usable(now)},
+      {"shards", operations_ ? operations_->OwnedShards() : std::vector<std::string>{}},
+      {"backend_servers_listed", servers_.size()},
+      {"store_calls_over_budget", store_->refused()},
+      {"members", members}};
+  return status.dump();
 }
 
-/// The answer of `POST /v1/config/apply` for each way in which a change can end.
-struct ApplyResponse {
-  OperatorResponse operator()(const config::PublishAccepted& outcome) const {
-    return Reply(200, {{"result", "accepted"}, {"version", outcome.head.version}});
-  }
-  OperatorResponse operator()(const config::PublishConflict& outcome) const {
-    return Reply(409, {{"result", "conflict"}, {"difference", outcome.difference}});
+config::OperatorResponse Control::Impl::Explain(const config::ExplainRequest& request) const {
+  const auto deployment = config_->replica().InForce();
+  if (!deployment) {
+    return config::ErrorResponse(503, "no-configuration", "no configuration is in force");
   }
-  OperatorResponse operator()(const config::PublishRefused& outcome) const {
-    return Reply(422, {{"result", "refused"}, {"message", outcome.message}});
+  auto explanation = config::ExplainFromText(*deployment, request);
+  if (!explanation) {
+    return config::ErrorResponse(404, "unknown-service", "no service \"" + request.service + "\"");
   }
-  OperatorResponse operator()(const config::PublishUnknown& outcome) const {
-    return Reply(504, {{"result", "unknown"}, {"message", outcome.message}});
+  const auto live = view_->Live(RuntimeClock::now());
+  for (auto& site : explanation->sites) {
+    const auto add = [&site](const membership::Member& it) {
+      if (it.failure_domain == site.failure_domain && !it.leaving) {
+        site.entry_instances.push_back(it.caller_address);
+      }
+    };
+    add(view_->self());
+    for (const membership::Member* it : live) add(*it);
+    if (site.eligible && site.entry_instances.empty()) {
+      site.eligible = false;
+      site.reason = "no entry instance of the failure domain is heard from";
+    }
   }
-};
-
-}  // namespace
+  return config::RespondTo(*explanation);
+}
 
-void Control::Impl::OnOperator(const OperatorRequest& request,
+void Control::Impl::OnOperator(const config::OperatorRequest& request,
                                const OperatorsListener::Respond& respond) {
-  if (request.method == "POST" && request.target == "/v1/config/apply") {
-    const json body = json::parse(request.body, nullptr, false);
-    if (!body.is_object()) return respond(Reply(400, {{"error", "not a JSON object"}}));
-    config::PublishRequest change;
-    change.text = body.value("text", "");
-    change.base_version = body.value("base_version", std::uint64_t{0});
-    change.who = body.value("who", "");
-    change.mark = body.value("mark", "");
-    change.when_ms = core::RuntimeClock::WallMs();
-    return config_->Publish(std::move(change), [respond](const config::PublishOutcome& outcome) {
-      respond(std::visit(ApplyResponse{}, outcome));
-    });
+  const config::OperatorView view{config_->replica(), self_.address, settings_.failure_domain,
+                                  RuntimeClock::WallMs(), DaemonStatus()};
+  auto action = config::Handle(request, view);
+  if (auto* response = std::get_if<config::OperatorResponse>(&action)) {
+    return respond(std::move(*response));
   }
-  if (request.method == "GET" && request.target == "/v1/status") {
-    return respond(Reply(200, {{"version", config_->replica().Version()}}));
+  if (const auto* question = std::get_if<config::ExplainRequest>(&action)) {
+    return respond(Explain(*question));
   }
-  respond(Reply(404, {{"error", "unknown path"}}));
+  config_->Publish(
+      std::move(std::get<config::PublishRequest>(action)),
+      [respond](const config::PublishOutcome& outcome) { respond(config::RespondTo(outcome)); });
 }
 
 }  // namespace vanilladeck::daemon
--- a/src/vanilladeck/daemon/operators_listener.cc
+++ b/src/vanilladeck/daemon/operators_listener.cc
@@ -31,24 +31,25 @@
  private:
   void OnRead(error_code ec) {
     if (ec == http::error::body_limit) {
-      return Write({413, "application/json", R"({"error":"body-too-large"})"}, false);
+      return Write(config::ErrorResponse(413, "body-too-large", "the body exceeds the limit"),
+                   false);
     }
     if (ec && ec.category() == http::make_error_code(http::error::bad_method).category() &&
         ec != http::error::end_of_stream && ec != http::error::partial_message) {
-      return Write({400, "application/json", R"({"error":"malformed-request"})"}, false);
+      return Write(config::ErrorResponse(400, "malformed-request", ec.message()), false);
     }
     if (ec) return;
     stream_.expires_never();
     const auto& message = parser_->get();
     const bool keep_alive = message.keep_alive();
-    OperatorRequest request{std::string(message.method_string()), std::string(message.target()),
-                            message.body()};
+    config::OperatorRequest request{std::string(message.method_string()),
+                                    std::string(message.target()), message.body()};
     (*handler_)(std::move(request), [self = shared_from_this(), keep_alive](auto response) {
       self->Write(std::move(response), keep_alive);
     });
   }
 
-  void Write(OperatorResponse response, bool keep_alive) {
+  void Write(config::OperatorResponse response, bool keep_alive) {
     response_.emplace(static_cast<http::status>(response.status), 11);
     response_->set(http::field::content_type, response.content_type);
     response_->body() = std::move(response.body);
--- a/src/vanilladeck/daemon/operators_listener.h
+++ b/src/vanilladeck/daemon/operators_listener.h
@@ -6,23 +6,11 @@
 #include <memory>
 #include <string>
 
+#include "vanilladeck/config/operator_api.h"
 #include "vanilladeck/core/result.h"
 
 namespace vanilladeck::daemon {
 
-/// A request on the operators' listener.
-struct OperatorRequest {
-  std::string method;
-  std::string target;
-  std::string body;
-};
-
-struct OperatorResponse {
-  unsigned status = 200;
-  std::string content_type = "application/json";
-  std::string body;
-};
-
 /// The operators' listener could not be opened.
 struct OperatorsError {
   std::string address;
@@ -32,9 +20,9 @@
 /// HTTP listener for operators, on an address of its own, on the control thread.
 class OperatorsListener {
  public:
-  using Respond = std::function<void(OperatorResponse)>;
+  using Respond = std::function<void(config::OperatorResponse)>;
   /// Answers by calling `Respond` once, at once or later on the same thread.
-  using Handler = std::function<void(OperatorRequest, Respond)>;
+  using Handler = std::function<void(config::OperatorRequest, Respond)>;
 
   [[nodiscard]] static core::Result<std::unique_ptr<OperatorsListener>, OperatorsError> Create(
       boost::asio::io_context& context, const std::string& ip, unsigned short port,
