Leave silent connections before the deadline of an idempotent request

Cause: a request on a connection that went silent lost its whole life (10 s by default). Ruled out: half of the remaining life as the limit (repeats every slow request under overload).

--- a/src/vanilladeck/daemon/serving_dispatcher.cc
+++ b/src/vanilladeck/daemon/serving_dispatcher.cc
@@ -89,20 +89,54 @@
 
 }  // namespace
 
+struct Dispatcher::SilenceGuard {
+  SilenceGuard(boost::asio::io_context& io, ServiceQueue& service_queue, bool is_idempotent)
+      : queue(service_queue), timer(io), armed(is_idempotent) {}
+
+  /// `this` outlives the wait: the attempt disarms the guard before it ends.
+  void Arm(const std::shared_ptr<http::BackendConnection>& connection) {
+    const std::optional<core::Duration> limit = queue.SilenceLimit();
+    if (!armed || !limit) return;
+    armed = false;
+    waiting = std::make_shared<bool>(true);
+    timer.expires_after(*limit);
+    timer.async_wait([this, connection, still = waiting](boost::system::error_code ec) {
+      // A request that the budget cannot repeat keeps waiting for its answer.
+      if (ec || !*still || !queue.budget().TryRetry()) return;
+      retry_paid = true;
+      connection->GiveUpAsSilent();
+    });
+  }
+
+  void Disarm() {
+    if (waiting) *waiting = false;
+    timer.cancel();
+  }
+
+  ServiceQueue& queue;
+  core::Timer timer;
+  std::shared_ptr<bool> waiting;
+  bool armed;
+  bool retry_paid = false;
+};
+
 boost::asio::awaitable<RouteResult> Dispatcher::Run(ServiceQueue& queue, Slot slot,
                                                     const RoutedRequest& request,
                                                     Cancellation& cancellation) {
   queue.budget().OnFirstAttempt();
+  SilenceGuard guard(context_.io, queue, request.idempotent);
   for (;;) {
-    RouteResult result = co_await Attempt(queue, slot.server, request, cancellation);
+    RouteResult result = co_await Attempt(queue, slot.server, request, cancellation, guard);
     const core::TimePoint now = core::RuntimeClock::now();
     if (result.has_value()) {
       queue.Finish(slot, FinishKind::kSuccess, now - slot.started);
       co_return result;
     }
     const FinishKind kind = KindOf(result);
-    const bool may_retry = MayRetry(result.error(), request) && !cancellation.cancelled() &&
-                           now < request.deadline && queue.budget().TryRetry();
+    const bool paid = std::exchange(guard.retry_paid, false);
+    const bool in_time = !cancellation.cancelled() && now < request.deadline;
+    const bool may_retry =
+        in_time && (paid || (MayRetry(result.error(), request) && queue.budget().TryRetry()));
     if (!may_retry || !queue.Repick(slot, kind)) {
       queue.Finish(slot, kind, std::nullopt);
       co_return result;
@@ -126,7 +160,8 @@
 boost::asio::awaitable<RouteResult> Dispatcher::Attempt(ServiceQueue& queue,
                                                         const std::string& server,
                                                         const RoutedRequest& request,
-                                                        Cancellation& cancellation) {
+                                                        Cancellation& cancellation,
+                                                        SilenceGuard& guard) {
   const std::uint32_t limit = queue.pool().ConnectionShare(server);
   auto acquired = co_await connections_.Acquire(server, limit, request.deadline);
   if (acquired.has_error()) co_return std::move(acquired.error());
@@ -144,8 +179,10 @@
   if (request.idempotent) {
     cancellation.OnCancel([connection = lease.connection] { connection->Cancel(); });
   }
+  guard.Arm(lease.connection);
   http::ExchangeResult exchanged =
       co_await connections_.Exchange(lease, message, request.deadline, check);
+  guard.Disarm();
   cancellation.OnCancel(nullptr);
   connections_.Release(std::move(lease));
   span.failed = exchanged.has_error();
--- a/src/vanilladeck/daemon/serving_dispatcher.h
+++ b/src/vanilladeck/daemon/serving_dispatcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "vanilladeck/daemon/serving_context.h"
@@ -22,10 +24,15 @@
                                                         Cancellation& cancellation);
 
  private:
+  /// Ends the first attempt of an idempotent request early when its connection looks silent and
+  /// the retry budget pays for another attempt.
+  struct SilenceGuard;
+
   [[nodiscard]] boost::asio::awaitable<RouteResult> Attempt(ServiceQueue& queue,
                                                             const std::string& server,
                                                             const RoutedRequest& request,
-                                                            Cancellation& cancellation);
+                                                            Cancellation& cancellation,
+                                                            SilenceGuard& guard);
   /// Asks the server to drop a request that was given up; true when it had not started.
   [[nodiscard]] boost::asio::awaitable<bool> CancelAtServer(std::string server, std::uint32_t limit,
                                                             std::string request_id);
--- a/src/vanilladeck/daemon/serving_queue.cc
+++ b/src/vanilladeck/daemon/serving_queue.cc
@@ -1,5 +1,6 @@
 #include "vanilladeck/daemon/serving_queue.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -14,6 +15,11 @@
 
 // The pool's ramps are defined in steps of this length.
 constexpr core::Duration kRampStep = std::chrono::milliseconds(100);
+constexpr std::uint32_t kEnoughMeasured = 32;
+// With exponential service times one request in 3,000 takes longer than eight times the mean.
+constexpr int kSilenceFactor = 8;
+// Pauses of a busy server reach tens of milliseconds; the limit must stay above them.
+constexpr core::Duration kMinSilence = std::chrono::milliseconds(250);
 
 Problem RejectionProblem(const admission::Rejection& rejection) {
   const std::string detail =
@@ -135,10 +141,19 @@
                           std::optional<core::Duration> service_time) {
   const core::TimePoint now = core::RuntimeClock::now();
   if (!slot.server.empty()) pool_.OnFinished(slot.server, kind, now);
+  if (service_time) {
+    measured_ = std::min(measured_ + 1, kEnoughMeasured);
+    mean_service_ += (*service_time - mean_service_) / static_cast<std::int64_t>(measured_);
+  }
   scheduler_.OnFinished(slot.id, service_time, now);
   Pump(now);
 }
 
+std::optional<core::Duration> ServiceQueue::SilenceLimit() const {
+  if (measured_ < kEnoughMeasured) return std::nullopt;
+  return std::max(kMinSilence, kSilenceFactor * mean_service_);
+}
+
 void ServiceQueue::Tick(core::TimePoint now) {
   if (now >= next_ramp_) {
     pool_.Tick(now);
--- a/src/vanilladeck/daemon/serving_queue.h
+++ b/src/vanilladeck/daemon/serving_queue.h
@@ -53,6 +53,10 @@
   void Finish(const Slot& slot, admission::FinishKind kind,
               std::optional<core::Duration> service_time);
 
+  /// Time without an answer after which an attempt looks silent; none until enough requests were
+  /// measured.
+  [[nodiscard]] std::optional<core::Duration> SilenceLimit() const;
+
   /// Drops overdue requests, grows ramps and hands out slots; call every few milliseconds.
   void Tick(core::TimePoint now);
 
@@ -86,6 +90,8 @@
   double retry_ratio_ = 0;
   core::TimePoint seats_valid_until_;
   core::TimePoint next_ramp_;
+  core::Duration mean_service_{0};
+  std::uint32_t measured_ = 0;  ///< Requests in `mean_service_`, up to `kEnoughMeasured`.
   std::unordered_map<admission::RequestId, Waiter*> waiters_;
   admission::RequestId next_id_ = 1;
 };
--- a/src/vanilladeck/http/backend_connection.cc
+++ b/src/vanilladeck/http/backend_connection.cc
@@ -153,6 +153,11 @@
   Close();
 }
 
+void BackendConnection::GiveUpAsSilent() {
+  if (end_ == End::kNone) end_ = End::kTimeout;
+  Close();
+}
+
 void BackendConnection::Close() {
   reusable_ = false;
   boost::system::error_code ignored;
--- a/src/vanilladeck/http/backend_connection.h
+++ b/src/vanilladeck/http/backend_connection.h
@@ -56,6 +56,9 @@
   /// Ends the exchange in progress with `kCancelled` and closes the connection.
   void Cancel();
 
+  /// Ends the exchange in progress with `kResponseTimeout` before its deadline.
+  void GiveUpAsSilent();
+
   /// Closes the connection without marking its exchange as cancelled.
   void Close();
 
--- a/tests/daemon/operations_test.cc
+++ b/tests/daemon/operations_test.cc
@@ -100,10 +100,11 @@
     const auto asked = fixture.Expect<daemon::ClaimAsked>();
     REQUIRE(fixture.serving->Post(daemon::ClaimAnswered{asked.id, operations::Granted{1}}));
     const auto complete = fixture.Expect<daemon::CompleteAsked>();
-    INFO(path);
-    CHECK(complete.request.outcome == outcome);
     REQUIRE(fixture.serving->Post(daemon::CompleteAnswered{complete.id, {true}}));
-    CHECK(caller.Receive()["Request-Outcome"] == core::Name(outcome));
+    const auto response = caller.Receive();
+    INFO(path << " " << response.body());
+    CHECK(complete.request.outcome == outcome);
+    CHECK(response["Request-Outcome"] == core::Name(outcome));
   }
   std::size_t resets = 0;
   for (const auto& request : backend.requests()) resets += request.target() == "/reset" ? 1 : 0;
--- a/tests/daemon/serving_test.cc
+++ b/tests/daemon/serving_test.cc
@@ -286,3 +286,40 @@
   (void)fixture.Expect<daemon::Drained>();
   fixture.serving->Join();
 }
+
+// Guards against slots and servers that stay busy for callers who have gone.
+TEST_CASE("request of a caller that went away is cancelled at the server", "[serving]") {
+  FakeBackend backend([](const http::Request& request) {
+    Reply reply = Ok(R"({"cancelled":false})");
+    if (request.target() == "/slow") reply.delay = 3s;
+    return reply;
+  });
+  ServingFixture fixture({backend.address()});
+  fixture.Start();
+  Caller caller = fixture.Connect();
+  caller.Send("GET", "/svc/catalogue/slow");
+  for (int i = 0; i < 200 && backend.requests().empty(); ++i) std::this_thread::sleep_for(5ms);
+  caller.Close();
+  for (int i = 0; i < 200 && backend.requests().size() < 2; ++i) std::this_thread::sleep_for(5ms);
+  const auto seen = backend.requests();
+  REQUIRE(seen.size() == 2);
+  CHECK(seen[1].target() == "/cancel");
+  CHECK(seen[1]["Request-Id"] == seen[0]["Request-Id"]);
+}
+
+// Guards the latency of urgent requests when open connections go silent while new ones work.
+TEST_CASE("idempotent request leaves a silent connection long before its deadline", "[serving]") {
+  std::atomic<bool> silent{false};
+  FakeBackend backend([&silent](const http::Request& request) {
+    Reply reply = Ok("x");
+    if (request.target() == "/x" && silent.exchange(false)) reply.delay = 1h;
+    return reply;
+  });
+  ServingFixture fixture({backend.address()});
+  fixture.Start();
+  for (int i = 0; i < 40; ++i) REQUIRE(fixture.Call("GET", "/svc/catalogue/x").body() == "x");
+  silent = true;
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(fixture.Call("GET", "/svc/catalogue/x").body() == "x");
+  CHECK(std::chrono::steady_clock::now() - start < 3s);  // The default life is 10 s.
+}
