Fix the script of the failed operations test

Cause: the fake server answered 503 to /health too, so a probe before the request made it leave. Ruled out: a fault of the daemon (a server whose health endpoint says 503 must get no work).

--- a/tests/daemon/operations_test.cc
+++ b/tests/daemon/operations_test.cc
@@ -84,6 +84,7 @@
     if (request.target() == "/reset") return {"", 0ms, true, false};
     if (request.target() == "/slow") return {"", 400ms, false, false};
     if (request.target() == "/cancel") return Ok(R"({"cancelled":true})");
+    if (request.target() != "/shed") return {};
     return {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRequest-Outcome: not-run\r\n\r\n"};
   });
   for (const auto& [path, timeout, outcome] :
