Keep more headroom for urgent requests; probe stale estimates

Change: headroom may cost 4% of the capacity (2% before); a rank without any work always accepts one request; the deadline order puts requests that are late already behind those that can be on time. Ruled out: giving the last slot to shorter requests of a lower rank (breaks the order of ranks).

--- a/src/vanilladeck/admission/impl/policies.cc
+++ b/src/vanilladeck/admission/impl/policies.cc
@@ -49,8 +49,12 @@
 }
 
 std::optional<core::Rank> Deadline::Choose(const Candidates& candidates) const noexcept {
-  return Least(candidates, [](core::Rank, const Candidate& candidate) {
-    return std::max(candidate.slack, 0.0) / candidate.worth;
+  return Least(candidates, [](core::Rank rank, const Candidate& candidate) {
+    if (candidate.slack > 0) return candidate.slack / candidate.worth;
+    // In overload the heads of a flooded rank are always late; they must not overtake requests
+    // that can still be on time.
+    constexpr double kLate = 1e9;
+    return rank == core::Rank::kUrgent ? 0.0 : kLate;
   });
 }
 
--- a/src/vanilladeck/admission/impl/policies.h
+++ b/src/vanilladeck/admission/impl/policies.h
@@ -34,7 +34,7 @@
 };
 
 /// Least slack first, weighed by `worth`: a rank worth 100 goes before one worth 1 whose slack is
-/// up to 100 times smaller.
+/// up to 100 times smaller. Requests that are late already come last, unless they are urgent.
 struct Deadline {
   [[nodiscard]] std::optional<core::Rank> Choose(const Candidates& candidates) const noexcept;
   void OnDispatched(core::Rank rank, const Candidate& candidate) noexcept;
--- a/src/vanilladeck/admission/scheduler.cc
+++ b/src/vanilladeck/admission/scheduler.cc
@@ -19,7 +19,7 @@
 constexpr double kMaxStepS = 1.0;
 // Slots left idle for urgent arrivals cost at most this share of the capacity; the target for
 // goodput leaves 5%.
-constexpr double kHeadroomShare = 0.02;
+constexpr double kHeadroomShare = 0.04;
 constexpr core::Duration kHeadroomMemory = std::chrono::seconds(1);
 // Urgent requests may wait a tenth of their service time for lent work before headroom is kept.
 constexpr double kHeadroomWaitShare = 0.1;
@@ -245,9 +245,13 @@
   NoteStandingQueue(rank, now);
   const core::Duration wait = EstimatedWait(rank);
   const core::Duration service = FromSeconds(state.mean_service);
+  if (deadline && now >= *deadline) return RejectionCode::kDeadline;
+  // Without any work of the rank the estimate can be stale, and only work can correct it.
+  if (state.waiting.empty() && state.running == 0) return std::nullopt;
   if (deadline && now + wait + service > *deadline) return RejectionCode::kDeadline;
+  if (state.waiting.empty()) return std::nullopt;
   if (wait > state.targets.target) return RejectionCode::kDeadline;
-  if (!Overloaded(rank, now) || state.waiting.empty()) return std::nullopt;
+  if (!Overloaded(rank, now)) return std::nullopt;
   if (wait <= FromSeconds(kOverloadWaitShare * state.mean_service)) return std::nullopt;
   state.overloaded_until = now + kOverloadMemory;
   return RejectionCode::kOverload;
