--- a/src/vanilladeck/admission/scheduler.h
+++ b/src/vanilladeck/admission/scheduler.h
@@ -96,8 +96,9 @@
   /// Removes a waiting request; false if it is not waiting.
   bool Cancel(RequestId id, core::TimePoint now);
 
-  /// Ends a request that `Next` returned. `service_time` is the time it held its slot; none if the
-  /// request failed, so that quick failures do not lower the estimates.
+  /// Ends a request that `Next` returned. `service_time` is the time it held its slot; none if it
+  /// failed at once, so that quick failures do not lower the estimates. A request that timed out
+  /// did hold its slot: pass the time.
   void OnFinished(RequestId id, std::optional<core::Duration> service_time, core::TimePoint now);
 
   /// Removes and returns the waiting requests that are past their deadline or waited too long.
--- a/src/vanilladeck/admission/server_pool.cc
+++ b/src/vanilladeck/admission/server_pool.cc
@@ -51,6 +51,7 @@
 }
 
 void ServerPool::SetServers(const std::vector<ListedServer>& servers, core::TimePoint now) {
+  if (servers.empty() && has_list_) return;
   std::unordered_set<std::string_view> listed;
   for (const ListedServer& entry : servers) listed.insert(entry.address);
   for (std::size_t i = servers_.size(); i-- > 0;) {
--- a/src/vanilladeck/admission/server_pool.h
+++ b/src/vanilladeck/admission/server_pool.h
@@ -73,7 +73,9 @@
   void SetSeats(std::vector<std::uint32_t> seats, core::TimePoint valid_until);
 
   /// Replaces the platform's list. Servers of the first list count as warm, later ones start cold.
-  /// A server that was leaving when it vanished must pass a health probe when listed again.
+  /// A server that was leaving when it vanished must pass a health probe when listed again. An
+  /// empty list after one with servers is ignored: it is more likely a fault of the platform, and
+  /// servers that are really gone refuse connections.
   void SetServers(const std::vector<ListedServer>& servers, core::TimePoint now);
 
   /// Chooses the server with the least load among a spread sample and counts the request as
