--- a/src/vanilladeck/operations/batch.cc
+++ b/src/vanilladeck/operations/batch.cc
@@ -18,8 +18,8 @@
 constexpr int kHexBase = 16;
 constexpr std::size_t kBucketDigits = 14;
 constexpr std::size_t kSeqDigits = 16;
-// MessagePack spends at most 9 bytes on an integer; a claim has 9 integers, an outcome 7.
-constexpr std::size_t kEntryOverheadBytes = 100;
+// MessagePack spends at most 9 bytes on an integer; a claim has 11 integers, an outcome 7.
+constexpr std::size_t kEntryOverheadBytes = 110;
 
 /// Each string that repeats within a batch is written once and referred to by position.
 class StringTable {
@@ -36,8 +36,8 @@
   std::vector<std::string> strings_;
 };
 
-json IdJson(const RecordId& id) { return json::array({id.issue_ms, id.random[0], id.random[1]}); }
-
+/// The three words of an id are the first fields of every entry; a nested array would cost an
+/// allocation per entry when a log is read.
 RecordId IdFrom(const json& doc) {
   return {doc.at(0).get<std::int64_t>(),
           {doc.at(1).get<std::uint64_t>(), doc.at(2).get<std::uint64_t>()}};
@@ -47,12 +47,14 @@
   StringTable& table;  // NOLINT(*-avoid-const-or-ref-data-members): lives for one Encode call
 
   json operator()(const ClaimEntry& claim) const {
-    return json::array({IdJson(claim.id), claim.attempt, table.Add(claim.service),
-                        claim.fingerprint[0], claim.fingerprint[1], core::Index(claim.rank),
-                        table.Add(claim.holder.address), claim.holder.incarnation, claim.claim_id});
+    return json::array({claim.id.issue_ms, claim.id.random[0], claim.id.random[1], claim.attempt,
+                        table.Add(claim.service), claim.fingerprint[0], claim.fingerprint[1],
+                        core::Index(claim.rank), table.Add(claim.holder.address),
+                        claim.holder.incarnation, claim.claim_id});
   }
   json operator()(const OutcomeEntry& end) const {
-    json doc = json::array({IdJson(end.id), end.attempt, static_cast<unsigned>(end.outcome)});
+    json doc = json::array({end.id.issue_ms, end.id.random[0], end.id.random[1], end.attempt,
+                            static_cast<unsigned>(end.outcome)});
     if (end.answer) {
       doc.push_back(end.answer->status);
       doc.push_back(table.Add(end.answer->content_type));
@@ -62,34 +64,34 @@
   }
 };
 
-constexpr std::size_t kClaimFields = 9;
-constexpr std::size_t kOutcomeFields = 3;
-constexpr std::size_t kAnswerFields = 6;
+constexpr std::size_t kClaimFields = 11;
+constexpr std::size_t kOutcomeFields = 5;
+constexpr std::size_t kAnswerFields = 8;
 
 ClaimEntry ClaimFrom(const json& doc, const json& strings) {
   ClaimEntry claim;
-  claim.id = IdFrom(doc.at(0));
-  claim.attempt = doc.at(1).get<std::uint64_t>();
-  claim.service = strings.at(doc.at(2).get<std::size_t>()).get<std::string>();
-  claim.fingerprint = {doc.at(3).get<std::uint64_t>(), doc.at(4).get<std::uint64_t>()};
-  claim.rank = core::kAllRanks.at(doc.at(5).get<std::size_t>());
-  claim.holder = {strings.at(doc.at(6).get<std::size_t>()).get<std::string>(),
-                  doc.at(7).get<std::uint64_t>()};
-  claim.claim_id = doc.at(8).get<std::uint64_t>();
+  claim.id = IdFrom(doc);
+  claim.attempt = doc.at(3).get<std::uint64_t>();
+  claim.service = strings.at(doc.at(4).get<std::size_t>()).get<std::string>();
+  claim.fingerprint = {doc.at(5).get<std::uint64_t>(), doc.at(6).get<std::uint64_t>()};
+  claim.rank = core::kAllRanks.at(doc.at(7).get<std::size_t>());
+  claim.holder = {strings.at(doc.at(8).get<std::size_t>()).get<std::string>(),
+                  doc.at(9).get<std::uint64_t>()};
+  claim.claim_id = doc.at(10).get<std::uint64_t>();
   return claim;
 }
 
 OutcomeEntry OutcomeFrom(const json& doc, const json& strings) {
   OutcomeEntry end;
-  end.id = IdFrom(doc.at(0));
-  end.attempt = doc.at(1).get<std::uint64_t>();
-  const auto outcome = doc.at(2).get<unsigned>();
+  end.id = IdFrom(doc);
+  end.attempt = doc.at(3).get<std::uint64_t>();
+  const auto outcome = doc.at(4).get<unsigned>();
   if (outcome >= core::kOutcomeNames.size()) throw std::out_of_range("outcome");
   end.outcome = static_cast<core::Outcome>(outcome);
   if (doc.size() == kAnswerFields) {
-    const auto& body = doc.at(5).get_binary();
-    end.answer = RecordedAnswer{doc.at(3).get<int>(),
-                                strings.at(doc.at(4).get<std::size_t>()).get<std::string>(),
+    const auto& body = doc.at(7).get_binary();
+    end.answer = RecordedAnswer{doc.at(5).get<int>(),
+                                strings.at(doc.at(6).get<std::size_t>()).get<std::string>(),
                                 std::string(body.begin(), body.end())};
   }
   return end;
--- a/src/vanilladeck/operations/shard_log.cc
+++ b/src/vanilladeck/operations/shard_log.cc
@@ -1,6 +1,6 @@
 // Reading the log at a takeover and deleting its oldest buckets.
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <utility>
 
 #include "vanilladeck/operations/shard.h"
@@ -8,54 +8,72 @@
 namespace vanilladeck::operations {
 namespace {
 
-/// Checks that no batch after the last epoch batch is missing.
-///
-/// Every takeover reads the whole log and accounts for what is missing before its epoch batch, so
-/// only the batches after the last epoch batch need to be complete.
-bool HasGap(const std::map<std::uint64_t, Batch>& log, std::uint64_t known_seq) {
-  if (log.empty()) return known_seq > 0;
-  const auto last_epoch =
-      std::find_if(log.rbegin(), log.rend(), [](const auto& row) { return row.second.takes_over; });
-  const auto first = last_epoch == log.rend() ? log.begin() : std::prev(last_epoch.base());
-  const std::uint64_t last_seq = log.rbegin()->first;
-  const auto present = static_cast<std::uint64_t>(std::distance(first, log.end()));
-  // The first batch of a log is an epoch batch unless its bucket was deleted.
-  const bool head_lost = last_epoch == log.rend() && first->first > log.rbegin()->second.floor_seq;
-  return head_lost || present != last_seq - first->first + 1 || known_seq > last_seq;
-}
+/// The batches of a log without their entries.
+struct Summary {
+  std::uint64_t first_seq = 0;
+  std::uint64_t last_seq = 0;
+  std::uint64_t floor_seq = 0;    ///< As the last batch states it.
+  std::uint64_t since_epoch = 0;  ///< Batches read from the last epoch batch on.
+  std::optional<std::uint64_t> epoch_seq;
+  bool damaged = false;
+
+  void Add(std::uint64_t seq, const Batch& batch) {
+    if (first_seq == 0) first_seq = seq;
+    last_seq = seq;
+    floor_seq = batch.floor_seq;
+    if (batch.takes_over) {
+      epoch_seq = seq;
+      since_epoch = 0;
+    }
+    ++since_epoch;
+  }
+
+  /// True when a batch after the last epoch batch is missing.
+  ///
+  /// Every takeover reads the whole log and accounts for what is missing before its epoch batch, so
+  /// only the batches after the last epoch batch need to be complete.
+  [[nodiscard]] bool HasGap(std::uint64_t known_seq) const {
+    if (damaged || known_seq > last_seq) return true;
+    if (first_seq == 0) return false;
+    // The first batch of a log is an epoch batch unless its bucket was deleted.
+    const bool head_lost = !epoch_seq && first_seq > floor_seq;
+    return head_lost || since_epoch != last_seq - epoch_seq.value_or(first_seq) + 1;
+  }
+};
 
 }  // namespace
 
 void Shard::Replay(const std::vector<store::Entry>& entries, const Now& now) {
-  std::map<std::uint64_t, Batch> log;
-  bool damaged = false;
+  Summary log;
   index_ = RecordIndex{};
   bucket_wall_ms_.clear();
+  unknown_until_ms_ = 0;
   for (const auto& entry : entries) {
     const auto seq = SeqOf(options_.shard, entry.key);
-    auto batch = Decode(entry.key, entry.value);
-    damaged = damaged || !seq || batch.has_error();
-    if (!seq || batch.has_error()) continue;
-    auto& bucket_wall_ms = bucket_wall_ms_[*seq / kBatchesPerBucket];
-    bucket_wall_ms = std::max(bucket_wall_ms, batch.value().wall_ms);
-    log.emplace(*seq, std::move(batch.value()));
-  }
-  gap_ = damaged || HasGap(log, known_seq_);
-  const std::uint64_t last_seq = log.empty() ? 0 : log.rbegin()->first;
-  floor_seq_ = log.empty() ? 0 : log.rbegin()->second.floor_seq;
-  durable_floor_seq_ = floor_seq_;
-  unknown_until_ms_ = gap_ ? now.wall_ms + options_.clock_skew.count() : 0;
-  for (const auto& [seq, batch] : log) {
+    const auto decoded = Decode(entry.key, entry.value);
+    if (!seq || *seq <= log.last_seq || decoded.has_error()) {
+      log.damaged = true;
+      continue;
+    }
+    const auto& batch = decoded.value();
+    log.Add(*seq, batch);
     epoch_ = std::max(epoch_, batch.epoch);
     unknown_until_ms_ = std::max(unknown_until_ms_, batch.unknown_until_ms);
-    if (seq < floor_seq_) continue;
-    for (const auto& entry : batch.entries) index_.Apply(entry);
+    auto& bucket_wall_ms = bucket_wall_ms_[*seq / kBatchesPerBucket];
+    bucket_wall_ms = std::max(bucket_wall_ms, batch.wall_ms);
+    for (const auto& change : batch.entries) index_.Apply(change);
   }
   index_.FinishReplay();
   for (const auto& holder : gone_holders_) index_.SetGone(holder, true);
   index_.Trim(now.wall_ms - (options_.retention + options_.clock_skew).count());
+  gap_ = log.HasGap(known_seq_);
+  if (gap_) {
+    unknown_until_ms_ = std::max(unknown_until_ms_, now.wall_ms + options_.clock_skew.count());
+  }
+  floor_seq_ = log.floor_seq;
+  durable_floor_seq_ = floor_seq_;
   ++epoch_;
-  next_seq_ = std::max(last_seq, known_seq_) + 1;
+  next_seq_ = std::max(log.last_seq, known_seq_) + 1;
 }
 
 void Shard::RaiseFloor(const Now& now) {
--- a/tests/membership/seat_test.cc
+++ b/tests/membership/seat_test.cc
@@ -65,7 +65,7 @@
   core::TimePoint wake = core::TimePoint::max();
   std::vector<Seat> seats;
   std::unique_ptr<SeatWitness> witness;
-  std::map<core::InstanceId, core::TimePoint> heard;
+  std::map<std::pair<std::string, std::uint64_t>, core::TimePoint> heard;
   std::uint32_t home = 0;
 };
 
@@ -129,7 +129,9 @@
     for (std::size_t peer = 0; peer < kNodes; ++peer) {
       if (peer == index || !nodes_[peer].alive) continue;
       On(peer, nodes_[peer].self.incarnation, timeline_.RandomMs(1, 20),
-         [this, peer, id = nodes_[index].self] { nodes_[peer].heard[id] = timeline_.now(); });
+         [this, peer, id = nodes_[index].self] {
+           nodes_[peer].heard[{id.address, id.incarnation}] = timeline_.now();
+         });
     }
     On(index, incarnation, Ms(500), [this, index, incarnation] { Beat(index, incarnation); });
   }
@@ -145,10 +147,10 @@
     timeline_.After(Ms(1'000), [this] { PublishList(); });
   }
 
-  SeatView ViewOf(const Node& node) const {
+  [[nodiscard]] SeatView ViewOf(const Node& node) const {
     SeatView view{{}, listed_};
     for (const auto& [id, at] : node.heard) {
-      if (timeline_.now() - at <= kHold) view.heard.push_back(id);
+      if (timeline_.now() - at <= kHold) view.heard.push_back({id.first, id.second});
     }
     return view;
   }
@@ -215,7 +217,7 @@
     }
   }
 
-  std::vector<std::size_t> Users(std::uint32_t seat) const {
+  [[nodiscard]] std::vector<std::size_t> Users(std::uint32_t seat) const {
     std::vector<std::size_t> users;
     for (std::size_t i = 0; i < kNodes; ++i) {
       if (!nodes_[i].alive) continue;
--- a/tests/operations/schedule_test.cc
+++ b/tests/operations/schedule_test.cc
@@ -10,7 +10,7 @@
 
 constexpr int kActiveMs = 25'000;
 
-const std::vector<FaultKind> kAllKinds{FaultKind::kKill,       FaultKind::kPause,
+const std::vector<FaultKind> all_kinds{FaultKind::kKill,       FaultKind::kPause,
                                        FaultKind::kStoreDown,  FaultKind::kStoreSlow,
                                        FaultKind::kStoreLossy, FaultKind::kLoseReplies};
 
@@ -37,7 +37,7 @@
   return out;
 }
 
-rc::Gen<Schedule> ScheduleGen(const std::vector<FaultKind>& kinds = kAllKinds) {
+rc::Gen<Schedule> ScheduleGen(const std::vector<FaultKind>& kinds = all_kinds) {
   return rc::gen::build<Schedule>(
       rc::gen::set(&Schedule::seed, rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>())),
       rc::gen::set(&Schedule::faults, rc::gen::container<std::vector<Fault>>(FaultGen(kinds))));
@@ -90,7 +90,7 @@
 
 // Guards against a judge that would not notice a run before its claim is durable.
 TEST_CASE("judge reports a run before the claim is durable", "[operations]") {
-  REQUIRE(CountReports(Variant::kGrantBeforeDurable, true, kAllKinds) > 0);
+  REQUIRE(CountReports(Variant::kGrantBeforeDurable, true, all_kinds) > 0);
 }
 
 // Guards against a judge that would not notice a lost write repeated at another SEQ.
--- a/tests/operations/world.cc
+++ b/tests/operations/world.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 struct World::Node {
-  Node(core::InstanceId id, const ShardOptions& options, const Now& now)
+  Node(const core::InstanceId& id, const ShardOptions& options, const Now& now)
       : self(id), shard(options), ownership({kShard, id}, now) {}
 
   core::InstanceId self;
@@ -131,19 +131,20 @@
 
 void World::CallStore(std::size_t index, bool of_shard, const store::Call& call) {
   const auto incarnation = nodes_[index]->self.incarnation;
-  FakeStore::Done done = [this, index, incarnation, of_shard, id = call.id](store::StoreResult r) {
-    On(index, incarnation, Ms(0), [this, index, of_shard, id, r] {
+  FakeStore::Done done = [this, index, incarnation, of_shard,
+                          id = call.id](const store::StoreResult& result) {
+    On(index, incarnation, Ms(0), [this, index, of_shard, id, result] {
       auto& node = *nodes_[index];
       if (of_shard) {
-        node.shard.OnStoreResult(id, r, Clock());
+        node.shard.OnStoreResult(id, result, Clock());
       } else {
-        node.ownership.OnStoreResult(id, r, Clock());
+        node.ownership.OnStoreResult(id, result, Clock());
       }
     });
   };
   const auto* swap = std::get_if<store::CompareAndSwap>(&call.request);
   if (of_shard && swap != nullptr && variant_ != Variant::kCorrect) {
-    return CallStoreBroken(index, *swap, std::move(done));
+    return CallStoreBroken(index, *swap, done);
   }
   store_.Call(call.request, std::move(done));
 }
@@ -185,8 +186,9 @@
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     if (nodes_[i]->alive && nodes_[i]->shard.active()) active.push_back(i);
   }
-  if (active.empty())
+  if (active.empty()) {
     return static_cast<std::size_t>(timeline_.Random(0, static_cast<int>(nodes_.size()) - 1));
+  }
   return active[static_cast<std::size_t>(timeline_.Random(0, static_cast<int>(active.size()) - 1))];
 }
 
@@ -269,7 +271,7 @@
      [this, attempt, request] { SendComplete(attempt, request, 20); });
 }
 
-void World::SendComplete(const AttemptPtr& attempt, CompleteRequest request, int tries) {
+void World::SendComplete(const AttemptPtr& attempt, const CompleteRequest& request, int tries) {
   if (tries == 0) return;
   auto answered = std::make_shared<bool>(false);
   const auto owner = GuessOwner();
--- a/tests/operations/world.h
+++ b/tests/operations/world.h
@@ -97,7 +97,7 @@
   void SendClaim(const AttemptPtr& attempt);
   void OnClaimReply(const AttemptPtr& attempt, const ClaimReply& reply);
   void RunAtBackend(const AttemptPtr& attempt, std::uint64_t number);
-  void SendComplete(const AttemptPtr& attempt, CompleteRequest request, int tries);
+  void SendComplete(const AttemptPtr& attempt, const CompleteRequest& request, int tries);
   void GiveUp(const AttemptPtr& attempt);
   void ReleaseClaim(const AttemptPtr& attempt);
   [[nodiscard]] core::InstanceId IdOf(const Attempt& attempt) const;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -17,10 +17,11 @@
 
   explicit FakeStore(Timeline& timeline) : timeline_(timeline) {}
 
-  void Call(const store::Request& request, Done done) {
+  void Call(const store::Request& request, const Done& done) {
     ++calls;
-    if (down && timeline_.Random(0, 1) == 0)
+    if (down && timeline_.Random(0, 1) == 0) {
       return Fail(store::StoreErrorCode::kUnavailable, 2, done);
+    }
     if (down || timeline_.Random(0, 99) < lost_percent) return Lose(request, done);
     const auto latency = slow ? timeline_.RandomMs(150, 1'500) : timeline_.RandomMs(1, 8);
     timeline_.After(latency / 2, [this, request, done, latency] {
