--- a/tests/operations/world.h
+++ b/tests/operations/world.h
@@ -97,7 +97,7 @@
   void SendClaim(const AttemptPtr& attempt);
   void OnClaimReply(const AttemptPtr& attempt, const ClaimReply& reply);
   void RunAtBackend(const AttemptPtr& attempt, std::uint64_t number);
-  void SendComplete(const AttemptPtr& attempt, CompleteRequest request, int tries);
+  void SendComplete(const AttemptPtr& attempt, const CompleteRequest& request, int tries);
   void GiveUp(const AttemptPtr& attempt);
   void ReleaseClaim(const AttemptPtr& attempt);
   [[nodiscard]] core::InstanceId IdOf(const Attempt& attempt) const;
@@ -111,6 +111,7 @@
   std::vector<std::string> keys_;
   std::map<std::string, KeyHistory> history_;
   std::uint64_t next_id_ = 1;
+  bool leases_overlapped_ = false;
 };
 
 /// Reply to a claim as the name of its alternative, for messages.
