Read the accepted record back even when the chain was handed over before

Cause: the daemon feeds the publisher's chain to OnChainRead before it calls OnAccepted, so that OnAccepted saw no new version and skipped the read-back. Change: OnAccepted always reads the newest record of the accepted chain back and writes it again when the store does not hold it.

--- a/src/vanilladeck/config/replica.cc
+++ b/src/vanilladeck/config/replica.cc
@@ -284,20 +284,21 @@
   return out;
 }
 
-std::vector<std::uint64_t> Replica::AdoptChain(const VersionChain& chain, Moment at) {
-  std::vector<std::uint64_t> adopted;
-  for (const auto& record : chain.RecordsAfter(chain_.NewestVersion())) {
+bool Replica::AdoptChain(const VersionChain& chain, Moment at) {
+  const auto before = chain_.NewestVersion();
+  for (const auto& record : chain.RecordsAfter(before)) {
     if (!Adopt(*record, at)) break;
-    adopted.push_back(record->head.version);
   }
-  return adopted;
+  return chain_.NewestVersion() > before;
 }
 
 ReplicaActions Replica::OnAccepted(const VersionChain& chain, core::TimePoint now,
                                    std::int64_t wall_ms) {
   ReplicaActions out;
   const Moment at{now, wall_ms};
-  for (auto version : AdoptChain(chain, at)) verify_.push_back(version);
+  (void)AdoptChain(chain, at);
+  // `OnChainRead` may have taken the accepted version already; it is read back all the same.
+  if (!chain.IsEmpty()) verify_.push_back(chain.NewestVersion());
   Activate(out, at);
   if (!verify_.empty() && activity_ == Activity::kIdle) Schedule(std::max(next_call_, now));
   return out;
@@ -306,7 +307,7 @@
 ReplicaActions Replica::OnChainRead(const VersionChain& chain, core::TimePoint now,
                                     std::int64_t wall_ms) {
   ReplicaActions out;
-  if (!AdoptChain(chain, {now, wall_ms}).empty()) Activate(out, {now, wall_ms});
+  if (AdoptChain(chain, {now, wall_ms})) Activate(out, {now, wall_ms});
   return out;
 }
 
--- a/src/vanilladeck/config/replica.h
+++ b/src/vanilladeck/config/replica.h
@@ -130,8 +130,8 @@
   [[nodiscard]] bool ReadsStore() const noexcept {
     return Watches() || need_store_ || !verify_.empty() || chain_.IsEmpty();
   }
-  /// Returns the versions that are new here.
-  std::vector<std::uint64_t> AdoptChain(const VersionChain& chain, Moment at);
+  /// True when a version was new here.
+  bool AdoptChain(const VersionChain& chain, Moment at);
   [[nodiscard]] bool AdoptUnsettled(ReplicaActions& out, Moment at);
   void Emit(ReplicaActions& out, Activity activity, store::Request request);
   void Schedule(core::TimePoint when) noexcept;
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -137,6 +137,28 @@
   REQUIRE(calls == 5);  // The head and four groups of 64 versions.
 }
 
+// Guards against a head without a record, which no new instance could read, when the store is
+// restored between the writes of the two.
+TEST_CASE("accepted record is read back and written again when it is missing", "[config]") {
+  FakeStore store;
+  const auto chain = ChainOf(1);
+  Replica replica({}, kStart);
+  (void)replica.OnChainRead(chain, kStart, 1);
+  (void)replica.OnAccepted(chain, kStart, 1);
+  REQUIRE(replica.Version() == 1);
+  auto actions = replica.OnTick(replica.NextTick(), 2);
+  while (!actions.empty()) {
+    const auto call = std::get<ReplicaStoreCall>(actions[0]);
+    actions =
+        replica.OnStoreResult(call.id, store.Call(call.request, StoreFault::kNone), kStart, 2);
+  }
+  REQUIRE(replica.NextTick() == core::TimePoint::max());
+  const auto stored =
+      store.Call(store::List{RecordPrefix(chain.Newest()->head)}, StoreFault::kNone);
+  const auto records = JoinParts(std::get<store::ListReply>(stored.value()).entries);
+  REQUIRE(records == std::vector<VersionRecord>{*chain.Newest()});
+}
+
 // Guards against an operator who is not told whose change came first, and what it was.
 TEST_CASE("conflict names the other change and repeats succeed", "[config]") {
   FakeStore store;
