--- a/bench/operations.cc
+++ b/bench/operations.cc
@@ -127,8 +127,6 @@
 
   SimulatedStore store;
   Counts counts;
-  std::size_t index_size() const { return shards_[0]->index().size(); }
-  std::size_t running() const { return running_; }
 
  private:
   struct Call {
@@ -189,7 +187,6 @@
     }
     call.granted = true;
     call.attempt = granted->attempt;
-    ++running_;
     At(now_ + setup_.service_time, [this, ticket = answer.ticket] {
       const auto& done = calls_.at(ticket);
       shards_[done.shard]->Complete(ticket,
@@ -207,7 +204,6 @@
   void OnComplete(const CompleteAnswer& answer) {
     const auto shard = calls_.at(answer.ticket).shard;
     calls_.erase(answer.ticket);
-    --running_;
     ++counts.completed;
     At(now_, [this, shard] { Start(shard); });
   }
@@ -254,7 +250,6 @@
   std::map<std::size_t, core::TimePoint> wakes_;
   std::map<std::uint64_t, Call> calls_;
   std::uint64_t next_ticket_ = 1;
-  std::size_t running_ = 0;
 };
 
 double Seconds(core::Duration span) { return std::chrono::duration<double>(span).count(); }
--- a/src/vanilladeck/operations/shard_ownership.cc
+++ b/src/vanilladeck/operations/shard_ownership.cc
@@ -64,7 +64,7 @@
 std::vector<OwnershipOutput> ShardOwnership::TakeOutputs() { return std::exchange(outputs_, {}); }
 
 core::TimePoint ShardOwnership::NextWake() const noexcept {
-  const auto step = call_ == 0 ? next_step_ : core::TimePoint::max();
+  const auto step = call_ == 0 && !release_done() ? next_step_ : core::TimePoint::max();
   return owner_ ? std::min(step, until_) : step;
 }
 
@@ -81,7 +81,12 @@
   }
   if (call_ != 0 || now.steady < next_step_) return;
   const bool settled = have_read_ && !settle_by_read_;
-  if (settled && owner_) {
+  if (released_ && settled) {
+    if (!HoldsRecord()) return;
+    OwnerRecord record = *seen_;
+    record.released = true;
+    Write(std::move(record), seen_index_, now);
+  } else if (settled && owner_) {
     OwnerRecord record = *seen_;
     ++record.renewal;
     Write(std::move(record), seen_index_, now);
@@ -97,11 +102,16 @@
 
 void ShardOwnership::Release(const Now& now) {
   released_ = true;
-  if (!owner_ || call_ != 0 || !seen_) return Lose();
   Lose();
-  OwnerRecord record = *seen_;
-  record.released = true;
-  Write(std::move(record), seen_index_, now);
+  if (call_ == 0) next_step_ = now.steady;
+}
+
+bool ShardOwnership::release_done() const noexcept {
+  return released_ && call_ == 0 && have_read_ && !settle_by_read_ && !HoldsRecord();
+}
+
+bool ShardOwnership::HoldsRecord() const noexcept {
+  return seen_ && seen_->owner == options_.self && !seen_->released;
 }
 
 bool ShardOwnership::MayTake(const Now& now) const {
@@ -183,7 +193,7 @@
   }
   if (owner_ && !own_record) Lose();
   next_step_ = now.steady + (owner_ ? core::Duration(0) : PollInterval());
-  if (!owner_ && MayTake(now)) next_step_ = now.steady;
+  if (!owner_ && (released_ || MayTake(now))) next_step_ = now.steady;
 }
 
 void ShardOwnership::BecomeOwner(const Now& now) {
--- a/src/vanilladeck/operations/shard_ownership.h
+++ b/src/vanilladeck/operations/shard_ownership.h
@@ -75,8 +75,10 @@
   /// `last_seq` goes into the next renewal.
   void Tick(std::uint64_t last_seq, const Now& now);
 
-  /// Gives the lease up; call after the shard has resigned.
+  /// Gives the lease up for good; call after the shard has resigned and go on calling `Tick` until
+  /// `release_done`.
   void Release(const Now& now);
+  [[nodiscard]] bool release_done() const noexcept;
 
   [[nodiscard]] bool Owns(core::TimePoint now) const noexcept { return owner_ && now < until_; }
   [[nodiscard]] core::TimePoint until() const noexcept { return until_; }
@@ -92,6 +94,7 @@
   void Read(const Now& now);
   void BecomeOwner(const Now& now);
   void Lose();
+  [[nodiscard]] bool HoldsRecord() const noexcept;
   [[nodiscard]] bool MayTake(const Now& now) const;
   [[nodiscard]] core::Duration Jittered(core::Duration full);
   [[nodiscard]] core::Duration PollInterval();
--- a/tests/operations/world.cc
+++ b/tests/operations/world.cc
@@ -131,8 +131,8 @@
 
 void World::CallStore(std::size_t index, bool of_shard, const store::Call& call) {
   const auto incarnation = nodes_[index]->self.incarnation;
-  FakeStore::Done done = [this, index, incarnation, of_shard,
-                          id = call.id](const store::StoreResult& result) {
+  const FakeStore::Done done = [this, index, incarnation, of_shard,
+                                id = call.id](const store::StoreResult& result) {
     On(index, incarnation, Ms(0), [this, index, of_shard, id, result] {
       auto& node = *nodes_[index];
       if (of_shard) {
@@ -146,7 +146,7 @@
   if (of_shard && swap != nullptr && variant_ != Variant::kCorrect) {
     return CallStoreBroken(index, *swap, done);
   }
-  store_.Call(call.request, std::move(done));
+  store_.Call(call.request, done);
 }
 
 /// Puts a faulty writer between the shard and the store.
