Delay the adoption of free seats by 10 s

Cause: at the start of two instances of a failure domain the first one adopted the other's seat before that one had claimed it. The second then waited for the seat to be given back and a hold time, and answered 503 meanwhile. Change: a seat other than the home seat is wanted only after no live peer has held it for 10 s. Ruled out: a machine too busy for the test (also failed alone); lost heartbeats (members were live on both).

--- a/src/vanilladeck/daemon/seat_duty.cc
+++ b/src/vanilladeck/daemon/seat_duty.cc
@@ -13,6 +13,9 @@
 /// Shorter than the renewal interval of a seat, so that one lost answer does not lapse it.
 constexpr core::Duration kPeerTimeout = std::chrono::milliseconds(800);
 constexpr core::Duration kHold = std::chrono::seconds(3);
+/// A restarted instance is back on its seat within this time. Adopting the seat meanwhile would
+/// make it wait for the seat to be given back.
+constexpr core::Duration kAdoptionDelay = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -48,6 +51,14 @@
   return seen;
 }
 
+bool SeatDuty::IsTaken(const membership::Seat& seat, const membership::SeatView& seen) const {
+  const auto& record = seat.seen();
+  if (!record || record->released) return false;
+  const bool heard =
+      std::find(seen.heard.begin(), seen.heard.end(), record->holder) != seen.heard.end();
+  return heard && record->holder != options_.self;
+}
+
 void SeatDuty::Tick(core::TimePoint now) {
   witness_.Tick(now);
   const auto seen = MakeView(now);
@@ -60,7 +71,11 @@
       const bool first = std::all_of(seen.heard.begin(), seen.heard.end(), [&](const auto& id) {
         return weight(options_.self) < weight(id);
       });
-      seat.SetWanted(first && !view_.self().leaving);
+      const bool taken = IsTaken(seat, seen);
+      auto& free_since = free_since_.try_emplace(number, now).first->second;
+      if (taken) free_since = now;
+      const bool waited = now - free_since >= kAdoptionDelay;
+      seat.SetWanted(first && waited && !view_.self().leaving);
     }
     seat.Tick(seen, now);
     Pump(number);
--- a/src/vanilladeck/daemon/seat_duty.h
+++ b/src/vanilladeck/daemon/seat_duty.h
@@ -47,6 +47,7 @@
 
  private:
   [[nodiscard]] membership::SeatView MakeView(core::TimePoint now) const;
+  [[nodiscard]] bool IsTaken(const membership::Seat& seat, const membership::SeatView& seen) const;
   void Pump(std::uint32_t number);
   void Execute(std::uint32_t number, membership::SeatOutput output);
   void Send(std::uint32_t number, const store::Call& call);
@@ -60,6 +61,8 @@
   std::function<void()> on_change_;
   membership::SeatWitness witness_;
   std::map<std::uint32_t, membership::Seat> seats_;
+  /// Since when no live peer holds the seat, for seats other than the home seat.
+  std::map<std::uint32_t, core::TimePoint> free_since_;
 };
 
 }  // namespace vanilladeck::daemon
--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -22,11 +22,13 @@
     for (const auto& [rank, urgency] : urgencies) {
       const std::string mark = rank + std::to_string(i);
       const auto read = system.Send(i, verb::get, "/item?mark=" + mark, {{"Priority", urgency}});
+      INFO(read.body() << Header(read, "Proxy-Status"));
       CHECK(read.status() == 200);
       CHECK(read.body().find("mark=" + mark) != std::string::npos);
       const std::string key = system.OperationKey(i);
       const auto write = system.Send(i, verb::post, "/deposit?mark=" + mark,
                                      {{"Priority", urgency}, {"Idempotency-Key", key}}, mark);
+      INFO(write.body() << Header(write, "Proxy-Status"));
       CHECK(write.status() == 200);
       CHECK(Json::parse(write.body(), nullptr, false).value("body", "") == mark);
       CHECK(system.RunsOf(key) == 1);
