Use the reused client blocks and a fresh capacity in the serving thread

Cause: the scheduler rejects requests while its capacity is zero, and the capacity was not set again when a health probe brought a server back and no request was waiting. Change: Admit takes over the pool's capacity before it offers the request; lookups use Recreate. Ruled out: accepting requests at capacity zero (they would wait for their target in vain). Conclusion: a service whose servers were all ejected serves again with the first good probe.

--- a/src/vanilladeck/daemon/serving_lookup.cc
+++ b/src/vanilladeck/daemon/serving_lookup.cc
@@ -66,9 +66,9 @@
   const Snapshot& snapshot = *context_.snapshot;
   const bool same_blocks = table_ && deployment_ == snapshot.deployment;
   const steering::LookupInputs inputs = Inputs();
-  auto table = same_blocks
-                   ? steering::LookupTable::Create(*snapshot.deployment, inputs, table_->blocks())
-                   : steering::LookupTable::Create(*snapshot.deployment, inputs);
+  const auto blocks = table_ ? table_->blocks() : nullptr;
+  auto table = same_blocks ? steering::LookupTable::Create(*snapshot.deployment, inputs, blocks)
+                           : steering::LookupTable::Recreate(*snapshot.deployment, inputs, blocks);
   deployment_ = snapshot.deployment;
   entry_instances_ = snapshot.entry_instances;
   without_self_ = context_.draining;
--- a/src/vanilladeck/daemon/serving_queue.cc
+++ b/src/vanilladeck/daemon/serving_queue.cc
@@ -81,6 +81,8 @@
 boost::asio::awaitable<core::Result<Slot, Problem>> ServiceQueue::Admit(
     core::Rank rank, core::TimePoint deadline, Cancellation& cancellation) {
   const core::TimePoint now = core::RuntimeClock::now();
+  // The pool may have gained servers since the last request, for example by a health probe.
+  Pump(now);
   const admission::RequestId id = next_id_++;
   const auto offered = scheduler_.Offer(id, rank, deadline, now);
   if (offered.has_error()) co_return RejectionProblem(offered.error());
