Show the refusals that the whole-path tests meet

Cause: the tests fail now and then with 503. Change: the answer's body is part of the failure message. One daemon, never two, answers 'no server of catalogue takes work here' right after it served the fixture's probe: it holds no seat at that moment and the probe was forwarded.

--- a/tests/process/whole_path_test.cc
+++ b/tests/process/whole_path_test.cc
@@ -22,11 +22,13 @@
     for (const auto& [rank, urgency] : urgencies) {
       const std::string mark = rank + std::to_string(i);
       const auto read = system.Send(i, verb::get, "/item?mark=" + mark, {{"Priority", urgency}});
+      INFO(mark << ": " << read.body());
       CHECK(read.status() == 200);
       CHECK(read.body().find("mark=" + mark) != std::string::npos);
       const std::string key = system.OperationKey(i);
       const auto write = system.Send(i, verb::post, "/deposit?mark=" + mark,
                                      {{"Priority", urgency}, {"Idempotency-Key", key}}, mark);
+      INFO("operation " << mark << ": " << write.body());
       CHECK(write.status() == 200);
       CHECK(Json::parse(write.body(), nullptr, false).value("body", "") == mark);
       CHECK(system.RunsOf(key) == 1);
@@ -49,6 +51,7 @@
   const std::string key = system.OperationKey(0);
   const Headers headers{{"Idempotency-Key", key}};
   const auto first = system.Send(0, verb::post, "/deposit", headers, "five");
+  INFO(first.body());
   REQUIRE(first.status() == 200);
   for (std::size_t i = 0; i < System::kDaemons; ++i) {
     const auto repeat = system.Send(i, verb::post, "/deposit", headers, "five");
