--- a/bench/operations.cc
+++ b/bench/operations.cc
@@ -370,6 +370,7 @@
     options.owner = {"10.0.0.3:7000", 3};
     auto shard = std::make_unique<Shard>(options);
     const Now now{core::TimePoint(std::chrono::seconds(100)), kStartWallMs + 1'000};
+    shard->ExtendLease(core::TimePoint::max());
     shard->TakeOver(0, now);
     double cpu = 0;
     double resident = 0;
--- a/src/vanilladeck/operations/shard.cc
+++ b/src/vanilladeck/operations/shard.cc
@@ -109,6 +109,8 @@
   last_tick_ = now.steady;
   latest_wall_ms_ = std::max(latest_wall_ms_, now.wall_ms);
   if (phase_ == Phase::kStopped) return;
+  // A contender that lost the lease must not fence the rightful owner with its epoch batch.
+  if (phase_ != Phase::kActive && now.steady >= lease_until_) return Stop(StopReason::kReplaced);
   if (phase_ == Phase::kListing) {
     if (list_call_ == 0 && now.steady >= not_before_) {
       list_call_ = next_call_;
--- a/src/vanilladeck/operations/shard.h
+++ b/src/vanilladeck/operations/shard.h
@@ -82,6 +82,7 @@
 
   /// Reads the log and starts a new epoch. `known_seq` is the highest SEQ that this instance has
   /// heard of (lease record, heartbeats): a log that ends before it has lost batches.
+  /// Call `ExtendLease` first: a takeover whose lease has ended stops.
   void TakeOver(std::uint64_t known_seq, const Now& now);
 
   /// New claims are granted until `until` only; the shard keeps answering what it has recorded.
--- a/src/vanilladeck/operations/shard_ownership.cc
+++ b/src/vanilladeck/operations/shard_ownership.cc
@@ -199,11 +199,11 @@
 void ShardOwnership::BecomeOwner(const Now& now) {
   until_ = write_sent_ + options_.lease;
   if (now.steady >= until_) return Lose();
+  held_epoch_ = seen_->epoch;
+  outputs_.emplace_back(LeaseRenewed{until_});
   if (!std::exchange(owner_, true)) {
     outputs_.emplace_back(LeaseAcquired{seen_->epoch, seen_->last_seq, continues_});
   }
-  held_epoch_ = seen_->epoch;
-  outputs_.emplace_back(LeaseRenewed{until_});
 }
 
 }  // namespace vanilladeck::operations
