Let a seat witness confirm only seats it knows of

Cause: an instance that has just started knows no holder and confirmed a former and a newer one alike. Change: no confirmation without knowledge of the seat.

--- a/src/vanilladeck/membership/seat_witness.cc
+++ b/src/vanilladeck/membership/seat_witness.cc
@@ -17,7 +17,8 @@
   Tick(now);
   if (now < quiet_until_) return false;
   const auto it = known_.find(seat);
-  if (it == known_.end()) return true;
+  // Without knowledge of the seat, both a former and a newer holder would be confirmed.
+  if (it == known_.end()) return false;
   return it->second.term < term || (it->second.term == term && it->second.holder == holder);
 }
 
--- a/src/vanilladeck/membership/seat_witness.h
+++ b/src/vanilladeck/membership/seat_witness.h
@@ -25,7 +25,7 @@
   /// Notes an announcement or a record read from the store. Acknowledge announcements after this.
   void Note(std::uint32_t seat, const core::InstanceId& holder, std::uint64_t term);
 
-  /// True when this instance knows no newer holder of the seat.
+  /// True when this instance knows of the seat and knows no newer holder.
   [[nodiscard]] bool Confirm(std::uint32_t seat, const core::InstanceId& holder, std::uint64_t term,
                              core::TimePoint now);
 
