Order regions in lookup answers by measured latency

Cause: the control thread measured the latency to other regions, but lookups took all distant regions as equal. Change: heartbeat round trips, in steps of 10 ms, go into the lookup table.

--- a/src/vanilladeck/daemon/serving_lookup.cc
+++ b/src/vanilladeck/daemon/serving_lookup.cc
@@ -1,5 +1,6 @@
 #include "vanilladeck/daemon/serving_lookup.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -14,6 +15,9 @@
 using http::ProblemCode;
 
 constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
+/// Differences of latency below this step do not matter to the order of regions, and must not
+/// rebuild the table with every heartbeat.
+constexpr core::Duration kLatencyStep = std::chrono::milliseconds(10);
 
 http::Response Refuse(ProblemCode code, std::string detail, core::Duration retry_after = {}) {
   return http::MakeProblemResponse({code, core::Outcome::kNotRun, std::move(detail), retry_after});
@@ -43,9 +47,20 @@
       .Text();
 }
 
+std::map<std::string, core::Duration> LookupResponder::Latencies() const {
+  std::map<std::string, core::Duration> rounded;
+  for (const RegionLatency& it : context_.snapshot->latencies) {
+    const auto latency = it.one_way - it.one_way % kLatencyStep;
+    const auto [known, added] = rounded.emplace(it.region, latency);
+    if (!added) known->second = std::min(known->second, latency);
+  }
+  return rounded;
+}
+
 bool LookupResponder::Unchanged() const {
   const Snapshot& snapshot = *context_.snapshot;
   return table_ && deployment_ == snapshot.deployment && without_self_ == context_.draining &&
+         latencies_ == Latencies() &&
          std::equal(entry_instances_.begin(), entry_instances_.end(),
                     snapshot.entry_instances.begin(), snapshot.entry_instances.end(), Same);
 }
@@ -53,6 +68,10 @@
 steering::LookupInputs LookupResponder::Inputs() const {
   steering::LookupInputs inputs;
   inputs.own_region = context_.OwnRegion();
+  for (const auto& [region, latency] : Latencies()) {
+    inputs.latencies[{inputs.own_region, region}] = latency;
+    inputs.latencies[{region, inputs.own_region}] = latency;
+  }
   for (const EntryInstance& instance : context_.snapshot->entry_instances) {
     const bool leaving = instance.leaving || (context_.draining && instance.id == context_.self);
     inputs.entry_instances.push_back(
@@ -72,6 +91,7 @@
   deployment_ = snapshot.deployment;
   entry_instances_ = snapshot.entry_instances;
   without_self_ = context_.draining;
+  latencies_ = Latencies();
   if (table.has_error()) {
     telemetry::Log(telemetry::Event::kLookupTableRejected, table.error().subject);
     return;
--- a/src/vanilladeck/daemon/serving_lookup.h
+++ b/src/vanilladeck/daemon/serving_lookup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
  private:
   [[nodiscard]] bool Unchanged() const;
   [[nodiscard]] steering::LookupInputs Inputs() const;
+  /// Measured latency from the own region, in steps that matter to the order of regions.
+  [[nodiscard]] std::map<std::string, core::Duration> Latencies() const;
   /// Key for one operation of `client`; empty while no shard of operation records is known.
   [[nodiscard]] std::string IssueKey(std::string_view client) const;
   [[nodiscard]] std::string Body(std::string_view service, const steering::Answer& answer,
@@ -37,6 +40,7 @@
   std::shared_ptr<const config::Deployment> deployment_;
   std::vector<EntryInstance> entry_instances_;
   bool without_self_ = false;
+  std::map<std::string, core::Duration> latencies_;
   std::optional<steering::LookupTable> table_;
   /// JSON text per entry instance of the table, rendered once.
   std::unordered_map<const steering::EntryInstance*, std::string> rendered_;
