--- a/tests/process/system.cc
+++ b/tests/process/system.cc
@@ -223,11 +223,18 @@
     const Json body = Json::parse(Lookup(i).body(), nullptr, false);
     if (!body.is_object() || body.value("version", 0) != version) return false;
     if (body.value("entry_instances", Json::array()).size() != kDaemons) return false;
-    if (!Serves(i)) return false;
+    if (!HoldsSeat(i) || !Serves(i)) return false;
   }
   return true;
 }
 
+bool System::HoldsSeat(std::size_t i) const {
+  const auto status = FetchNow(ParseEndpoint(daemons_.at(i).operators),
+                               MakeRequest(http::verb::get, "/v1/status"), kCallLimit);
+  const Json body = Json::parse(status.body(), nullptr, false);
+  return body.is_object() && !body.value("daemon", Json::object()).value("seats", Json()).empty();
+}
+
 int System::Version(std::size_t i) const {
   const Json body = Json::parse(Lookup(i).body(), nullptr, false);
   return body.is_object() ? body.value("version", 0) : 0;
--- a/tests/process/system.h
+++ b/tests/process/system.h
@@ -51,6 +51,8 @@
   [[nodiscard]] Fetched Send(std::size_t i, boost::beast::http::verb verb,
                              const std::string& target, const Headers& headers = {},
                              const std::string& body = "") const;
+  /// Whether the daemon uses a seat of its own; one without a seat only forwards.
+  [[nodiscard]] bool HoldsSeat(std::size_t i) const;
   [[nodiscard]] bool Serves(std::size_t i) const;
 
   /// Sets the fault of the platform, see the stand-in.
