Let the store decide about a seat when it is in reach

Cause: with renewal by peers, an instance that heard no peer confirmed its own hold although it could read the store; the record there already named another holder. Change: without peers in sight the seat is read from the store; being one's own witness is left to cut-off instances. Ruled out: the adoption delay and the witness's quiet time (both were in force in the schedule).

--- a/src/vanilladeck/membership/seat.cc
+++ b/src/vanilladeck/membership/seat.cc
@@ -183,6 +183,11 @@
 void Seat::AskPeer(const SeatView& view, core::TimePoint now) {
   if (now < next_ask_ || now < PeersDueAt()) return;
   next_ask_ = now + kAskInterval;
+  if (view.heard.empty() && failures_ == 0 && call_ == 0) {
+    // With the store in reach its record decides; being one's own witness is for cut-off domains.
+    next_store_ = now;
+    return;
+  }
   ask_ = next_call_++;
   ask_sent_ = now;
   // With no peer in sight this instance is its own witness.
