Fix the linter's findings

Cause: the whole lint run found a parameter copied without need and a false report on a defaulted comparison. Change: const reference; NOLINT with its reason. Ruled out: dropping the check modernize-use-nullptr for the whole project.

--- a/src/vanilladeck/core/instance_id.h
+++ b/src/vanilladeck/core/instance_id.h
@@ -14,6 +14,7 @@
   std::string address;  ///< "IP:port" of the peers' listener.
   std::uint64_t incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
   [[nodiscard]] auto operator<=>(const InstanceId&) const = default;
 };
 
--- a/src/vanilladeck/daemon/operations_duty.cc
+++ b/src/vanilladeck/daemon/operations_duty.cc
@@ -158,7 +158,7 @@
   return {};
 }
 
-void OperationsDuty::Claim(operations::ClaimRequest request, ClaimDone done) {
+void OperationsDuty::Claim(operations::ClaimRequest request, const ClaimDone& done) {
   auto key = operations::OperationKey::Parse(request.key);
   if (!key.has_value()) return done(operations::Mismatch{});
   if (request.claim_id == 0) request.claim_id = next_claim_++;
--- a/src/vanilladeck/daemon/operations_duty.h
+++ b/src/vanilladeck/daemon/operations_duty.h
@@ -44,7 +44,7 @@
   /// Asks the shard's owner for the right to run an operation. When the owner's answer is lost, the
   /// claim is released and the reply is `Unavailable`: this instance will not run the operation.
   /// While the shard has no owner the claim waits for up to `kClaimWait`.
-  void Claim(operations::ClaimRequest request, ClaimDone done);
+  void Claim(operations::ClaimRequest request, const ClaimDone& done);
 
   /// Reports the end of an attempt; repeated until it is durable or `kCompleteLimit` has passed.
   void Complete(const operations::CompleteRequest& request, const CompleteDone& done);
