--- /dev/null
+++ b/src/vanilladeck/gateway/client_session.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "vanilladeck/gateway/deadlines.h"
+
+namespace vanilladeck::gateway {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+class ClientSession;
+
+/// A request on its way through this instance; owned by the handler and the session.
+class PendingRequest {
+ public:
+  virtual ~PendingRequest() = default;
+  /// The client closed the connection; nobody waits for an answer.
+  virtual void OnClientGone() = 0;
+};
+
+/// Serves the requests of sessions; must outlive them.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  /// Answer with `session->Reply`, now or later. A null result means that it has answered.
+  [[nodiscard]] virtual std::shared_ptr<PendingRequest> OnRequest(
+      const std::shared_ptr<ClientSession>& session, Request request) = 0;
+};
+
+/// Limits of what clients may send; changes apply to the next request.
+struct SessionLimits {
+  std::uint32_t header_bytes = 16384;
+  std::uint64_t body_bytes = 1U << 20U;
+  core::Duration header_timeout = std::chrono::seconds(3);
+  core::Duration body_timeout = std::chrono::seconds(30);
+  core::Duration idle_timeout = std::chrono::seconds(15);
+  /// A client that does not read its answer for this long loses the connection.
+  core::Duration write_timeout = std::chrono::seconds(10);
+};
+
+class ClientSession;
+
+/// What the sessions of one listener share.
+struct SessionGroup {
+  RequestHandler& handler;
+  Deadlines& deadlines;
+  SessionLimits limits;
+  bool closing = false;  ///< Answers carry `Connection: close`.
+  std::unordered_set<ClientSession*> open;
+};
+
+/// One connection of a client: reads requests one by one and writes the answers in order.
+///
+/// It keeps reading while a request is served, to notice that the client has left.
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+ public:
+  ClientSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<SessionGroup> group);
+  ~ClientSession();
+  ClientSession(const ClientSession&) = delete;
+  ClientSession& operator=(const ClientSession&) = delete;
+
+  void Start();
+
+  /// Sends the answer to the request under way: `head` is the status line and the fields without
+  /// `Connection`, each ended by CRLF; the blank line is added.
+  void Reply(std::string head, std::string body);
+
+  /// Closes without an answer; for a request that may have run and whose answer is lost.
+  void Abort();
+
+  /// Closes the connection if no request has begun to arrive.
+  void CloseIfIdle();
+
+  [[nodiscard]] bool busy() const noexcept { return serving_ || writing_; }
+  /// When the first byte of the request under way arrived.
+  [[nodiscard]] core::TimePoint request_began() const noexcept { return request_began_; }
+
+ private:
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(boost::system::error_code ec, std::size_t n);
+  void Advance();
+  void StartParser();
+  void OnParseError(boost::system::error_code ec);
+  void OnRequest();
+  void OnGone();
+  void Write(std::string text, bool close_after);
+  void Linger();
+  void Close();
+  void SetDeadline(core::Duration after);
+
+  boost::asio::ip::tcp::socket socket_;
+  std::shared_ptr<SessionGroup> group_;
+  std::optional<Parser> parser_;
+  std::string input_;
+  std::array<char, 4096> buf_{};
+  std::string output_;
+  Deadlines::Id deadline_ = 0;
+  std::shared_ptr<PendingRequest> pending_;
+  core::TimePoint request_began_;
+  bool head_timeout_set_ = false;
+  bool body_timeout_set_ = false;
+  bool serving_ = false;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool lingering_ = false;
+  bool keep_alive_ = true;
+  bool closed_ = false;
+};
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/context.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "vanilladeck/gateway/deadlines.h"
+#include "vanilladeck/gateway/gateway_metrics.h"
+#include "vanilladeck/gateway/upstream_pool.h"
+#include "vanilladeck/gateway/wire_names.h"
+#include "vanilladeck/steering/fleet_share.h"
+#include "vanilladeck/steering/route_table.h"
+#include "vanilladeck/steering/server_picker.h"
+#include "vanilladeck/steering/server_set.h"
+#include "vanilladeck/telemetry/event_stream.h"
+
+namespace vanilladeck::gateway {
+
+/// Limits that hold for the sum over all instances.
+struct FleetLimits {
+  double retry_ratio = 0.2;    ///< Repeats per first request of a service.
+  double retry_allowance = 0;  ///< Repeats a window on top of it.
+  core::Duration retry_window = std::chrono::seconds(10);
+  double cold_overage = 1.5;  ///< Factor on a service's cold rate.
+  double cold_slack = 0;      ///< Requests a second on top of it.
+};
+
+/// State of the request path, owned by the serving thread.
+struct Context {
+  Context(boost::asio::io_context& io_context, WireNames wire_names, FleetLimits fleet_limits,
+          steering::ServerSet::RegionOf region_of, steering::PickerSettings picker_settings,
+          telemetry::EventStream& event_stream)
+      : io(io_context),
+        deadlines(io_context),
+        names(std::move(wire_names)),
+        limits(fleet_limits),
+        servers(std::move(region_of)),
+        picker(std::move(picker_settings), servers, fleet),
+        pool(io_context, deadlines),
+        events(event_stream),
+        random(std::random_device{}()) {}
+
+  steering::RetryWindow& RetriesOf(const std::string& service) {
+    const auto it = retries.find(service);
+    if (it != retries.end()) return it->second;
+    return retries.emplace(service, steering::RetryWindow(limits.retry_window)).first->second;
+  }
+
+  boost::asio::io_context& io;
+  Deadlines deadlines;
+  WireNames names;
+  FleetLimits limits;
+  steering::FleetShare fleet;
+  steering::ServerSet servers;
+  steering::ServerPicker picker;
+  UpstreamPool pool;
+  std::shared_ptr<const steering::RouteTable> routes;  ///< Null: no policy known yet.
+  std::unordered_map<std::string, steering::RetryWindow> retries;
+  telemetry::EventStream& events;
+  GatewayMetrics metrics;
+  std::mt19937_64 random;
+};
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -0,0 +1,409 @@
+#include "vanilladeck/gateway/gateway.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "vanilladeck/gateway/metrics_text.h"
+#include "vanilladeck/gateway/proxied_request.h"
+
+namespace vanilladeck::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::StreamEvent;
+
+constexpr core::Duration kTickInterval = milliseconds(100);
+constexpr core::Duration kTrimInterval = std::chrono::seconds(1);
+// Clients may keep an answer three times as long as stated, and 5 s at most counts; a short time
+// moves them away from stopped instances soon at the price of one small answer.
+constexpr core::Duration kLookupTtl = std::chrono::seconds(2);
+constexpr std::size_t kMaxLookupAddresses = 64;
+// A call between regions takes 0.12 s; a store that is slow takes 0.4 s.
+constexpr core::Duration kStoreTimeout = milliseconds(1200);
+// Sessions of clients; upstream connections and files use the other descriptors.
+constexpr std::size_t kMaxClientSessions = 2500;
+constexpr std::size_t kMaxEntrySessions = 200;
+// The number of instances only shrinks after this time, because shares of fleet-wide limits that
+// grow too early break the sum while a stopped instance still finishes its requests.
+constexpr core::Duration kFleetMemory = std::chrono::seconds(10);
+// After a stop began, new connections are still taken while lookups that name this instance live.
+constexpr core::Duration kDrainListenTime = milliseconds(2800);
+// Idle connections of clients are closed from here on; those that follow lookups have left by then.
+constexpr core::Duration kDrainIdleTime = milliseconds(1200);
+// Time before the end by force in which the process exits by itself.
+constexpr core::Duration kExitMargin = milliseconds(250);
+// A record that the store lost is written again after this time without it.
+constexpr core::Duration kRecordMissingTime = milliseconds(2500);
+
+}  // namespace
+
+namespace {
+
+class ProxyHandler : public RequestHandler {
+ public:
+  explicit ProxyHandler(Context& context) : context_(context) {}
+  std::shared_ptr<PendingRequest> OnRequest(const std::shared_ptr<ClientSession>& session,
+                                            Request request) override {
+    return ProxiedRequest::Start(context_, session, std::move(request));
+  }
+
+ private:
+  Context& context_;
+};
+
+class EntryHandler : public RequestHandler {
+ public:
+  using Answer = std::function<void(ClientSession&, const Request&)>;
+  explicit EntryHandler(Answer answer) : answer_(std::move(answer)) {}
+  std::shared_ptr<PendingRequest> OnRequest(const std::shared_ptr<ClientSession>& session,
+                                            Request request) override {
+    answer_(*session, request);
+    return nullptr;
+  }
+
+ private:
+  Answer answer_;
+};
+
+void ReplyWith(ClientSession& session, const std::string& type, std::string body) {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
+                     "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  session.Reply(std::move(head), std::move(body));
+}
+
+steering::PickerSettings PickerSettingsOf(const GatewaySettings& settings) {
+  steering::PickerSettings picker;
+  picker.region = settings.region;
+  // One way between regions takes 55 ms in every deployment known so far.
+  picker.region_round_trip = milliseconds(112);
+  picker.cold_overage = settings.fleet.cold_overage;
+  picker.cold_slack = settings.fleet.cold_slack;
+  return picker;
+}
+
+std::string HostOf(const boost::asio::ip::tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& context, GatewaySettings settings,
+                 const PlatformCodec& codec, telemetry::EventStream& events)
+    : io_(context),
+      settings_(std::move(settings)),
+      codec_(codec),
+      events_(events),
+      context_(
+          context, settings_.names, settings_.fleet,
+          [domains = settings_.region_of_domain](const std::string& domain) {
+            const auto it = domains.find(domain);
+            return it == domains.end() ? std::string() : it->second;
+          },
+          PickerSettingsOf(settings_), events),
+      follower_({}, {[this](const store::Item& item) { OnItem(item); },
+                     [this](const std::string& key) { OnRemoved(key); }, [this] { OnSynced(); },
+                     [this](bool reachable) {
+                       events_.Write(
+                           reachable ? StreamEvent::kStoreRegained : StreamEvent::kStoreLost,
+                           {{"revision", follower_.revision()}});
+                     }}),
+      registration_({}, {settings_.instance, HostOf(settings_.clients), settings_.failure_domain,
+                         settings_.region, false}),
+      feed_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
+      lease_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
+      proxy_(std::make_unique<ProxyHandler>(context_)),
+      entry_(std::make_unique<EntryHandler>([this](ClientSession& session, const Request& request) {
+        AnswerEntry(session, request);
+      })),
+      clients_(context, context_.deadlines, *proxy_, kMaxClientSessions),
+      readiness_(context, context_.deadlines, *entry_, kMaxEntrySessions),
+      lookups_(context, context_.deadlines, *entry_, kMaxEntrySessions),
+      metrics_(context, context_.deadlines, *entry_, kMaxEntrySessions) {}
+
+Gateway::~Gateway() = default;
+
+boost::system::error_code Gateway::Start() {
+  boost::system::error_code ec = clients_.Open(settings_.clients);
+  if (!ec) ec = readiness_.Open(settings_.readiness);
+  if (!ec) ec = lookups_.Open(settings_.lookups);
+  if (!ec && settings_.metrics.port() != 0) ec = metrics_.Open(settings_.metrics);
+  if (ec) return ec;
+  Tick();
+  return ec;
+}
+
+void Gateway::Tick() {
+  if (stopped_) return;
+  const core::TimePoint now = core::RuntimeClock::now();
+  follower_.Tick(now);
+  PumpStore();
+  context_.picker.UpdateSplits(now);
+  if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
+  UpdateFleet();
+  UpdateReadiness();
+  if (draining_) DrainTick();
+  events_.Flush();
+  context_.deadlines.Add(now + kTickInterval, [this] { Tick(); });
+}
+
+void Gateway::PumpStore() {
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (auto call = follower_.Next(now)) {
+    feed_.Call(*call, kStoreTimeout, [this, call = *call](const store::VersionedResult& result) {
+      CountCall(call, result);
+      follower_.OnAnswer(result, core::RuntimeClock::now());
+      // Pages of a listing follow each other at once.
+      if (result && std::holds_alternative<store::RangePage>(result.value())) PumpStore();
+    });
+  }
+  if (auto call = registration_.Next(now)) {
+    lease_.Call(*call, kStoreTimeout, [this, call = *call](const store::VersionedResult& result) {
+      CountCall(call, result);
+      registration_.OnAnswer(result, core::RuntimeClock::now());
+      if (result) PumpStore();
+    });
+  }
+}
+
+void Gateway::CountCall(const store::VersionedCall& call, const store::VersionedResult& result) {
+  ++context_.metrics.store_calls[call.index()];
+  if (result) return;
+  ++context_.metrics.store_errors[static_cast<std::size_t>(result.error().code)];
+  events_.Write(StreamEvent::kStoreCallFailed,
+                {{"call", store::kVersionedCallNames[call.index()]},
+                 {"error", store::kCallErrorNames[static_cast<std::size_t>(result.error().code)]},
+                 {"detail", result.error().detail}});
+}
+
+void Gateway::OnItem(const store::Item& item) {
+  DecodedItem decoded = codec_.DecodeItem(item);
+  if (auto* server = std::get_if<ServerItem>(&decoded)) {
+    TakeServer(server->report);
+  } else if (auto* policy = std::get_if<PolicyItem>(&decoded)) {
+    TakePolicy(std::move(policy->policy), item.revision);
+  } else if (auto* evacuation = std::get_if<EvacuationItem>(&decoded)) {
+    evacuated_.insert(evacuation->failure_domain);
+    ApplyEvacuations();
+  } else if (std::holds_alternative<OwnItem>(decoded)) {
+    if (auto record = membership::DecodeInstance(item.key, item.value)) {
+      instances_[record->name] = *record;
+      UpdateFleet();
+    }
+  } else if (auto* unusable = std::get_if<UnusableItem>(&decoded)) {
+    events_.Write(StreamEvent::kEntryRejected,
+                  {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+  }
+}
+
+void Gateway::OnRemoved(const std::string& key) {
+  const RemovedItem removed = codec_.DecodeRemoval(key);
+  if (const auto* server = std::get_if<RemovedServer>(&removed)) {
+    DropServer(server->id, "entry removed");
+  } else if (const auto* evacuation = std::get_if<RemovedEvacuation>(&removed)) {
+    evacuated_.erase(evacuation->failure_domain);
+    ApplyEvacuations();
+  } else if (key.rfind(membership::kInstancePrefix, 0) == 0) {
+    instances_.erase(key.substr(membership::kInstancePrefix.size()));
+    UpdateFleet();
+  }
+}
+
+void Gateway::OnSynced() {
+  // Lookups and shares of other instances depend on the own record being listed.
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (instances_.count(settings_.instance) > 0 || draining_) {
+    record_missing_since_ = core::TimePoint{};
+  } else if (record_missing_since_ == core::TimePoint{}) {
+    record_missing_since_ = now;
+  } else if (now - record_missing_since_ > kRecordMissingTime) {
+    registration_.OnRecordMissing();
+    record_missing_since_ = core::TimePoint{};
+  }
+}
+
+void Gateway::TakeServer(const steering::ServerReport& report) {
+  const auto old = context_.servers.Find(report.id);
+  const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
+  using Change = steering::ServerSet::Change;
+  if (change == Change::kNone) return;
+  if (old && (old->gone || old->draining)) context_.pool.Forget(*old);
+  events_.Write(
+      change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
+      {{"server", report.id},
+       {"born", report.born_ms},
+       {"service", report.service},
+       {"address", report.address},
+       {"failure_domain", report.failure_domain},
+       {"sequence", report.sequence},
+       {"cold_ms", std::chrono::duration_cast<milliseconds>(report.cold_left).count()},
+       {"draining", report.state == steering::ServerState::kDraining}});
+}
+
+void Gateway::DropServer(const std::string& id, std::string_view reason) {
+  const auto server = context_.servers.Find(id);
+  if (!context_.servers.OnRemoved(id)) return;
+  context_.pool.Forget(*server);
+  events_.Write(StreamEvent::kServerRemoved, {{"server", id}, {"reason", reason}});
+}
+
+void Gateway::TakePolicy(config::RoutingPolicy policy, store::Revision revision) {
+  if (context_.routes && policy.version <= context_.routes->version()) {
+    if (policy.version < context_.routes->version()) {
+      events_.Write(StreamEvent::kPolicyRejected, {{"version", policy.version},
+                                                   {"in_force", context_.routes->version()},
+                                                   {"reason", "older version"}});
+    }
+    return;
+  }
+  SessionLimits& limits = clients_.group().limits;
+  limits.header_bytes = policy.limits.max_header_bytes;
+  limits.body_bytes = policy.limits.max_body_bytes;
+  limits.header_timeout = policy.limits.header_timeout;
+  limits.idle_timeout = policy.limits.idle_timeout;
+  events_.Write(StreamEvent::kPolicy, {{"version", policy.version},
+                                       {"revision", revision},
+                                       {"routes", policy.routes.size()},
+                                       {"services", policy.services.size()}});
+  context_.routes = std::make_shared<const steering::RouteTable>(std::move(policy));
+  policy_at_ = core::RuntimeClock::now();
+}
+
+void Gateway::ApplyEvacuations() {
+  core::Duration cold{0};
+  if (context_.routes) {
+    for (const auto& it : context_.routes->policy().services) {
+      cold = std::max<core::Duration>(cold, it.cold_duration);
+    }
+  }
+  context_.servers.SetEvacuated(evacuated_, cold, core::RuntimeClock::now());
+  events_.Write(StreamEvent::kEvacuation, {{"failure_domains", evacuated_}});
+}
+
+void Gateway::UpdateFleet() {
+  const core::TimePoint now = core::RuntimeClock::now();
+  std::uint32_t count = 0;
+  std::uint32_t rank = 0;
+  bool own = false;
+  for (const auto& [name, record] : instances_) {
+    if (name < settings_.instance) ++rank;
+    if (name == settings_.instance) own = true;
+    ++count;
+  }
+  if (!own) ++count;
+  if (count >= fleet_peak_ || now - fleet_peak_at_ > kFleetMemory) {
+    if (count != fleet_peak_) events_.Write(StreamEvent::kFleet, {{"instances", count}});
+    fleet_peak_ = count;
+    fleet_peak_at_ = now;
+  }
+  context_.fleet.SetFleet(fleet_peak_, rank);
+}
+
+bool Gateway::Ready() const noexcept {
+  return !draining_ && context_.routes != nullptr && follower_.synced() &&
+         context_.servers.size() > 0;
+}
+
+void Gateway::UpdateReadiness() {
+  const bool ready = Ready();
+  registration_.SetReady(ready);
+  if (ready == was_ready_) return;
+  was_ready_ = ready;
+  events_.Write(
+      StreamEvent::kReady,
+      {{"ready", ready}, {"servers", context_.servers.size()}, {"instances", instances_.size()}});
+}
+
+void Gateway::BeginDrain(std::function<void()> stopped) {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = core::RuntimeClock::now();
+  on_stopped_ = std::move(stopped);
+  registration_.Withdraw();
+  clients_.group().closing = true;
+  events_.Write(StreamEvent::kDrain, {{"sessions", clients_.group().open.size()}});
+  UpdateReadiness();
+  PumpStore();
+}
+
+void Gateway::DrainTick() {
+  const core::Duration since = core::RuntimeClock::now() - drain_began_;
+  auto& open = clients_.group().open;
+  if (since >= kDrainListenTime) clients_.Close();
+  if (since >= kDrainIdleTime) {
+    const std::vector<ClientSession*> sessions(open.begin(), open.end());
+    for (ClientSession* it : sessions) it->CloseIfIdle();
+  }
+  const bool finished = since >= kDrainListenTime && open.empty();
+  if (!finished && since < settings_.stop_grace - kExitMargin) return;
+  stopped_ = true;
+  events_.Write(StreamEvent::kStop,
+                {{"sessions_left", open.size()},
+                 {"ms", std::chrono::duration_cast<milliseconds>(since).count()}});
+  events_.Flush();
+  if (on_stopped_) on_stopped_();
+}
+
+std::vector<std::string> Gateway::LookupAddresses(const std::string& region) const {
+  std::vector<std::string> addresses;
+  for (const bool own_region : {true, false}) {
+    for (const auto& [name, record] : instances_) {
+      if (name == settings_.instance && draining_) continue;
+      if (!record.ready || (record.region == region) != own_region) continue;
+      addresses.push_back(record.address);
+    }
+    if (!addresses.empty()) break;
+  }
+  if (addresses.size() > kMaxLookupAddresses) addresses.resize(kMaxLookupAddresses);
+  if (addresses.empty() && Ready()) addresses.push_back(HostOf(settings_.clients));
+  return addresses;
+}
+
+void Gateway::AnswerEntry(ClientSession& session, const Request& request) {
+  const std::string_view target(request.target().data(), request.target().size());
+  constexpr std::string_view kEmpty503 =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
+  if (codec_.IsReadinessCheck(target)) {
+    session.Reply(Ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" : std::string(kEmpty503),
+                  {});
+    return;
+  }
+  if (const auto query = codec_.DecodeLookup(target)) {
+    ++context_.metrics.lookups;
+    const auto addresses = LookupAddresses(query->region);
+    if (addresses.empty() || context_.routes == nullptr) {
+      session.Reply(std::string(kEmpty503), {});
+      return;
+    }
+    ReplyWith(session, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
+    return;
+  }
+  if (target == "/metrics") {
+    ReplyWith(session, "text/plain; version=0.0.4", MetricsText());
+    return;
+  }
+  session.Reply("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n", {});
+}
+
+std::string Gateway::MetricsText() const {
+  const core::TimePoint now = core::RuntimeClock::now();
+  ProcessGauges gauges;
+  gauges.policy_version = context_.routes ? context_.routes->version() : 0;
+  gauges.policy_age_s = std::chrono::duration<double>(now - policy_at_).count();
+  gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
+  gauges.instances = instances_.size();
+  gauges.servers = context_.servers.size();
+  gauges.connections_opened = context_.pool.opened();
+  gauges.dropped_lines = events_.dropped();
+  for (const std::string& id : context_.servers.Ids()) {
+    const auto server = context_.servers.Find(id);
+    if (context_.servers.Usable(*server, now)) {
+      ++gauges.usable_servers;
+    } else if (server->draining) {
+      ++gauges.draining_servers;
+    }
+    if (server->Cold(now)) ++gauges.cold_servers;
+  }
+  return PrometheusText(context_.metrics, gauges);
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/gateway.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "vanilladeck/gateway/client_session.h"
+#include "vanilladeck/gateway/context.h"
+#include "vanilladeck/gateway/listener.h"
+#include "vanilladeck/gateway/platform_port.h"
+#include "vanilladeck/gateway/store_channel.h"
+#include "vanilladeck/membership/registration.h"
+#include "vanilladeck/membership/store_follower.h"
+
+namespace vanilladeck::gateway {
+
+/// Everything an instance is told at its start.
+struct GatewaySettings {
+  std::string instance;
+  std::string failure_domain;
+  std::string region;
+  std::map<std::string, std::string> region_of_domain;
+  boost::asio::ip::tcp::endpoint clients;    ///< Listener for requests.
+  boost::asio::ip::tcp::endpoint readiness;  ///< Listener for readiness checks.
+  boost::asio::ip::tcp::endpoint lookups;    ///< Listener for lookups.
+  boost::asio::ip::tcp::endpoint metrics;    ///< Port 0: none.
+  boost::asio::ip::tcp::endpoint store;
+  WireNames names;
+  FleetLimits fleet;
+  /// From SIGTERM to the end by force.
+  core::Duration stop_grace = std::chrono::seconds(6);
+};
+
+/// One instance: serves clients, follows the store, answers lookups and readiness checks.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& context, GatewaySettings settings, const PlatformCodec& codec,
+          telemetry::EventStream& events);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /// Opens the listeners; the error of the first that fails.
+  [[nodiscard]] boost::system::error_code Start();
+
+  /// Graceful stop: out of lookups and readiness at once, requests finish, then `stopped` runs.
+  void BeginDrain(std::function<void()> stopped);
+
+  [[nodiscard]] bool Ready() const noexcept;
+
+ private:
+  void Tick();
+  void PumpStore();
+  void OnItem(const store::Item& item);
+  void OnRemoved(const std::string& key);
+  void OnSynced();
+  void TakePolicy(config::RoutingPolicy policy, store::Revision revision);
+  void TakeServer(const steering::ServerReport& report);
+  void DropServer(const std::string& id, std::string_view reason);
+  void ApplyEvacuations();
+  void UpdateFleet();
+  void UpdateReadiness();
+  void DrainTick();
+  void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
+  void AnswerEntry(ClientSession& session, const Request& request);
+  [[nodiscard]] std::vector<std::string> LookupAddresses(const std::string& region) const;
+  [[nodiscard]] std::string MetricsText() const;
+
+  boost::asio::io_context& io_;
+  GatewaySettings settings_;
+  const PlatformCodec& codec_;
+  telemetry::EventStream& events_;
+  Context context_;
+  membership::StoreFollower follower_;
+  membership::Registration registration_;
+  StoreChannel feed_;
+  StoreChannel lease_;
+  std::map<std::string, membership::InstanceRecord> instances_;
+  std::set<std::string> evacuated_;
+  std::unique_ptr<RequestHandler> proxy_;
+  std::unique_ptr<RequestHandler> entry_;
+  Listener clients_;
+  Listener readiness_;
+  Listener lookups_;
+  Listener metrics_;
+  core::TimePoint policy_at_;
+  core::TimePoint drain_began_;
+  core::TimePoint record_missing_since_;
+  std::uint32_t fleet_peak_ = 1;
+  core::TimePoint fleet_peak_at_;
+  bool draining_ = false;
+  bool stopped_ = false;
+  bool was_ready_ = false;
+  std::function<void()> on_stopped_;
+};
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "vanilladeck/core/runtime_clock.h"
+
+namespace vanilladeck::gateway {
+
+/// Final outcome of a client's request; the label of its counter.
+enum class RequestEnd : std::uint8_t {
+  kServed,       ///< A server's answer below 500.
+  kServerError,  ///< A server's own 5xx, passed on.
+  kRefused,      ///< 503: not run.
+  kNoRoute,      ///< 404
+  kBadRequest,   ///< 400
+  kFailed,       ///< 502: it may have run.
+  kTimedOut,     ///< 504
+  kClientGone,
+};
+
+inline constexpr std::array<std::string_view, 8> kRequestEndNames{
+    "served",      "server-error", "refused",   "no-route",
+    "bad-request", "failed",       "timed-out", "client-gone"};
+
+/// Upper bounds of the latency histograms in seconds.
+inline constexpr std::array<double, 12> kGatewayLatencyBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                              0.3,   0.5,  0.8,   1.5,  3,   6};
+
+struct LatencyHistogram {
+  std::array<std::uint64_t, kGatewayLatencyBounds.size() + 1> buckets{};  ///< Not cumulated.
+  double sum_s = 0;
+  std::uint64_t count = 0;
+
+  void Add(core::Duration latency) noexcept;
+};
+
+/// Counters and histograms of the request path. Single-threaded.
+struct GatewayMetrics {
+  struct RouteCounters {
+    std::array<std::uint64_t, kRequestEndNames.size()> ends{};
+    LatencyHistogram latency;
+  };
+
+  std::map<std::string, RouteCounters> routes;    ///< Bounded: only names of configured routes.
+  std::map<std::string, std::uint64_t> refusals;  ///< By reason; a fixed set.
+  std::array<std::uint64_t, 8> attempts{};        ///< By `steering::AttemptEnd`.
+  std::array<std::uint64_t, 16> store_calls{};    ///< By kind of call.
+  std::array<std::uint64_t, 16> store_errors{};   ///< By `store::CallErrorCode`.
+  std::uint64_t repeats = 0;
+  std::uint64_t repeats_denied = 0;
+  std::uint64_t lookups = 0;
+  LatencyHistogram server_latency;
+  LatencyHistogram connect_latency;
+
+  void CountRequest(const std::string& route, RequestEnd end, core::Duration latency);
+};
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/listener.cc
@@ -0,0 +1,48 @@
+#include "vanilladeck/gateway/listener.h"
+
+namespace vanilladeck::gateway {
+namespace {
+
+// Clients of a whole region may connect at once when another instance fails.
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Listener::Listener(boost::asio::io_context& context, Deadlines& deadlines, RequestHandler& handler,
+                   std::size_t max_sessions)
+    : acceptor_(context),
+      group_(std::make_shared<SessionGroup>(SessionGroup{handler, deadlines, {}, false, {}})),
+      max_sessions_(max_sessions) {}
+
+boost::system::error_code Listener::Open(const boost::asio::ip::tcp::endpoint& endpoint) {
+  boost::system::error_code ec;
+  acceptor_.open(endpoint.protocol(), ec);
+  if (!ec) acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(endpoint, ec);
+  if (!ec) acceptor_.listen(kBacklog, ec);
+  if (!ec) Accept();
+  return ec;
+}
+
+void Listener::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!ec) {
+      if (group_->open.size() >= max_sessions_) {
+        // Out of descriptors is worse for everybody than one connection that is closed at once.
+        boost::system::error_code ignored;
+        socket.close(ignored);
+      } else {
+        std::make_shared<ClientSession>(std::move(socket), group_)->Start();
+      }
+    }
+    Accept();
+  });
+}
+
+void Listener::Close() {
+  boost::system::error_code ignored;  // Closing a listener has nothing left to report.
+  acceptor_.close(ignored);
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -0,0 +1,93 @@
+#include "vanilladeck/gateway/metrics_text.h"
+
+#include <sstream>
+
+#include "vanilladeck/store/versioned_call.h"
+
+namespace vanilladeck::gateway {
+namespace {
+
+constexpr std::array<std::string_view, 6> kAttemptEndNames{"answered", "server-error", "shed",
+                                                           "failed",   "unreachable",  "abandoned"};
+
+/// Label values come from the policy; quotes, backslashes and line breaks are escaped.
+std::string Escape(std::string_view text) {
+  std::string escaped;
+  for (char c : text) {
+    if (c == '"' || c == '\\') escaped += '\\';
+    escaped += c == '\n' ? ' ' : c;
+  }
+  return escaped;
+}
+
+void AppendHistogram(std::ostream& out, std::string_view name, const std::string& labels,
+                     const LatencyHistogram& histogram) {
+  std::uint64_t total = 0;
+  const std::string lead = labels.empty() ? "" : labels + ",";
+  for (std::size_t i = 0; i < kGatewayLatencyBounds.size(); ++i) {
+    total += histogram.buckets[i];
+    out << name << "_bucket{" << lead << "le=\"" << kGatewayLatencyBounds[i] << "\"} " << total
+        << '\n';
+  }
+  const std::string braces = labels.empty() ? "" : "{" + labels + "}";
+  out << name << "_bucket{" << lead << "le=\"+Inf\"} " << histogram.count << '\n'
+      << name << "_sum" << braces << ' ' << histogram.sum_s << '\n'
+      << name << "_count" << braces << ' ' << histogram.count << '\n';
+}
+
+}  // namespace
+
+std::string PrometheusText(const GatewayMetrics& metrics, const ProcessGauges& gauges) {
+  std::ostringstream out;
+  out << "# TYPE vanilladeck_requests_total counter\n";
+  for (const auto& [route, counters] : metrics.routes) {
+    for (std::size_t i = 0; i < counters.ends.size(); ++i) {
+      if (counters.ends[i] == 0) continue;
+      out << "vanilladeck_requests_total{route=\"" << Escape(route) << "\",end=\""
+          << kRequestEndNames[i] << "\"} " << counters.ends[i] << '\n';
+    }
+  }
+  out << "# TYPE vanilladeck_request_seconds histogram\n";
+  for (const auto& [route, counters] : metrics.routes) {
+    AppendHistogram(out, "vanilladeck_request_seconds", "route=\"" + Escape(route) + "\"",
+                    counters.latency);
+  }
+  out << "# TYPE vanilladeck_not_served_total counter\n";
+  for (const auto& [reason, n] : metrics.refusals) {
+    out << "vanilladeck_not_served_total{reason=\"" << Escape(reason) << "\"} " << n << '\n';
+  }
+  out << "# TYPE vanilladeck_attempts_total counter\n";
+  for (std::size_t i = 0; i < kAttemptEndNames.size(); ++i) {
+    out << "vanilladeck_attempts_total{end=\"" << kAttemptEndNames[i] << "\"} "
+        << metrics.attempts[i] << '\n';
+  }
+  out << "# TYPE vanilladeck_store_calls_total counter\n";
+  for (std::size_t i = 0; i < store::kVersionedCallNames.size(); ++i) {
+    out << "vanilladeck_store_calls_total{call=\"" << store::kVersionedCallNames[i] << "\"} "
+        << metrics.store_calls[i] << '\n';
+  }
+  out << "# TYPE vanilladeck_store_errors_total counter\n";
+  for (std::size_t i = 0; i < store::kCallErrorNames.size(); ++i) {
+    out << "vanilladeck_store_errors_total{error=\"" << store::kCallErrorNames[i] << "\"} "
+        << metrics.store_errors[i] << '\n';
+  }
+  AppendHistogram(out, "vanilladeck_server_seconds", "", metrics.server_latency);
+  AppendHistogram(out, "vanilladeck_connect_seconds", "", metrics.connect_latency);
+  const auto value = [&out](std::string_view name, double n) { out << name << ' ' << n << '\n'; };
+  value("vanilladeck_repeats_total", static_cast<double>(metrics.repeats));
+  value("vanilladeck_repeats_denied_total", static_cast<double>(metrics.repeats_denied));
+  value("vanilladeck_lookups_total", static_cast<double>(metrics.lookups));
+  value("vanilladeck_policy_version", static_cast<double>(gauges.policy_version));
+  value("vanilladeck_policy_age_seconds", gauges.policy_age_s);
+  value("vanilladeck_store_silence_seconds", gauges.store_silence_s);
+  value("vanilladeck_instances", static_cast<double>(gauges.instances));
+  value("vanilladeck_servers", static_cast<double>(gauges.servers));
+  value("vanilladeck_servers_usable", static_cast<double>(gauges.usable_servers));
+  value("vanilladeck_servers_draining", static_cast<double>(gauges.draining_servers));
+  value("vanilladeck_servers_cold", static_cast<double>(gauges.cold_servers));
+  value("vanilladeck_connections_opened_total", static_cast<double>(gauges.connections_opened));
+  value("vanilladeck_log_lines_dropped_total", static_cast<double>(gauges.dropped_lines));
+  return out.str();
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/metrics_text.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+
+#include "vanilladeck/gateway/gateway_metrics.h"
+
+namespace vanilladeck::gateway {
+
+/// Values that are read when the metrics are asked for.
+struct ProcessGauges {
+  std::uint64_t policy_version = 0;
+  double policy_age_s = 0;
+  double store_silence_s = 0;  ///< Since the store's last answer.
+  std::uint64_t instances = 0;
+  std::uint64_t servers = 0;
+  std::uint64_t usable_servers = 0;
+  std::uint64_t draining_servers = 0;
+  std::uint64_t cold_servers = 0;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t dropped_lines = 0;
+};
+
+/// Prometheus text format, version 0.0.4.
+[[nodiscard]] std::string PrometheusText(const GatewayMetrics& metrics,
+                                         const ProcessGauges& gauges);
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -0,0 +1,477 @@
+#include "vanilladeck/gateway/proxied_request.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace vanilladeck::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using steering::AttemptEnd;
+using telemetry::StreamEvent;
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+// A connection takes at most one round trip between regions (0.11 s); the rest is for a lost packet
+// that is not sent again in time anyway.
+constexpr core::Duration kConnectTimeout = milliseconds(500);
+// Servers that take no connection do not count as attempts; three in a row mean trouble here.
+constexpr std::uint32_t kMaxUnreachable = 3;
+// Instances see the counts of a window at slightly different times.
+constexpr double kBudgetSafety = 0.75;
+// Rejected requests come back spread over this range of the route's latency.
+constexpr double kReturnSpread = 0.5;
+constexpr milliseconds kShortestReturn{50};
+// An answer is worth starting only with this part of the route's objective left.
+constexpr int kShortestSendDivisor = 10;
+
+// Fields that concern one connection only (RFC 9110, section 7.6.1), and those set anew here.
+constexpr std::array<http::field, 9> kConnectionFields{
+    http::field::connection, http::field::keep_alive,     http::field::proxy_connection,
+    http::field::te,         http::field::trailer,        http::field::transfer_encoding,
+    http::field::upgrade,    http::field::content_length, http::field::expect};
+
+bool IsConnectionField(http::field field) {
+  return std::find(kConnectionFields.begin(), kConnectionFields.end(), field) !=
+         kConnectionFields.end();
+}
+
+/// True if the message's Connection field names this field.
+template <class Fields>
+bool IsNamedByConnection(const Fields& fields, boost::beast::string_view name) {
+  const auto it = fields.find(http::field::connection);
+  if (it == fields.end()) return false;
+  return http::token_list(it->value()).exists(name);
+}
+
+std::string CookieValue(std::string_view cookies, std::string_view name) {
+  while (!cookies.empty()) {
+    const auto end = cookies.find(';');
+    std::string_view pair = cookies.substr(0, end);
+    cookies = end == std::string_view::npos ? std::string_view() : cookies.substr(end + 1);
+    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
+    const auto equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return std::string(pair.substr(equals + 1));
+    }
+  }
+  return {};
+}
+
+template <class Fields>
+std::string_view FieldOf(const Fields& fields, const std::string& name) {
+  const auto it = fields.find(name);
+  if (it == fields.end()) return {};
+  return {it->value().data(), it->value().size()};
+}
+
+std::optional<std::int64_t> ParseCount(std::string_view text) {
+  std::int64_t n = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc{} || end != text.data() + text.size() || n < 0) return std::nullopt;
+  return n;
+}
+
+std::int64_t Ms(core::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+ProxiedRequest::ProxiedRequest(Context& context, std::shared_ptr<ClientSession> session,
+                               Request request)
+    : context_(context),
+      session_(std::move(session)),
+      request_(std::move(request)),
+      received_(session_->request_began()) {}
+
+std::shared_ptr<PendingRequest> ProxiedRequest::Start(Context& context,
+                                                      const std::shared_ptr<ClientSession>& session,
+                                                      Request request) {
+  auto self = std::make_shared<ProxiedRequest>(context, session, std::move(request));
+  if (!self->Begin()) return nullptr;
+  self->TryServer();
+  if (self->finished_) return nullptr;
+  return self;
+}
+
+bool ProxiedRequest::Begin() {
+  id_ = FieldOf(request_, context_.names.request_id);
+  routes_ = context_.routes;
+  if (!routes_) {
+    Refuse("no-policy");
+    return false;
+  }
+  const auto host = request_[http::field::host];
+  const std::string_view target(request_.target().data(), request_.target().size());
+  route_ = routes_->Match({host.data(), host.size()}, target);
+  if (route_ == nullptr) {
+    Answer(404, RequestEnd::kNoRoute, "no-route");
+    return false;
+  }
+  if (id_.empty()) {
+    Answer(400, RequestEnd::kBadRequest, "no-request-id");
+    return false;
+  }
+  core::Duration allowed = route_->timeout;
+  if (const auto ms = ParseCount(FieldOf(request_, context_.names.deadline_ms))) {
+    allowed = std::min<core::Duration>(allowed, milliseconds(*ms));
+  }
+  deadline_ = received_ + allowed;
+  const auto cookies = request_[http::field::cookie];
+  if (route_->session_affinity) {
+    object_ = CookieValue({cookies.data(), cookies.size()}, context_.names.affinity_cookie);
+  }
+  spread_ = context_.random();
+  service_name_ = steering::ChooseService(
+      *route_, std::uniform_real_distribution<double>(0, 1)(context_.random));
+  service_ = routes_->Service(service_name_);
+  context_.RetriesOf(service_name_).OnFirst(core::RuntimeClock::now());
+  return true;
+}
+
+void ProxiedRequest::TryServer() {
+  const core::TimePoint now = core::RuntimeClock::now();
+  const steering::PickQuery query{route_, service_, object_, spread_, deadline_ - now, &tried_};
+  auto choice = context_.picker.Choose(query, now);
+  if (const auto* reason = std::get_if<steering::NoServerReason>(&choice)) {
+    const auto name = steering::kNoServerReasonNames[static_cast<std::size_t>(*reason)];
+    if (may_have_run_) {
+      Fail(kBadGateway, name);
+    } else {
+      Refuse(name);
+    }
+    return;
+  }
+  auto& pick = std::get<steering::Pick>(choice);
+  server_ = std::move(pick.server);
+  position_ = pick.position;
+  tried_.push_back(server_->report.id);
+  load_when_sent_ = server_->Load();
+  sent_ = now;
+  context_.servers.OnSent(*server_, now);
+  if (deadline_id_ == 0) {
+    deadline_id_ = context_.deadlines.Add(deadline_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->OnDeadline();
+    });
+  }
+  context_.pool.Acquire(*server_, route_->kind, std::min(deadline_, now + kConnectTimeout),
+                        [self = shared_from_this(), server = server_](
+                            UpstreamPool::ConnectionPtr connection, bool fresh, std::string error) {
+                          if (self->finished_ || self->server_ != server) {
+                            if (connection) self->context_.pool.Release(*server, connection);
+                            return;
+                          }
+                          self->OnConnection(connection, fresh, error);
+                        });
+}
+
+void ProxiedRequest::OnConnection(const UpstreamPool::ConnectionPtr& connection, bool fresh,
+                                  const std::string& error) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (!connection) {
+    EndAttempt(AttemptEnd::kUnreachable, error);
+    ++unreachable_;
+    if (unreachable_ < kMaxUnreachable) {
+      TryServer();
+    } else if (may_have_run_) {
+      Fail(kBadGateway, "unreachable");
+    } else {
+      Refuse("unreachable");
+    }
+    return;
+  }
+  if (fresh) context_.metrics.connect_latency.Add(now - sent_);
+  // The server may have begun to drain, or another instance's cold share may have changed, while
+  // the connection was being made.
+  if (!context_.servers.Assignable(*server_)) {
+    context_.pool.Release(*server_, connection);
+    EndAttempt(AttemptEnd::kAbandoned, "no longer assignable");
+    TryServer();
+    return;
+  }
+  Send(connection, fresh);
+}
+
+void ProxiedRequest::Send(const UpstreamPool::ConnectionPtr& connection, bool /*fresh*/) {
+  connection_ = connection;
+  ++arrivals_;
+  connection_->Exchange(
+      UpstreamText(core::RuntimeClock::now()), request_.method() == http::verb::head,
+      deadline_ + kConnectTimeout,
+      [self = shared_from_this()](const Response& response) {
+        return self->BelongsToRequest(response);
+      },
+      [self = shared_from_this(), server = server_, connection](ExchangeOutcome outcome) {
+        self->context_.pool.Release(*server, connection);
+        if (self->finished_ || self->connection_ != connection) return;
+        self->connection_ = nullptr;
+        self->OnOutcome(std::move(outcome));
+      });
+}
+
+std::string ProxiedRequest::UpstreamText(core::TimePoint now) const {
+  const auto& names = context_.names;
+  std::string text;
+  text.reserve(512 + request_.body().size());
+  const auto append = [&text](std::string_view name, std::string_view value) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  };
+  const auto method = request_.method_string();
+  text.append(method.data(), method.size()).append(" ");
+  text.append(request_.target().data(), request_.target().size()).append(" HTTP/1.1\r\n");
+  for (const auto& it : request_) {
+    const std::string_view name(it.name_string().data(), it.name_string().size());
+    if (IsConnectionField(it.name()) || IsNamedByConnection(request_, it.name_string())) continue;
+    if (boost::beast::iequals(it.name_string(), names.deadline_ms) ||
+        boost::beast::iequals(it.name_string(), names.expected_server)) {
+      continue;
+    }
+    append(name, {it.value().data(), it.value().size()});
+  }
+  append(names.deadline_ms, std::to_string(std::max<std::int64_t>(1, Ms(deadline_ - now))));
+  append(names.expected_server, server_->report.id);
+  const bool has_body = !request_.body().empty() || request_.method() == http::verb::post ||
+                        request_.method() == http::verb::put;
+  if (has_body) append("Content-Length", std::to_string(request_.body().size()));
+  text.append("\r\n").append(request_.body());
+  return text;
+}
+
+bool ProxiedRequest::BelongsToRequest(const Response& response) const {
+  const std::string_view id = FieldOf(response, context_.names.request_id);
+  // Servers that refuse before they read the request's fields cannot echo its id.
+  if (id.empty()) {
+    return response.count(context_.names.not_run) > 0 || response.result_int() == kMisdirected;
+  }
+  return id == id_;
+}
+
+std::optional<steering::ServerLoad> ProxiedRequest::LoadOf(const Response& response) const {
+  const std::string_view text = FieldOf(response, context_.names.server_load);
+  const auto first = text.find(',');
+  const auto second = first == std::string_view::npos ? first : text.find(',', first + 1);
+  if (second == std::string_view::npos) return std::nullopt;
+  const auto running = ParseCount(text.substr(0, first));
+  const auto waiting = ParseCount(text.substr(first + 1, second - first - 1));
+  const auto slots = ParseCount(text.substr(second + 1));
+  if (!running || !waiting || !slots) return std::nullopt;
+  return steering::ServerLoad{static_cast<std::uint32_t>(*running),
+                              static_cast<std::uint32_t>(*waiting),
+                              static_cast<std::uint32_t>(*slots)};
+}
+
+void ProxiedRequest::EndAttempt(AttemptEnd end, const std::string& detail,
+                                const std::optional<steering::ServerLoad>& load) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  const core::Duration latency = now - sent_;
+  ++context_.metrics.attempts[static_cast<std::size_t>(end)];
+  const bool unqueued = load_when_sent_ < server_->report.slots;
+  const bool ejected_before = now < server_->ejected_until;
+  context_.servers.OnEnd(*server_, end, load, latency,
+                         unqueued ? context_.picker.Expected(*route_) : core::Duration::zero(),
+                         now);
+  if (end == AttemptEnd::kAnswered) {
+    context_.metrics.server_latency.Add(latency);
+    if (unqueued) context_.picker.OnLatency(*route_, latency);
+  } else if (end != AttemptEnd::kAbandoned) {
+    context_.events.Write(StreamEvent::kAttempt, {{"id", id_},
+                                                  {"server", server_->report.id},
+                                                  {"end", static_cast<int>(end)},
+                                                  {"detail", detail},
+                                                  {"ms", Ms(latency)},
+                                                  {"load", load_when_sent_},
+                                                  {"report_age_ms", Ms(now - server_->reported_at)},
+                                                  {"position", position_}});
+  }
+  if (!ejected_before && now < server_->ejected_until) {
+    context_.events.Write(StreamEvent::kServerEjected,
+                          {{"server", server_->report.id},
+                           {"failures", server_->failures_in_row},
+                           {"for_ms", Ms(server_->ejected_until - now)}});
+    context_.pool.Forget(*server_);
+  }
+  server_ = nullptr;
+}
+
+void ProxiedRequest::OnOutcome(ExchangeOutcome outcome) {
+  if (outcome.end == ExchangeEnd::kResponse) {
+    OnResponse(std::move(outcome.response));
+    return;
+  }
+  may_have_run_ = true;
+  const auto name = kExchangeEndNames[static_cast<std::size_t>(outcome.end)];
+  EndAttempt(AttemptEnd::kFailed, std::string(name) + ": " + outcome.detail);
+  if (route_->kind == config::RequestKind::kIdempotent && Repeat(true)) return;
+  Fail(outcome.end == ExchangeEnd::kTimeout ? kGatewayTimeout : kBadGateway, name);
+}
+
+void ProxiedRequest::OnResponse(Response response) {
+  const unsigned status = response.result_int();
+  const auto load = LoadOf(response);
+  if (status == kMisdirected || response.count(context_.names.not_run) > 0) {
+    if (status == kMisdirected) context_.servers.OnMisdirected(*server_);
+    EndAttempt(status == kMisdirected ? AttemptEnd::kUnreachable : AttemptEnd::kShed,
+               "not run, status " + std::to_string(status), load);
+    OnNotRun(response);
+    return;
+  }
+  const bool idempotent = route_->kind == config::RequestKind::kIdempotent;
+  may_have_run_ = true;
+  const bool success = status < 300;
+  if (response.count(http::field::content_encoding) > 0 ||
+      (success && FieldOf(response, context_.names.seal).empty())) {
+    EndAttempt(AttemptEnd::kFailed, "not the server's body", load);
+    if (idempotent && Repeat(true)) return;
+    Fail(kBadGateway, "spoiled-response");
+    return;
+  }
+  if (status >= kFirstServerError) {
+    EndAttempt(AttemptEnd::kServerError, "status " + std::to_string(status), load);
+    if (idempotent && Repeat(true)) return;
+  } else {
+    EndAttempt(AttemptEnd::kAnswered, {}, load);
+  }
+  Forward(response);
+}
+
+void ProxiedRequest::OnNotRun(const Response& response) {
+  if (Repeat(true)) return;
+  if (may_have_run_) {
+    Fail(kBadGateway, "not-run-after-failure");
+  } else if (response.result_int() == 400) {
+    Answer(400, RequestEnd::kBadRequest, "server-400");
+  } else {
+    Refuse("servers-refuse");
+  }
+}
+
+bool ProxiedRequest::Repeat(bool arrived) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (arrivals_ >= route_->attempts) return false;
+  if (deadline_ - now < core::Duration(route_->objective) / kShortestSendDivisor) return false;
+  if (arrived) {
+    const double allowance = context_.fleet.Part(context_.limits.retry_allowance) * kBudgetSafety;
+    if (!context_.RetriesOf(service_name_)
+             .TryRepeat(context_.limits.retry_ratio * kBudgetSafety, allowance, now)) {
+      ++context_.metrics.repeats_denied;
+      return false;
+    }
+  }
+  ++context_.metrics.repeats;
+  TryServer();
+  return true;
+}
+
+void ProxiedRequest::Forward(const Response& response) {
+  std::string head = "HTTP/1.1 " + std::to_string(response.result_int()) + " ";
+  head.append(response.reason().data(), response.reason().size()).append("\r\n");
+  for (const auto& it : response) {
+    if (IsConnectionField(it.name()) || IsNamedByConnection(response, it.name_string())) continue;
+    head.append(it.name_string().data(), it.name_string().size()).append(": ");
+    head.append(it.value().data(), it.value().size()).append("\r\n");
+  }
+  const unsigned status = response.result_int();
+  if (status != 204 && status != 304) {
+    head += "Content-Length: " + std::to_string(response.body().size()) + "\r\n";
+  }
+  session_->Reply(std::move(head), response.body());
+  Finish(status >= kFirstServerError ? RequestEnd::kServerError : RequestEnd::kServed, status, {});
+}
+
+void ProxiedRequest::Refuse(std::string_view reason) {
+  Answer(kUnavailable, RequestEnd::kRefused, reason);
+}
+
+void ProxiedRequest::Fail(unsigned status, std::string_view reason) {
+  Answer(status, status == kGatewayTimeout ? RequestEnd::kTimedOut : RequestEnd::kFailed, reason);
+}
+
+void ProxiedRequest::Answer(unsigned status, RequestEnd end, std::string_view reason) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  const auto text = http::obsolete_reason(http::int_to_status(status));
+  head.append(text.data(), text.size()).append("\r\nContent-Length: 0\r\n");
+  if (!id_.empty()) head += context_.names.request_id + ": " + id_ + "\r\n";
+  if (status == kUnavailable) {
+    // Work at the servers ends at about the route's latency; the spread keeps those that were
+    // rejected together from returning together.
+    core::Duration wait = kShortestReturn;
+    if (route_ != nullptr) {
+      const double spread = std::uniform_real_distribution<double>(
+          1 - kReturnSpread, 1 + kReturnSpread)(context_.random);
+      const auto usual = static_cast<double>(context_.picker.Expected(*route_).count());
+      wait =
+          std::max<core::Duration>(wait, core::Duration(static_cast<std::int64_t>(usual * spread)));
+    }
+    std::array<char, 32> buf{};
+    const int n =
+        std::snprintf(buf.data(), buf.size(), "%.3f", std::chrono::duration<double>(wait).count());
+    head.append("Retry-After: ").append(buf.data(), static_cast<std::size_t>(n)).append("\r\n");
+  }
+  session_->Reply(std::move(head), {});
+  Finish(end, status, reason);
+}
+
+void ProxiedRequest::Finish(RequestEnd end, unsigned status, std::string_view reason) {
+  finished_ = true;
+  context_.deadlines.Remove(deadline_id_);
+  const core::Duration latency = core::RuntimeClock::now() - received_;
+  const std::string route_name = route_ == nullptr ? "none" : route_->name;
+  context_.metrics.CountRequest(route_name, end, latency);
+  if (!reason.empty()) ++context_.metrics.refusals[std::string(reason)];
+  const bool failure = end != RequestEnd::kServed && end != RequestEnd::kClientGone;
+  if (failure || telemetry::EventStream::Sampled(id_)) {
+    StreamEvent event = StreamEvent::kRequest;
+    if (end == RequestEnd::kRefused) event = StreamEvent::kRefused;
+    if (end == RequestEnd::kFailed || end == RequestEnd::kTimedOut) event = StreamEvent::kFailed;
+    context_.events.Write(event, {{"id", id_},
+                                  {"route", route_name},
+                                  {"service", service_name_},
+                                  {"policy", routes_ ? routes_->version() : 0},
+                                  {"end", kRequestEndNames[static_cast<std::size_t>(end)]},
+                                  {"status", status},
+                                  {"reason", reason},
+                                  {"ms", Ms(latency)},
+                                  {"left_ms", Ms(deadline_ - core::RuntimeClock::now())},
+                                  {"servers", tried_},
+                                  {"position", position_},
+                                  {"may_have_run", may_have_run_}});
+  }
+  session_ = nullptr;
+}
+
+void ProxiedRequest::OnClientGone() {
+  if (finished_) return;
+  const auto self = shared_from_this();
+  const auto connection = std::move(connection_);
+  connection_ = nullptr;
+  if (server_) EndAttempt(AttemptEnd::kAbandoned, "client gone");
+  if (connection) connection->Cancel();
+  Finish(RequestEnd::kClientGone, 0, {});
+}
+
+void ProxiedRequest::OnDeadline() {
+  if (finished_) return;
+  deadline_id_ = 0;
+  const auto self = shared_from_this();
+  const auto connection = std::move(connection_);
+  connection_ = nullptr;
+  if (server_) EndAttempt(AttemptEnd::kAbandoned, "deadline");
+  const bool sent = connection != nullptr || may_have_run_;
+  if (connection) connection->Cancel();
+  if (sent) {
+    Fail(kGatewayTimeout, "deadline");
+  } else {
+    Refuse("deadline");
+  }
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/socket_options.cc
@@ -0,0 +1,32 @@
+#include "vanilladeck/gateway/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace vanilladeck::gateway {
+namespace {
+
+// Instances and servers answer within 0.2 s between regions; 1.5 s without an acknowledgement is
+// longer than one lost packet explains.
+constexpr int kUserTimeoutMs = 1500;
+constexpr int kKeepAliveIdleS = 2;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+}  // namespace
+
+void SetConnectionOptions(boost::asio::ip::tcp::socket& socket) {
+  // A failure only leaves the system's defaults in force; the connection still works.
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  const int fd = socket.native_handle();
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS, sizeof(kKeepAliveIdleS));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalS,
+                   sizeof(kKeepAliveIntervalS));
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(kKeepAliveProbes));
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -0,0 +1,66 @@
+#include "vanilladeck/gateway/store_channel.h"
+
+namespace vanilladeck::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One round trip between regions takes 0.11 s.
+constexpr core::Duration kConnectTimeout = milliseconds(600);
+
+std::string RequestText(const store::EncodedCall& call, const std::string& host) {
+  std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
+  if (!call.body.empty()) text += "Content-Type: application/json\r\n";
+  if (call.method != "GET") text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  return text + "\r\n" + call.body;
+}
+
+}  // namespace
+
+StoreChannel::StoreChannel(boost::asio::io_context& context, Deadlines& deadlines,
+                           boost::asio::ip::tcp::endpoint store, std::string host,
+                           const store::VersionedCodec& codec)
+    : context_(context),
+      deadlines_(deadlines),
+      store_(std::move(store)),
+      host_(std::move(host)),
+      codec_(codec) {}
+
+void StoreChannel::Call(const store::VersionedCall& call, core::Duration timeout, Done done) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  core::TimePoint deadline = now + timeout;
+  if (const auto* watch = std::get_if<store::WatchChanges>(&call)) deadline += watch->wait;
+  if (connection_ && connection_->reusable() && connection_->QuietNow()) {
+    Send(call, deadline, done);
+    return;
+  }
+  if (connection_) connection_->Cancel();
+  connection_ = std::make_shared<UpstreamConnection>(context_, deadlines_);
+  connection_->Connect(store_, std::min(deadline, now + kConnectTimeout),
+                       [this, call, deadline, done](boost::system::error_code ec) {
+                         if (ec) {
+                           done(store::CallError{store::CallErrorCode::kUnreachable, ec.message()});
+                           return;
+                         }
+                         Send(call, deadline, done);
+                       });
+}
+
+void StoreChannel::Send(const store::VersionedCall& call, core::TimePoint deadline,
+                        const Done& done) {
+  const auto connection = connection_;
+  connection->Exchange(
+      RequestText(codec_.Encode(call), host_), false, deadline, nullptr,
+      [this, connection, call, done](ExchangeOutcome outcome) {
+        if (connection->reusable()) connection->WatchIdle(nullptr);
+        if (outcome.end != ExchangeEnd::kResponse) {
+          const auto name = kExchangeEndNames[static_cast<std::size_t>(outcome.end)];
+          done(store::CallError{store::CallErrorCode::kNoAnswer,
+                                std::string(name) + ": " + outcome.detail});
+          return;
+        }
+        done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body()));
+      });
+}
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "vanilladeck/gateway/upstream_connection.h"
+#include "vanilladeck/store/versioned_call.h"
+
+namespace vanilladeck::gateway {
+
+/// One kept connection to the store, one call at a time.
+class StoreChannel {
+ public:
+  using Done = std::function<void(const store::VersionedResult&)>;
+
+  StoreChannel(boost::asio::io_context& context, Deadlines& deadlines,
+               boost::asio::ip::tcp::endpoint store, std::string host,
+               const store::VersionedCodec& codec);
+
+  /// `timeout` bounds the whole call; a watch's own wait is added. `done` runs exactly once.
+  void Call(const store::VersionedCall& call, core::Duration timeout, Done done);
+
+ private:
+  void Send(const store::VersionedCall& call, core::TimePoint deadline, const Done& done);
+
+  boost::asio::io_context& context_;
+  Deadlines& deadlines_;
+  boost::asio::ip::tcp::endpoint store_;
+  std::string host_;
+  const store::VersionedCodec& codec_;
+  std::shared_ptr<UpstreamConnection> connection_;
+};
+
+}  // namespace vanilladeck::gateway
--- /dev/null
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "vanilladeck/gateway/deadlines.h"
+
+namespace vanilladeck::gateway {
+
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+enum class ExchangeEnd : std::uint8_t {
+  kResponse,  ///< A whole response.
+  kClosed,    ///< Closed or reset before a whole response.
+  kTimeout,
+  kMalformed,  ///< The bytes are no response, or the response is over the limits.
+  kCancelled,
+};
+
+inline constexpr std::array<std::string_view, 5> kExchangeEndNames{"response", "closed", "timeout",
+                                                                   "malformed", "cancelled"};
+
+struct ExchangeOutcome {
+  ExchangeEnd end = ExchangeEnd::kClosed;
+  Response response;      ///< Set for `kResponse`.
+  bool any_byte = false;  ///< Part of a response arrived.
+  std::string detail;
+};
+
+/// Responses beyond these are cut off as malformed.
+struct ResponseLimits {
+  std::uint32_t header_bytes = 65536;
+  std::uint64_t body_bytes = 16U << 20U;
+};
+
+/// A client connection for HTTP/1.1 exchanges, one at a time, on one thread.
+///
+/// While idle it watches for the peer's close and for stray bytes; either ends it. A connection
+/// whose last exchange left any doubt reports that it is not reusable.
+class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  using ConnectDone = std::function<void(boost::system::error_code)>;
+  using ExchangeDone = std::function<void(ExchangeOutcome)>;
+  /// True if the response belongs to the request; others are dropped and the next one is awaited.
+  using Accepts = std::function<bool(const Response&)>;
+
+  UpstreamConnection(boost::asio::io_context& context, Deadlines& deadlines,
+                     const ResponseLimits& limits = {});
+  ~UpstreamConnection();
+  UpstreamConnection(const UpstreamConnection&) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+
+  void Connect(const boost::asio::ip::tcp::endpoint& endpoint, core::TimePoint deadline,
+               ConnectDone done);
+
+  /// `done` runs exactly once, also after `Cancel`.
+  void Exchange(std::string request, bool is_head, core::TimePoint deadline, Accepts accepts,
+                ExchangeDone done);
+
+  /// Ends the connection and the exchange under way.
+  void Cancel();
+
+  /// Watches an idle connection; `on_closed` runs when it ends by itself.
+  void WatchIdle(std::function<void()> on_closed);
+
+  /// Asks the kernel whether the idle peer has neither closed nor sent anything.
+  [[nodiscard]] bool QuietNow();
+
+  [[nodiscard]] bool reusable() const noexcept { return reusable_ && socket_.is_open(); }
+  [[nodiscard]] core::TimePoint idle_since() const noexcept { return idle_since_; }
+  /// How long the peer keeps the connection when idle, if it says so.
+  [[nodiscard]] std::optional<core::Duration> keep_alive() const noexcept { return keep_alive_; }
+
+ private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void StartParser();
+  void Read();
+  void OnRead(boost::system::error_code ec, std::size_t n);
+  void Parse();
+  void OnResponse();
+  void Finish(ExchangeEnd end, std::string detail);
+  void Close();
+
+  boost::asio::ip::tcp::socket socket_;
+  Deadlines& deadlines_;
+  ResponseLimits limits_;
+  Deadlines::Id deadline_ = 0;
+  std::string request_;
+  bool writing_ = false;
+  bool reading_ = false;
+  bool is_head_ = false;
+  bool reusable_ = false;
+  bool dropped_response_ = false;
+  bool any_byte_ = false;
+  std::optional<Parser> parser_;
+  std::string input_;
+  std::array<char, 8192> buf_{};
+  Accepts accepts_;
+  ExchangeDone done_;
+  ConnectDone connect_done_;
+  std::function<void()> on_idle_closed_;
+  core::TimePoint idle_since_;
+  std::optional<core::Duration> keep_alive_;
+};
+
+}  // namespace vanilladeck::gateway
--- a/src/vanilladeck/http/connection_pool.cc
+++ b/src/vanilladeck/http/connection_pool.cc
@@ -22,19 +22,6 @@
 
 }  // namespace
 
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  std::string ip(text.substr(0, colon));
-  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') ip = ip.substr(1, ip.size() - 2);
-  boost::system::error_code ec;
-  const auto address = boost::asio::ip::make_address(ip, ec);
-  const auto port = ParseNumber(text.substr(colon + 1));
-  constexpr std::uint64_t kMaxPort = 65'535;
-  if (ec || !port || *port == 0 || *port > kMaxPort) return std::nullopt;
-  return boost::asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(*port));
-}
-
 ConnectionPool::ConnectionPool(boost::asio::any_io_executor executor, const BackendLimits& limits,
                                admission::ConnectionHealth health)
     : executor_(std::move(executor)), limits_(limits), health_(std::move(health)) {}
--- a/src/vanilladeck/http/connection_pool.h
+++ b/src/vanilladeck/http/connection_pool.h
@@ -12,6 +12,7 @@
 #include "vanilladeck/admission/connection_health.h"
 #include "vanilladeck/core/result.h"
 #include "vanilladeck/http/backend_connection.h"
+#include "vanilladeck/http/endpoint.h"
 
 namespace vanilladeck::http {
 
@@ -74,7 +75,4 @@
   admission::ConnectionId next_id_ = 1;
 };
 
-/// Parses "IP:port" of the platform's list; none when malformed.
-[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
-
 }  // namespace vanilladeck::http
--- /dev/null
+++ b/src/vanilladeck/membership/registration.cc
@@ -0,0 +1,119 @@
+#include "vanilladeck/membership/registration.h"
+
+#include <nlohmann/json.hpp>
+
+namespace vanilladeck::membership {
+
+std::string EncodeInstance(const InstanceRecord& record) {
+  return nlohmann::json{{"address", record.address},
+                        {"failure_domain", record.failure_domain},
+                        {"region", record.region},
+                        {"ready", record.ready}}
+      .dump();
+}
+
+std::optional<InstanceRecord> DecodeInstance(const std::string& key, const std::string& value) {
+  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto text = [&](const char* field) {
+    const auto it = json.find(field);
+    return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+  };
+  if (!json.is_object() || key.size() <= kInstancePrefix.size()) return std::nullopt;
+  InstanceRecord record{key.substr(kInstancePrefix.size()), text("address"), text("failure_domain"),
+                        text("region"), json.value("ready", false)};
+  if (record.address.empty() || record.region.empty()) return std::nullopt;
+  return record;
+}
+
+Registration::Registration(RegistrationSettings settings, InstanceRecord record)
+    : settings_(settings), record_(std::move(record)) {}
+
+std::string Registration::Key() const { return std::string(kInstancePrefix) + record_.name; }
+
+void Registration::SetReady(bool ready) {
+  if (record_.ready == ready) return;
+  record_.ready = ready;
+  record_changed_ = true;
+  due_ = core::TimePoint{};
+}
+
+void Registration::Withdraw() {
+  if (state_ == State::kWithdrawn) return;
+  state_ = State::kWithdrawing;
+  due_ = core::TimePoint{};
+}
+
+void Registration::OnRecordMissing() {
+  if (state_ == State::kRegistered) state_ = State::kNoLease;
+}
+
+std::optional<store::VersionedCall> Registration::Next(core::TimePoint now) {
+  if (in_flight_ || now < due_) return std::nullopt;
+  switch (state_) {
+    case State::kNoLease:
+      in_flight_ = true;
+      return store::GrantLease{settings_.ttl};
+    case State::kLeased:
+      in_flight_ = true;
+      record_changed_ = false;
+      return store::PutItem{Key(), EncodeInstance(record_), lease_};
+    case State::kRegistered:
+      if (record_changed_) {
+        in_flight_ = true;
+        record_changed_ = false;
+        return store::PutItem{Key(), EncodeInstance(record_), lease_};
+      }
+      if (now - renewed_ < settings_.renew_interval) return std::nullopt;
+      in_flight_ = true;
+      return store::RenewLease{lease_};
+    case State::kWithdrawing:
+      in_flight_ = true;
+      deleting_ = true;
+      return store::DeleteItem{Key()};
+    case State::kWithdrawn:
+      break;
+  }
+  return std::nullopt;
+}
+
+void Registration::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
+  in_flight_ = false;
+  const bool deleted = deleting_;
+  deleting_ = false;
+  // An answer from before the withdrawal changes nothing any more.
+  if (state_ == State::kWithdrawing && !deleted) return;
+  if (!result) {
+    due_ = now + settings_.retry_pause;
+    if (state_ == State::kWithdrawing) return;
+    if (result.error().code == store::CallErrorCode::kLeaseEnded) {
+      state_ = State::kNoLease;
+      due_ = now;
+    } else if (state_ == State::kRegistered) {
+      record_changed_ = true;
+    }
+    return;
+  }
+  if (const auto* granted = std::get_if<store::LeaseGranted>(&result.value())) {
+    if (state_ != State::kNoLease) return;
+    lease_ = granted->lease;
+    renewed_ = now;
+    state_ = State::kLeased;
+    return;
+  }
+  switch (state_) {
+    case State::kLeased:
+      state_ = State::kRegistered;
+      break;
+    case State::kRegistered:
+      renewed_ = now;
+      break;
+    case State::kWithdrawing:
+      state_ = State::kWithdrawn;
+      break;
+    case State::kNoLease:
+    case State::kWithdrawn:
+      break;
+  }
+}
+
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -0,0 +1,143 @@
+#include "vanilladeck/membership/store_follower.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace vanilladeck::membership {
+
+StoreFollower::StoreFollower(FollowerSettings settings, Sink sink)
+    : settings_(settings), sink_(std::move(sink)) {}
+
+void StoreFollower::StartListing() noexcept {
+  listing_ = true;
+  page_after_.clear();
+  listing_revision_ = 0;
+  listed_.clear();
+}
+
+std::optional<store::VersionedCall> StoreFollower::Next(core::TimePoint now) {
+  if (!started_) {
+    started_ = true;
+    last_success_ = now;
+  }
+  if (in_flight_ || now < due_) return std::nullopt;
+  in_flight_ = true;
+  if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
+  if (listing_) return store::ReadRange{"", page_after_};
+  due_ = now + settings_.poll_interval;
+  return store::WatchChanges{"", revision_, settings_.watch_wait};
+}
+
+void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
+  in_flight_ = false;
+  if (!result) {
+    OnFailure(result.error(), now);
+  } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
+    NoteSuccess(now);
+    OnPage(*page, now);
+  } else if (const auto* changes = std::get_if<store::Changes>(&result.value())) {
+    NoteSuccess(now);
+    OnChanges(*changes, now);
+  }
+}
+
+void StoreFollower::NoteSuccess(core::TimePoint now) {
+  const bool was_silent = now - last_success_ >= settings_.outage_after;
+  last_success_ = now;
+  if (!reachable_ || was_silent) {
+    recovered_at_ = now;
+    if (!reachable_ && sink_.on_reachable) sink_.on_reachable(true);
+    reachable_ = true;
+  }
+}
+
+void StoreFollower::OnPage(const store::RangePage& page, core::TimePoint now) {
+  if (page_after_.empty()) listing_revision_ = page.revision;
+  for (const store::Item& it : page.items) {
+    listed_.insert(it.key);
+    Take(it);
+  }
+  if (page.more && !page.items.empty()) {
+    page_after_ = page.items.back().key;
+    due_ = now;
+    return;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, revision] : known_) {
+    if (listed_.count(key) == 0 && revision <= listing_revision_) missing.push_back(key);
+  }
+  for (const std::string& it : missing) Remove(it, now);
+  // A stale listing must not move the feed back.
+  revision_ = std::max(revision_, listing_revision_);
+  listing_ = false;
+  last_listing_ = now;
+  due_ = now + settings_.poll_interval;
+  synced_once_ = true;
+  if (sink_.on_synced) sink_.on_synced();
+}
+
+void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
+  for (const store::Change& it : changes.changes) {
+    if (it.removed) {
+      const auto known = known_.find(it.item.key);
+      if (known != known_.end() && known->second < it.item.revision) Remove(it.item.key, now);
+    } else {
+      Take(it.item);
+    }
+  }
+  revision_ = std::max(revision_, changes.revision);
+}
+
+void StoreFollower::OnFailure(const store::CallError& error, core::TimePoint now) {
+  if (error.code == store::CallErrorCode::kHistoryLost) {
+    NoteSuccess(now);
+    StartListing();
+    due_ = now;
+    return;
+  }
+  if (listing_) StartListing();
+  due_ = now + settings_.retry_pause;
+}
+
+void StoreFollower::Take(const store::Item& item) {
+  auto [known, added] = known_.try_emplace(item.key, item.revision);
+  if (!added) {
+    if (item.revision < known->second) return;
+    const bool same = item.revision == known->second;
+    known->second = item.revision;
+    if (same && lapsed_.count(item.key) == 0) return;
+  }
+  lapsed_.erase(item.key);
+  if (sink_.on_item) sink_.on_item(item);
+}
+
+void StoreFollower::Remove(const std::string& key, core::TimePoint now) {
+  if (now - recovered_at_ < settings_.lapse_grace && recovered_at_ != core::TimePoint{}) {
+    lapsed_.emplace(key, recovered_at_ + settings_.lapse_grace);
+    return;
+  }
+  known_.erase(key);
+  lapsed_.erase(key);
+  if (sink_.on_removed) sink_.on_removed(key);
+}
+
+void StoreFollower::Tick(core::TimePoint now) {
+  if (started_ && reachable_ && now - last_success_ >= settings_.outage_after) {
+    reachable_ = false;
+    if (sink_.on_reachable) sink_.on_reachable(false);
+  }
+  // Without the store nobody can register again, so the grace does not run meanwhile.
+  if (!reachable_) return;
+  for (auto it = lapsed_.begin(); it != lapsed_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    const std::string key = it->first;
+    it = lapsed_.erase(it);
+    known_.erase(key);
+    if (sink_.on_removed) sink_.on_removed(key);
+  }
+}
+
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/src/vanilladeck/membership/store_follower.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "vanilladeck/core/runtime_clock.h"
+#include "vanilladeck/store/versioned_call.h"
+
+namespace vanilladeck::membership {
+
+struct FollowerSettings {
+  /// Pause between two reads of changes. Servers report every 1.5 s, so that an open watch would
+  /// return for every single report; one read a second costs a fraction of that.
+  core::Duration poll_interval = std::chrono::milliseconds(1000);
+  std::chrono::milliseconds watch_wait{1000};
+  /// A failed call is repeated after this pause.
+  core::Duration retry_pause = std::chrono::milliseconds(300);
+  /// Entries that vanished during an outage are kept this long after the store's return, since
+  /// servers that live register again within 2 s.
+  core::Duration lapse_grace = std::chrono::milliseconds(2200);
+  /// Everything is read again this often, which bounds the effect of changes that a watch missed.
+  core::Duration relist_interval = std::chrono::seconds(5);
+  /// Silence from the store that makes it count as unreachable.
+  core::Duration outage_after = std::chrono::milliseconds(2500);
+};
+
+/// Follows all items of the store: a listing, then reads of changes.
+///
+/// Pure state machine: `Next` gives the call to make, `OnAnswer` takes the result. Removals are
+/// held back around an outage of the store.
+class StoreFollower {
+ public:
+  struct Sink {
+    std::function<void(const store::Item&)> on_item;
+    std::function<void(const std::string& key)> on_removed;
+    std::function<void()> on_synced;                   ///< A complete listing was taken over.
+    std::function<void(bool reachable)> on_reachable;  ///< Outage begins or ends.
+  };
+
+  StoreFollower(FollowerSettings settings, Sink sink);
+
+  /// The next call, if one is due and none is in flight.
+  [[nodiscard]] std::optional<store::VersionedCall> Next(core::TimePoint now);
+  void OnAnswer(const store::VersionedResult& result, core::TimePoint now);
+
+  /// Applies removals whose grace has ended and notices an outage; call several times a second.
+  void Tick(core::TimePoint now);
+
+  /// When `Next` is due again, if nothing is in flight.
+  [[nodiscard]] core::TimePoint next_due() const noexcept { return due_; }
+  [[nodiscard]] bool synced() const noexcept { return synced_once_; }
+  [[nodiscard]] bool reachable() const noexcept { return reachable_; }
+  [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
+  [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
+
+ private:
+  void OnPage(const store::RangePage& page, core::TimePoint now);
+  void OnChanges(const store::Changes& changes, core::TimePoint now);
+  void OnFailure(const store::CallError& error, core::TimePoint now);
+  void Take(const store::Item& item);
+  void Remove(const std::string& key, core::TimePoint now);
+  void NoteSuccess(core::TimePoint now);
+  void StartListing() noexcept;
+
+  FollowerSettings settings_;
+  Sink sink_;
+  bool in_flight_ = false;
+  bool listing_ = true;
+  bool synced_once_ = false;
+  bool reachable_ = true;
+  bool started_ = false;
+  std::string page_after_;
+  store::Revision listing_revision_ = 0;  ///< Of the first page; changes continue from there.
+  std::set<std::string> listed_;
+  std::map<std::string, store::Revision> known_;
+  std::map<std::string, core::TimePoint> lapsed_;  ///< Removed around an outage, not yet applied.
+  store::Revision revision_ = 0;
+  core::TimePoint due_;
+  core::TimePoint last_success_;
+  core::TimePoint last_listing_;
+  core::TimePoint recovered_at_;
+};
+
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/src/vanilladeck/steering/fleet_share.cc
@@ -0,0 +1,37 @@
+#include "vanilladeck/steering/fleet_share.h"
+
+#include <cmath>
+
+#include "vanilladeck/core/hash.h"
+
+namespace vanilladeck::steering {
+
+std::uint32_t FleetShare::Units(double limit, std::string_view subject) const noexcept {
+  if (limit <= 0) return 0;
+  const auto whole = static_cast<std::uint32_t>(limit);
+  const std::uint32_t base = whole / instances_;
+  const std::uint32_t remainder = whole % instances_;
+  const auto offset = static_cast<std::uint32_t>(core::Hash64(subject) % instances_);
+  const std::uint32_t turn = (own_rank_ + offset) % instances_;
+  return base + (turn < remainder ? 1 : 0);
+}
+
+void RetryWindow::OnFirst(core::TimePoint now) {
+  Trim(now);
+  firsts_.push_back(now);
+}
+
+bool RetryWindow::TryRepeat(double ratio, double allowance, core::TimePoint now) {
+  Trim(now);
+  const double limit = ratio * static_cast<double>(firsts_.size()) + allowance;
+  if (static_cast<double>(repeats_.size()) + 1 > limit) return false;
+  repeats_.push_back(now);
+  return true;
+}
+
+void RetryWindow::Trim(core::TimePoint now) {
+  while (!firsts_.empty() && now - firsts_.front() > window_) firsts_.pop_front();
+  while (!repeats_.empty() && now - repeats_.front() > window_) repeats_.pop_front();
+}
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/region_split.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "vanilladeck/core/runtime_clock.h"
+
+namespace vanilladeck::steering {
+
+/// Room and load of one region's servers of a service.
+struct RegionLoad {
+  double slots = 0;  ///< Of usable servers.
+  double load = 0;   ///< Requests at these servers.
+
+  [[nodiscard]] double Utilization() const noexcept { return slots > 0 ? load / slots : 1e9; }
+};
+
+/// Divides the own region's requests for one service among regions, changing slowly.
+///
+/// Objects keep their place on [0, 1), the regions own intervals of it, and only the boundaries
+/// move. A step is bounded because cold caches follow each move and because operators cap the share
+/// of a region's requests that may change their region within 2 s.
+class RegionSplit {
+ public:
+  RegionSplit(std::string own_region, core::Duration update_interval)
+      : own_region_(std::move(own_region)), update_interval_(update_interval) {}
+
+  /// Moves the boundaries if `update_interval` has passed; `max_step` bounds the change of a share.
+  void Update(const std::map<std::string, RegionLoad>& regions, double max_step,
+              core::TimePoint now);
+
+  /// The region of an object at `position` in [0, 1); empty before the first update.
+  [[nodiscard]] const std::string& RegionAt(double position) const;
+
+  [[nodiscard]] double Share(const std::string& region) const;
+
+ private:
+  void Start(const std::map<std::string, RegionLoad>& regions);
+
+  std::string own_region_;
+  core::Duration update_interval_;
+  std::map<std::string, double> shares_;  ///< Sum 1.
+  core::TimePoint updated_;
+};
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/route_table.cc
@@ -0,0 +1,56 @@
+#include "vanilladeck/steering/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace vanilladeck::steering {
+namespace {
+
+std::string CanonicalHost(std::string_view host) {
+  const auto colon = host.rfind(':');
+  if (colon != std::string_view::npos) host = host.substr(0, colon);
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(config::RoutingPolicy policy) : policy_(std::move(policy)) {
+  for (const config::Route& it : policy_.routes) by_host_[it.host].push_back(&it);
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const auto* a, const auto* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
+  }
+}
+
+const config::Route* RouteTable::Match(std::string_view host, std::string_view path) const {
+  const auto routes = by_host_.find(CanonicalHost(host));
+  if (routes == by_host_.end()) return nullptr;
+  path = path.substr(0, path.find('?'));
+  for (const config::Route* it : routes->second) {
+    if (path.substr(0, it->prefix.size()) == it->prefix) return it;
+  }
+  return nullptr;
+}
+
+const config::ServiceLimits* RouteTable::Service(std::string_view name) const {
+  const auto it = std::find_if(policy_.services.begin(), policy_.services.end(),
+                               [&](const auto& service) { return service.name == name; });
+  return it == policy_.services.end() ? nullptr : &*it;
+}
+
+const std::string& ChooseService(const config::Route& route, double draw) {
+  double total = 0;
+  for (const auto& it : route.services) total += it.weight;
+  double left = draw * total;
+  for (const auto& it : route.services) {
+    if (left < it.weight) return it.service;
+    left -= it.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/route_table.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "vanilladeck/config/route.h"
+
+namespace vanilladeck::steering {
+
+/// Immutable index of one policy version: host and path to route, name to service.
+class RouteTable {
+ public:
+  explicit RouteTable(config::RoutingPolicy policy);
+
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
+  /// Finds the route with the longest prefix that begins `path`; null when none matches.
+  ///
+  /// `host` may carry a port and any letter case; `path` may carry a query.
+  [[nodiscard]] const config::Route* Match(std::string_view host, std::string_view path) const;
+
+  [[nodiscard]] const config::ServiceLimits* Service(std::string_view name) const;
+  [[nodiscard]] const config::RoutingPolicy& policy() const noexcept { return policy_; }
+  [[nodiscard]] std::uint64_t version() const noexcept { return policy_.version; }
+
+ private:
+  config::RoutingPolicy policy_;
+  std::unordered_map<std::string, std::vector<const config::Route*>> by_host_;  ///< Longest first.
+};
+
+/// Picks the service of a route; `draw` is uniform in [0, 1).
+[[nodiscard]] const std::string& ChooseService(const config::Route& route, double draw);
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/server.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "vanilladeck/core/runtime_clock.h"
+
+namespace vanilladeck::steering {
+
+enum class ServerState : std::uint8_t { kReady, kDraining };
+
+/// What a backend server says of itself in the platform's store.
+struct ServerReport {
+  std::string id;
+  std::int64_t born_ms = 0;  ///< Unix time of the start; another value is another incarnation.
+  std::string service;
+  std::string address;  ///< "IP:port"
+  std::string failure_domain;
+  std::uint32_t slots = 1;  ///< Requests that the server processes concurrently.
+  ServerState state = ServerState::kReady;
+  std::int64_t sequence = 0;  ///< Grows with each report of one incarnation.
+  core::Duration cold_left{0};
+};
+
+/// Load that a server states in a response.
+struct ServerLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// One incarnation of a backend server as this instance sees it.
+struct Server {
+  ServerReport report;
+  std::string region;
+  core::TimePoint reported_at;  ///< Arrival of the newest report.
+  bool draining = false;        ///< Never cleared within an incarnation.
+  bool gone = false;            ///< Not in the list, or another server answers at the address.
+  core::TimePoint cold_until;
+
+  std::uint32_t in_flight = 0;  ///< Own requests at the server.
+  double others = 0;            ///< Requests of other instances there, smoothed.
+  double latency_ratio = 1;     ///< Own latency relative to the route's, smoothed.
+  double failure_rate = 0;      ///< Share of failed attempts, smoothed.
+
+  std::uint32_t failures_in_row = 0;
+  core::TimePoint ejected_until;
+  std::deque<core::TimePoint> cold_sends;  ///< Requests of the last second while cold.
+
+  [[nodiscard]] double Load() const noexcept { return in_flight + others; }
+  [[nodiscard]] bool Cold(core::TimePoint now) const noexcept { return now < cold_until; }
+};
+
+using ServerPtr = std::shared_ptr<Server>;
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -0,0 +1,199 @@
+#include "vanilladeck/steering/server_picker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "vanilladeck/core/hash.h"
+
+namespace vanilladeck::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr core::Duration kSplitInterval = milliseconds(500);
+// Operators allow 15% of a region's requests to change their region within 2 s; four steps of 2%
+// leave room for overflow and for differences between instances.
+constexpr double kSplitStep = 0.02;
+// Share of the picks in a window of 2 s that may leave the region of the split while it still has
+// servers.
+constexpr double kOverflowShare = 0.04;
+constexpr core::Duration kOverflowWindow = std::chrono::seconds(2);
+// Requests that may wait at a server beyond its slots, as a share of the slots, by rank. A less
+// urgent rank stops queueing first, so that what is left goes to the more urgent ones.
+constexpr std::array<double, 4> kQueueShare{1.5, 1.1, 0.8, 0.6};
+// What a later server in an object's order costs, in units of the route's latency: the first ones
+// are used often enough to know the object, the others would handle it from scratch.
+constexpr std::array<double, 4> kPositionCost{0, 0.25, 0.5, 1.2};
+constexpr double kFurtherPositionCost = 0.1;
+constexpr double kLatencyWeight = 0.05;
+// Before anything is known of a route, half of its objective is a usable estimate.
+constexpr int kUnknownLatencyDivisor = 2;
+// Time that a failed attempt costs, relative to the route's objective.
+constexpr double kFailureCost = 1.0;
+// A cold server takes longer for the same request.
+constexpr double kColdFactor = 2.0;
+// The rate of a cold server holds for the sum of all instances, whose views differ for a moment.
+constexpr double kColdSafety = 0.8;
+constexpr core::Duration kColdWindow = std::chrono::seconds(1);
+constexpr double kTwoTo64 = 18446744073709551616.0;
+
+double QueueShare(std::uint32_t priority) {
+  return kQueueShare[std::min<std::size_t>(priority, kQueueShare.size() - 1)];
+}
+
+double PositionCost(std::size_t position) {
+  if (position < kPositionCost.size()) return kPositionCost[position];
+  return kPositionCost.back() + kFurtherPositionCost * (position - kPositionCost.size() + 1);
+}
+
+}  // namespace
+
+ServerPicker::ServerPicker(PickerSettings settings, ServerSet& servers, const FleetShare& fleet)
+    : settings_(std::move(settings)), servers_(servers), fleet_(fleet) {}
+
+RegionSplit& ServerPicker::SplitOf(const std::string& service) {
+  const auto it = splits_.find(service);
+  if (it != splits_.end()) return it->second;
+  return splits_.emplace(service, RegionSplit(settings_.region, kSplitInterval)).first->second;
+}
+
+void ServerPicker::OnLatency(const config::Route& route, core::Duration latency) {
+  const auto [it, added] = latency_.try_emplace(route.name, latency);
+  if (!added) {
+    const auto change = static_cast<double>((latency - it->second).count()) * kLatencyWeight;
+    it->second += core::Duration(static_cast<std::int64_t>(change));
+  }
+}
+
+core::Duration ServerPicker::Expected(const config::Route& route) const {
+  const auto it = latency_.find(route.name);
+  if (it != latency_.end()) return it->second;
+  return core::Duration(route.objective) / kUnknownLatencyDivisor;
+}
+
+void ServerPicker::UpdateSplits(core::TimePoint now) {
+  for (auto& [service, split] : splits_) {
+    std::map<std::string, RegionLoad> regions;
+    for (const ServerPtr& it : servers_.OfService(service)) {
+      RegionLoad& region = regions[it->region];
+      if (!servers_.Usable(*it, now)) continue;
+      region.slots += it->report.slots;
+      region.load += it->Load();
+    }
+    split.Update(regions, kSplitStep, now);
+  }
+}
+
+double ServerPicker::RegionShare(const std::string& service, const std::string& region) const {
+  const auto it = splits_.find(service);
+  return it == splits_.end() ? 0 : it->second.Share(region);
+}
+
+bool ServerPicker::ColdAllows(const PickQuery& query, Server& server, core::TimePoint now) const {
+  if (!server.Cold(now) || query.service == nullptr) return true;
+  while (!server.cold_sends.empty() && now - server.cold_sends.front() > kColdWindow) {
+    server.cold_sends.pop_front();
+  }
+  const double limit =
+      kColdSafety * (query.service->cold_rate * settings_.cold_overage + settings_.cold_slack);
+  return server.cold_sends.size() < fleet_.Units(limit, server.report.id);
+}
+
+std::vector<ServerPicker::Candidate> ServerPicker::Order(const PickQuery& query,
+                                                         const std::string& region, bool in_region,
+                                                         core::TimePoint now) {
+  std::vector<Candidate> order;
+  const auto& allowed = query.route->allowed_regions;
+  const std::uint64_t object = query.object.empty()
+                                   ? query.spread
+                                   : core::Hash64(query.object, core::Hash64(query.route->name));
+  for (const ServerPtr& it : servers_.OfService(query.service->name)) {
+    if (!servers_.Usable(*it, now)) continue;
+    if ((it->region == region) != in_region) continue;
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), it->region) == allowed.end()) {
+      continue;
+    }
+    if (query.tried != nullptr &&
+        std::find(query.tried->begin(), query.tried->end(), it->report.id) != query.tried->end()) {
+      continue;
+    }
+    order.push_back({it, core::Hash64(it->report.id, object)});
+  }
+  std::sort(order.begin(), order.end(),
+            [](const Candidate& a, const Candidate& b) { return a.weight > b.weight; });
+  return order;
+}
+
+std::variant<Pick, NoServerReason> ServerPicker::Best(const PickQuery& query,
+                                                      const std::vector<Candidate>& order,
+                                                      core::TimePoint now) {
+  if (order.empty()) return NoServerReason::kNoneUsable;
+  const auto usual = static_cast<double>(Expected(*query.route).count());
+  const auto objective = static_cast<double>(core::Duration(query.route->objective).count());
+  NoServerReason reason = NoServerReason::kCold;
+  const Candidate* best = nullptr;
+  double best_cost = std::numeric_limits<double>::max();
+  double best_expected = 0;
+  std::size_t best_position = 0;
+  for (std::size_t position = 0; position < order.size(); ++position) {
+    Server& server = *order[position].server;
+    const double slots = std::max(1U, server.report.slots);
+    const double excess = server.Load() + 1 - slots;
+    if (excess > slots * QueueShare(query.route->priority)) {
+      reason = NoServerReason::kFull;
+      continue;
+    }
+    if (!ColdAllows(query, server, now)) continue;
+    const double pace = server.latency_ratio * (server.Cold(now) ? kColdFactor : 1);
+    double expected = usual * pace * (1 + std::max(0.0, excess) / slots);
+    if (server.region != settings_.region) {
+      expected += static_cast<double>(settings_.region_round_trip.count());
+    }
+    const double cost =
+        expected + usual * PositionCost(position) + server.failure_rate * objective * kFailureCost;
+    if (cost < best_cost) {
+      best = &order[position];
+      best_cost = cost;
+      best_expected = expected;
+      best_position = position;
+    }
+  }
+  if (best == nullptr) return reason;
+  if (best_expected > static_cast<double>(query.remaining.count())) {
+    return NoServerReason::kTooLate;
+  }
+  return Pick{best->server, core::Duration(static_cast<std::int64_t>(best_expected)),
+              static_cast<std::uint32_t>(best_position)};
+}
+
+std::variant<Pick, NoServerReason> ServerPicker::Choose(const PickQuery& query,
+                                                        core::TimePoint now) {
+  if (query.service == nullptr) return NoServerReason::kNoneUsable;
+  if (now - overflow_window_ > kOverflowWindow) {
+    overflow_window_ = now;
+    overflow_ = 0;
+    picks_ = 0;
+  }
+  ++picks_;
+  RegionSplit& split = SplitOf(query.service->name);
+  if (split.RegionAt(0).empty()) UpdateSplits(now);
+  const std::uint64_t place = query.object.empty()
+                                  ? core::Hash64("", query.spread)
+                                  : core::Hash64(query.object, core::Hash64(query.route->name) + 1);
+  const std::string& region = split.RegionAt(static_cast<double>(place) / kTwoTo64);
+  auto pick = Best(query, Order(query, region, true, now), now);
+  if (std::holds_alternative<Pick>(pick)) return pick;
+  const auto reason = std::get<NoServerReason>(pick);
+  // Without any server in its region a request goes elsewhere freely; overload may move only few.
+  if (reason != NoServerReason::kNoneUsable) {
+    if (overflow_ >= kOverflowShare * picks_) return pick;
+    ++overflow_;
+  }
+  auto remote = Best(query, Order(query, region, false, now), now);
+  if (std::holds_alternative<Pick>(remote)) return remote;
+  return reason == NoServerReason::kNoneUsable ? remote : pick;
+}
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/steering/server_set.cc
@@ -0,0 +1,175 @@
+#include "vanilladeck/steering/server_set.h"
+
+#include <algorithm>
+
+namespace vanilladeck::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Weight of a new sample; a server answers an instance a few times a second.
+constexpr double kLoadWeight = 0.5;
+constexpr double kLatencyWeight = 0.2;
+constexpr double kFailureWeight = 0.15;
+// One slow answer must not move a server out of use.
+constexpr double kMaxLatencyRatio = 8;
+constexpr double kMinLatencyRatio = 0.5;
+// Consecutive failures before a server gets a pause, doubled with each further failure.
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr milliseconds kFirstEjection{500};
+constexpr milliseconds kLongestEjection{4000};
+constexpr std::uint32_t kMaxDoublings = 3;
+// A server that takes no connection is most likely down.
+constexpr milliseconds kUnreachablePause{700};
+
+double Smooth(double old_value, double sample, double weight) {
+  return old_value + weight * (sample - old_value);
+}
+
+}  // namespace
+
+ServerSet::Change ServerSet::OnReport(const ServerReport& report, core::TimePoint now) {
+  const auto known = by_id_.find(report.id);
+  if (known != by_id_.end()) {
+    Server& server = *known->second;
+    const bool same = server.report.born_ms == report.born_ms &&
+                      server.report.service == report.service &&
+                      server.report.address == report.address;
+    if (report.born_ms < server.report.born_ms) return Change::kNone;
+    if (same) {
+      const bool was_gone = server.gone;
+      if (!was_gone && report.sequence <= server.report.sequence) return Change::kNone;
+      const bool starts_drain = report.state == ServerState::kDraining && !server.draining;
+      server.report = report;
+      server.reported_at = now;
+      server.gone = false;
+      server.draining = server.draining || report.state == ServerState::kDraining;
+      server.cold_until = now + report.cold_left;
+      if (starts_drain) return Change::kDraining;
+      return was_gone ? Change::kBack : Change::kNone;
+    }
+    known->second->gone = true;
+    Unindex(*known->second);
+    by_id_.erase(known);
+  }
+  auto server = std::make_shared<Server>();
+  server->report = report;
+  server->region = region_of_(report.failure_domain);
+  server->reported_at = now;
+  server->draining = report.state == ServerState::kDraining;
+  server->cold_until = now + report.cold_left;
+  by_id_.emplace(report.id, server);
+  Index(server);
+  return Change::kAdded;
+}
+
+bool ServerSet::OnRemoved(const std::string& id) {
+  const auto it = by_id_.find(id);
+  if (it == by_id_.end()) return false;
+  it->second->gone = true;
+  Unindex(*it->second);
+  by_id_.erase(it);
+  return true;
+}
+
+void ServerSet::OnMisdirected(Server& server) noexcept { server.gone = true; }
+
+void ServerSet::OnSent(Server& server, core::TimePoint now) {
+  ++server.in_flight;
+  if (server.Cold(now)) server.cold_sends.push_back(now);
+}
+
+void ServerSet::OnEnd(Server& server, AttemptEnd end, const std::optional<ServerLoad>& load,
+                      core::Duration latency, core::Duration expected, core::TimePoint now) {
+  if (load) {
+    const double total = load->running + load->waiting;
+    const double others = std::max(0.0, total - server.in_flight);
+    server.others = Smooth(server.others, others, kLoadWeight);
+  }
+  if (server.in_flight > 0) --server.in_flight;
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      server.failures_in_row = 0;
+      server.failure_rate = Smooth(server.failure_rate, 0, kFailureWeight);
+      if (expected.count() > 0) {
+        const double ratio = static_cast<double>(latency.count()) / expected.count();
+        server.latency_ratio =
+            Smooth(server.latency_ratio, std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio),
+                   kLatencyWeight);
+      }
+      return;
+    case AttemptEnd::kShed:
+      // A full server is not broken, but it has no room for anybody now.
+      server.others = std::max(server.others, static_cast<double>(server.report.slots));
+      server.failure_rate = Smooth(server.failure_rate, 1, kFailureWeight);
+      return;
+    case AttemptEnd::kServerError:
+      server.failure_rate = Smooth(server.failure_rate, 1, kFailureWeight);
+      return;
+    case AttemptEnd::kUnreachable:
+      server.ejected_until = std::max(server.ejected_until, now + kUnreachablePause);
+      [[fallthrough]];
+    case AttemptEnd::kFailed:
+      server.failure_rate = Smooth(server.failure_rate, 1, kFailureWeight);
+      ++server.failures_in_row;
+      if (server.failures_in_row >= kFailuresToEject) {
+        const auto doublings = std::min(server.failures_in_row - kFailuresToEject, kMaxDoublings);
+        const auto pause = std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+        server.ejected_until = std::max(server.ejected_until, now + pause);
+      }
+      return;
+    case AttemptEnd::kAbandoned:
+      return;
+  }
+}
+
+void ServerSet::SetEvacuated(std::set<std::string> failure_domains, core::Duration cold_duration,
+                             core::TimePoint now) {
+  for (const auto& [id, server] : by_id_) {
+    const std::string& domain = server->report.failure_domain;
+    // Servers of a domain that is taken back may have lost their warmth meanwhile.
+    if (evacuated_.count(domain) > 0 && failure_domains.count(domain) == 0) {
+      server->cold_until = std::max(server->cold_until, now + cold_duration);
+    }
+  }
+  evacuated_ = std::move(failure_domains);
+}
+
+const std::vector<ServerPtr>& ServerSet::OfService(const std::string& service) const {
+  static const std::vector<ServerPtr> kNone;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
+ServerPtr ServerSet::Find(const std::string& id) const {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : it->second;
+}
+
+bool ServerSet::Assignable(const Server& server) const noexcept {
+  return !server.gone && !server.draining && evacuated_.count(server.report.failure_domain) == 0;
+}
+
+bool ServerSet::Usable(const Server& server, core::TimePoint now) const noexcept {
+  return Assignable(server) && now >= server.ejected_until;
+}
+
+std::vector<std::string> ServerSet::Ids() const {
+  std::vector<std::string> ids;
+  ids.reserve(by_id_.size());
+  for (const auto& [id, server] : by_id_) ids.push_back(id);
+  return ids;
+}
+
+void ServerSet::Index(const ServerPtr& server) {
+  by_service_[server->report.service].push_back(server);
+}
+
+void ServerSet::Unindex(const Server& server) {
+  auto& list = by_service_[server.report.service];
+  list.erase(std::remove_if(list.begin(), list.end(),
+                            [&](const ServerPtr& it) { return it.get() == &server; }),
+             list.end());
+}
+
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/src/vanilladeck/store/versioned_call.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "vanilladeck/core/result.h"
+
+/// Typed calls on a key-value store with one revision counter, change history and leases.
+///
+/// An adapter translates them to a platform's protocol (`VersionedCodec`).
+namespace vanilladeck::store {
+
+using Revision = std::int64_t;
+
+struct Item {
+  std::string key;
+  std::string value;
+  Revision revision = 0;
+};
+
+/// One change: an item as it was written, or its removal.
+struct Change {
+  Item item;
+  bool removed = false;
+};
+
+/// Reads one page of the items below `prefix`, linearizable.
+struct ReadRange {
+  std::string prefix;
+  std::string after_key;  ///< Last key of the previous page; empty for the first.
+};
+
+/// Waits up to `wait` for changes after a revision.
+struct WatchChanges {
+  std::string prefix;
+  Revision after = 0;
+  std::chrono::milliseconds wait{0};
+};
+
+struct GrantLease {
+  std::chrono::milliseconds ttl{0};
+};
+
+struct RenewLease {
+  std::int64_t lease = 0;
+};
+
+/// Writes `value`; the key vanishes with the lease.
+struct PutItem {
+  std::string key;
+  std::string value;
+  std::int64_t lease = 0;
+};
+
+struct DeleteItem {
+  std::string key;
+};
+
+using VersionedCall =
+    std::variant<ReadRange, WatchChanges, GrantLease, RenewLease, PutItem, DeleteItem>;
+
+inline constexpr std::array<std::string_view, 6> kVersionedCallNames{
+    "read-range", "watch", "grant-lease", "renew-lease", "put", "delete"};
+
+struct RangePage {
+  std::vector<Item> items;
+  bool more = false;
+  Revision revision = 0;  ///< Of the store, not of an item.
+};
+
+struct Changes {
+  std::vector<Change> changes;
+  Revision revision = 0;  ///< Continue from here.
+};
+
+struct LeaseGranted {
+  std::int64_t lease = 0;
+  std::chrono::milliseconds ttl{0};
+};
+
+struct Done {};
+
+using VersionedAnswer = std::variant<RangePage, Changes, LeaseGranted, Done>;
+
+enum class CallErrorCode : std::uint8_t {
+  kUnreachable,  ///< Not sent.
+  kNoAnswer,     ///< Sent; a write may have taken or may still take effect.
+  kRefused,      ///< The store is overloaded or turns this instance away; no effect.
+  kHistoryLost,  ///< The changes after the revision are no longer known.
+  kLeaseEnded,   ///< No such lease.
+  kConflict,     ///< A condition did not hold; no effect.
+  kMalformed,    ///< The answer cannot be understood.
+};
+
+inline constexpr std::array<std::string_view, 7> kCallErrorNames{
+    "unreachable", "no-answer", "refused", "history-lost", "lease-ended", "conflict", "malformed"};
+
+struct CallError {
+  CallErrorCode code = CallErrorCode::kUnreachable;
+  std::string detail;
+};
+
+using VersionedResult = core::Result<VersionedAnswer, CallError>;
+
+/// A call as an HTTP request.
+struct EncodedCall {
+  std::string method;
+  std::string target;
+  std::string body;  ///< Empty: none.
+};
+
+/// Translates calls and answers; implemented by the adapter of a platform.
+class VersionedCodec {
+ public:
+  virtual ~VersionedCodec() = default;
+  [[nodiscard]] virtual EncodedCall Encode(const VersionedCall& call) const = 0;
+  [[nodiscard]] virtual VersionedResult Decode(const VersionedCall& call, unsigned status,
+                                               const std::string& body) const = 0;
+};
+
+}  // namespace vanilladeck::store
