--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -26,6 +26,12 @@
 // are used often enough to know the object, the others would handle it from scratch.
 constexpr std::array<double, 4> kPositionCost{0, 0.25, 0.5, 1.2};
 constexpr double kFurtherPositionCost = 0.1;
+// Servers in an object's order that are kept for it. A server knows only some dozens of objects;
+// spreading each object further makes all of them forget, and a request for an unknown object holds
+// a slot three times as long.
+constexpr std::size_t kHomes = 3;
+// Beyond its homes a request goes only to a server with this share of its slots in use at most.
+constexpr double kSpareUtilization = 0.5;
 constexpr double kLatencyWeight = 0.05;
 // Before anything is known of a route, half of its objective is a usable estimate.
 constexpr int kUnknownLatencyDivisor = 2;
@@ -141,7 +147,8 @@
     Server& server = *order[position].server;
     const double slots = std::max(1U, server.report.slots);
     const double excess = server.Load() + 1 - slots;
-    if (excess > slots * QueueShare(query.route->priority)) {
+    const bool spare = server.Load() <= slots * kSpareUtilization;
+    if (excess > slots * QueueShare(query.route->priority) || (position >= kHomes && !spare)) {
       reason = NoServerReason::kFull;
       continue;
     }
--- /dev/null
+++ b/tests/steering/server_picker_test.cc
@@ -0,0 +1,151 @@
+#include "vanilladeck/steering/server_picker.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "steering/picker_fixture.h"
+
+namespace vanilladeck::steering {
+namespace {
+
+using testing::PickerFixture;
+using namespace std::chrono_literals;
+
+// Guards against a lost warmth: without a fixed order each server would see every object.
+TEST_CASE("an object stays on its server while that has room") {
+  PickerFixture f;
+  f.Add("east-a", 10);
+  for (int i = 0; i < 50; ++i) {
+    const std::string object = std::to_string(i);
+    const std::string first = f.ChosenId(object);
+    REQUIRE_FALSE(first.empty());
+    for (int k = 0; k < 5; ++k) CHECK(f.ChosenId(object) == first);
+  }
+}
+
+// Guards against overload that feeds itself: a busy region spread every object over all servers,
+// which then knew none of them and held their slots three times as long.
+TEST_CASE("in a busy region an object is served by its three homes only") {
+  PickerFixture f;
+  f.Add("east-a", 10);
+  std::map<std::string, std::set<std::string>> servers_of;
+  for (int round = 0; round < 400; ++round) {
+    for (const std::string& id : f.servers.Ids()) {
+      // All servers are between 60% and 140% of their slots, each differently in each round.
+      f.SetLoad(id, 5.4 + static_cast<double>((round * 7 + static_cast<int>(id.back())) % 8));
+    }
+    for (int i = 0; i < 20; ++i) {
+      const std::string object = std::to_string(i);
+      const std::string id = f.ChosenId(object);
+      if (!id.empty()) servers_of[object].insert(id);
+    }
+  }
+  for (const auto& [object, ids] : servers_of) CHECK(ids.size() <= 3);
+}
+
+// Guards against refusals with idle servers: the limit on homes holds only where it saves work.
+TEST_CASE("an object leaves its full homes for a server with spare slots") {
+  PickerFixture f;
+  f.Add("east-a", 10);
+  std::set<std::string> homes;
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = f.ChosenId("17");
+    homes.insert(id);
+    f.SetLoad(id, 40);
+  }
+  REQUIRE(homes.size() == 3);
+  const std::string further = f.ChosenId("17");
+  CHECK_FALSE(further.empty());
+  CHECK(homes.count(further) == 0);
+}
+
+// Guards against crashing a started server: its rate holds for the sum over all instances.
+TEST_CASE("cold servers get no more than the fleet's rate from all instances together") {
+  constexpr std::uint32_t kInstances = 9;
+  std::size_t sent = 0;
+  for (std::uint32_t rank = 0; rank < kInstances; ++rank) {
+    PickerFixture f;
+    f.fleet.SetFleet(kInstances, rank);
+    ServerReport report = f.Report("east-a0", "east-a");
+    report.cold_left = 3s;
+    (void)f.servers.OnReport(report, f.now);
+    for (int i = 0; i < 50; ++i) {
+      auto choice = f.Choose(std::to_string(i));
+      if (auto* pick = std::get_if<Pick>(&choice)) {
+        f.servers.OnSent(*pick->server, f.now);
+        ++sent;
+      }
+    }
+  }
+  CHECK(sent > 0);
+  CHECK(sent <= 8 * 1.5 + 5);
+}
+
+// Guards against mass moves between regions when the own one fills up: warm objects would be
+// handled from scratch elsewhere, and operators cap the change.
+TEST_CASE("a sudden overload moves few requests to another region at once") {
+  PickerFixture f;
+  f.Add("east-a", 4);
+  f.Add("west-a", 4);
+  for (const std::string& id : f.servers.Ids()) f.SetLoad(id, 2);
+  (void)f.ChosenId("0");
+  for (const std::string& id : f.servers.Ids()) {
+    if (id[0] == 'e') f.SetLoad(id, 40);
+  }
+  int remote = 0;
+  constexpr int kRequests = 500;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = f.ChosenId(std::to_string(i % 60));
+    if (!id.empty() && id[0] == 'w') ++remote;
+  }
+  CHECK(remote <= kRequests * 0.15);
+}
+
+// Guards against refusals while another region could serve: lost servers are no overload.
+TEST_CASE("a region without any server uses the other region at once") {
+  PickerFixture f;
+  f.Add("west-a", 4);
+  for (int i = 0; i < 20; ++i) CHECK_FALSE(f.ChosenId(std::to_string(i)).empty());
+}
+
+// Guards against requests that leave the regions that an operator allows.
+TEST_CASE("allowed regions bind even when their servers are full") {
+  PickerFixture f;
+  f.Add("east-a", 2);
+  f.Add("west-a", 2);
+  f.route.allowed_regions = {"west"};
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = f.ChosenId(std::to_string(i));
+    REQUIRE_FALSE(id.empty());
+    CHECK(id[0] == 'w');
+  }
+  for (const std::string& id : f.servers.Ids()) {
+    if (id[0] == 'w') f.SetLoad(id, 90);
+  }
+  for (int i = 0; i < 20; ++i) CHECK(f.ChosenId(std::to_string(i)).empty());
+}
+
+// Guards against a less urgent rank that fills the queues which a more urgent one needs.
+TEST_CASE("a less urgent rank stops queueing first") {
+  PickerFixture f;
+  f.Add("east-a", 1);
+  f.SetLoad("east-a0", 17);
+  f.route.priority = 2;
+  CHECK(f.ChosenId("1").empty());
+  f.route.priority = 1;
+  CHECK_FALSE(f.ChosenId("1").empty());
+}
+
+TEST_CASE("a server that had the request is not chosen again") {
+  PickerFixture f;
+  f.Add("east-a", 2);
+  const std::string first = f.ChosenId("5");
+  const std::vector<std::string> tried{first};
+  auto choice = f.Choose("5", &tried);
+  REQUIRE(std::holds_alternative<Pick>(choice));
+  CHECK(std::get<Pick>(choice).server->report.id != first);
+}
+
+}  // namespace
+}  // namespace vanilladeck::steering
--- /dev/null
+++ b/tests/steering/server_set_test.cc
@@ -0,0 +1,93 @@
+#include "vanilladeck/steering/server_set.h"
+
+#include <catch2/catch.hpp>
+
+#include "steering/picker_fixture.h"
+
+namespace vanilladeck::steering {
+namespace {
+
+using testing::PickerFixture;
+using namespace std::chrono_literals;
+using Change = ServerSet::Change;
+
+// Guards against new work for a server that leaves: a delayed older report said "ready" again.
+TEST_CASE("draining is sticky within an incarnation") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.sequence = 5;
+  REQUIRE(f.servers.OnReport(report, f.now) == Change::kAdded);
+  report.state = ServerState::kDraining;
+  report.sequence = 6;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kDraining);
+  report.state = ServerState::kReady;
+  report.sequence = 5;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kNone);
+  report.sequence = 7;
+  (void)f.servers.OnReport(report, f.now);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+}
+
+// Guards against a server that is shut out for ever, or credited with warmth and load that it lost.
+TEST_CASE("a restart under the same id starts with a clean record") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.sequence = 40;
+  report.state = ServerState::kDraining;
+  (void)f.servers.OnReport(report, f.now);
+  const ServerPtr old = f.servers.Find("s1");
+  old->others = 20;
+  report.born_ms = 2;
+  report.sequence = 1;
+  report.state = ServerState::kReady;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kAdded);
+  const ServerPtr fresh = f.servers.Find("s1");
+  CHECK(fresh != old);
+  CHECK(old->gone);
+  CHECK(fresh->Load() == 0);
+  CHECK(f.servers.Assignable(*fresh));
+  // The earlier incarnation's reports may still arrive.
+  report.born_ms = 1;
+  report.sequence = 41;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kNone);
+  CHECK(f.servers.Find("s1") == fresh);
+}
+
+// Guards against requests that run at another service's server.
+TEST_CASE("after a misdirected answer a server is unusable until it reports again") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  (void)f.servers.OnReport(report, f.now);
+  f.servers.OnMisdirected(*f.servers.Find("s1"));
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.OnReport(report, f.now) == Change::kBack);
+  CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+}
+
+TEST_CASE("servers of an evacuated failure domain get nothing and come back cold") {
+  PickerFixture f;
+  f.Add("east-a", 1);
+  f.servers.SetEvacuated({"east-a"}, 3s, f.now);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("east-a0")));
+  f.now += 5s;
+  f.servers.SetEvacuated({}, 3s, f.now);
+  CHECK(f.servers.Assignable(*f.servers.Find("east-a0")));
+  CHECK(f.servers.Find("east-a0")->Cold(f.now));
+}
+
+// Guards against requests that pile up at a server which fails each of them.
+TEST_CASE("failures in a row pause a server for a while") {
+  PickerFixture f;
+  f.Add("east-a", 1);
+  const ServerPtr server = f.servers.Find("east-a0");
+  for (int i = 0; i < 3; ++i) {
+    f.servers.OnSent(*server, f.now);
+    f.servers.OnEnd(*server, AttemptEnd::kFailed, std::nullopt, 1ms, 0ms, f.now);
+  }
+  CHECK_FALSE(f.servers.Usable(*server, f.now));
+  CHECK(f.servers.Usable(*server, f.now + 5s));
+  CHECK(server->in_flight == 0);
+}
+
+}  // namespace
+}  // namespace vanilladeck::steering
