--- a/tests/steering/server_picker_test.cc
+++ b/tests/steering/server_picker_test.cc
@@ -30,10 +30,12 @@
   PickerFixture f;
   f.Add("east-a", 10);
   std::map<std::string, std::set<std::string>> servers_of;
+  std::uint32_t seed = 1;
   for (int round = 0; round < 400; ++round) {
     for (const std::string& id : f.servers.Ids()) {
-      // All servers are between 60% and 140% of their slots, each differently in each round.
-      f.SetLoad(id, 5.4 + static_cast<double>((round * 7 + static_cast<int>(id.back())) % 8));
+      // Every server is between 80% and 280% of its slots, differently in each round.
+      seed = seed * 1664525U + 1013904223U;
+      f.SetLoad(id, 7 + static_cast<double>(seed >> 16U) * 18 / 65536);
     }
     for (int i = 0; i < 20; ++i) {
       const std::string object = std::to_string(i);
