--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -100,7 +100,7 @@
             return it == domains.end() ? std::string() : it->second;
           },
           PickerSettingsOf(settings_), events),
-      follower_({}, {[this](const store::Item& item) { OnItem(item); },
+      follower_(settings_.follower, {[this](const store::Item& item) { OnItem(item); },
                      [this](const std::string& key) { OnRemoved(key); }, [this] { OnSynced(); },
                      [this](bool reachable) {
                        events_.Write(
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -32,6 +32,7 @@
   boost::asio::ip::tcp::endpoint store;
   WireNames names;
   FleetLimits fleet;
+  membership::FollowerSettings follower;
   /// From SIGTERM to the end by force.
   core::Duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -23,18 +23,30 @@
   if (in_flight_ || now < due_) return std::nullopt;
   in_flight_ = true;
   if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
-  if (listing_) return store::ReadRange{"", page_after_};
+  if (listing_) return store::ReadRange{"", page_after_, false};
+  if (!settings_.check_prefix.empty() && now - last_check_ >= settings_.check_interval) {
+    last_check_ = now;
+    checking_ = true;
+    return store::ReadRange{settings_.check_prefix, "", true};
+  }
   due_ = now + settings_.poll_interval;
   return store::WatchChanges{"", revision_, settings_.watch_wait};
 }
 
 void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
   in_flight_ = false;
+  const bool checked = checking_;
+  checking_ = false;
   if (!result) {
     OnFailure(result.error(), now);
   } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
     NoteSuccess(now);
-    OnPage(*page, now);
+    if (checked) {
+      // The read may be older than what is known, so it only adds.
+      for (const store::Item& it : page->items) Take(it);
+    } else {
+      OnPage(*page, now);
+    }
   } else if (const auto* changes = std::get_if<store::Changes>(&result.value())) {
     NoteSuccess(now);
     OnChanges(*changes, now);
@@ -71,6 +83,7 @@
   revision_ = std::max(revision_, listing_revision_);
   listing_ = false;
   last_listing_ = now;
+  last_check_ = now;
   due_ = now + settings_.poll_interval;
   synced_once_ = true;
   if (sink_.on_synced) sink_.on_synced();
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -22,7 +22,11 @@
   /// servers that live register again within 2 s.
   core::Duration lapse_grace = std::chrono::milliseconds(2200);
   /// Everything is read again this often, which bounds the effect of changes that a watch missed.
-  core::Duration relist_interval = std::chrono::seconds(5);
+  /// Servers repeat their reports, so only removals depend on it.
+  core::Duration relist_interval = std::chrono::seconds(20);
+  /// Items that nobody repeats are checked this often by a cheap read that may be stale.
+  core::Duration check_interval = std::chrono::seconds(3);
+  std::string check_prefix;  ///< Empty: no such check.
   /// Silence from the store that makes it count as unreachable.
   core::Duration outage_after = std::chrono::milliseconds(2500);
 };
@@ -81,6 +85,8 @@
   core::TimePoint due_;
   core::TimePoint last_success_;
   core::TimePoint last_listing_;
+  core::TimePoint last_check_;
+  bool checking_ = false;  ///< The call in flight is a check.
   core::TimePoint recovered_at_;
 };
 
--- a/src/vanilladeck/store/versioned_call.h
+++ b/src/vanilladeck/store/versioned_call.h
@@ -29,10 +29,11 @@
   bool removed = false;
 };
 
-/// Reads one page of the items below `prefix`, linearizable.
+/// Reads one page of the items below `prefix`.
 struct ReadRange {
   std::string prefix;
-  std::string after_key;  ///< Last key of the previous page; empty for the first.
+  std::string after_key;   ///< Last key of the previous page; empty for the first.
+  bool may_be_stale = false;  ///< A cheaper read that may miss the last seconds.
 };
 
 /// Waits up to `wait` for changes after a revision.
