--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -155,7 +155,7 @@
   server_ = std::move(pick.server);
   position_ = pick.position;
   tried_.push_back(server_->report.id);
-  load_when_sent_ = server_->Load();
+  load_when_sent_ = server_->Load(now);
   sent_ = now;
   context_.servers.OnSent(*server_, now);
   if (deadline_id_ == 0) {
--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -43,14 +43,20 @@
 
   std::uint32_t in_flight = 0;  ///< Own requests at the server.
   double others = 0;            ///< Requests of other instances there, smoothed.
+  core::TimePoint others_at;    ///< When `others` was learned.
   double latency_ratio = 1;     ///< Own latency relative to the route's, smoothed.
   double failure_rate = 0;      ///< Share of failed attempts, smoothed.
+  core::TimePoint ended_at;     ///< When `latency_ratio` and `failure_rate` were learned.
 
   std::uint32_t failures_in_row = 0;
   core::TimePoint ejected_until;
   std::deque<core::TimePoint> cold_sends;  ///< Requests of the last second while cold.
 
-  [[nodiscard]] double Load() const noexcept { return in_flight + others; }
+  /// Own requests and what is still believed of the others'. A belief that nothing renews fades,
+  /// or a server that was full once would never be asked again.
+  [[nodiscard]] double Load(core::TimePoint now) const noexcept;
+  [[nodiscard]] double LatencyRatio(core::TimePoint now) const noexcept;
+  [[nodiscard]] double FailureRate(core::TimePoint now) const noexcept;
   [[nodiscard]] bool Cold(core::TimePoint now) const noexcept { return now < cold_until; }
 };
 
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -21,7 +21,7 @@
 constexpr core::Duration kOverflowWindow = std::chrono::seconds(2);
 // Requests that may wait at a server beyond its slots, as a share of the slots, by rank. A less
 // urgent rank stops queueing first, so that what is left goes to the more urgent ones.
-constexpr std::array<double, 4> kQueueShare{1.5, 1.1, 0.8, 0.6};
+constexpr std::array<double, 4> kQueueShare{2.5, 2.0, 1.6, 1.2};
 // What a later server in an object's order costs, in units of the route's latency: the first ones
 // are used often enough to know the object, the others would handle it from scratch.
 constexpr std::array<double, 4> kPositionCost{0, 0.25, 0.5, 1.2};
@@ -85,7 +85,7 @@
       RegionLoad& region = regions[it->region];
       if (!servers_.Usable(*it, now)) continue;
       region.slots += it->report.slots;
-      region.load += it->Load();
+      region.load += it->Load(now);
     }
     split.Update(regions, kSplitStep, now);
   }
@@ -145,21 +145,24 @@
   std::size_t best_position = 0;
   for (std::size_t position = 0; position < order.size(); ++position) {
     Server& server = *order[position].server;
+    const double load = server.Load(now);
     const double slots = std::max(1U, server.report.slots);
-    const double excess = server.Load() + 1 - slots;
-    const bool spare = server.Load() <= slots * kSpareUtilization;
-    if (excess > slots * QueueShare(query.route->priority) || (position >= kHomes && !spare)) {
-      reason = NoServerReason::kFull;
-      continue;
-    }
-    if (!ColdAllows(query, server, now)) continue;
-    const double pace = server.latency_ratio * (server.Cold(now) ? kColdFactor : 1);
+    const double excess = load + 1 - slots;
+    const bool spare = load <= slots * kSpareUtilization;
+    const double pace = server.LatencyRatio(now) * (server.Cold(now) ? kColdFactor : 1);
     double expected = usual * pace * (1 + std::max(0.0, excess) / slots);
     if (server.region != settings_.region) {
       expected += static_cast<double>(settings_.region_round_trip.count());
     }
-    const double cost =
-        expected + usual * PositionCost(position) + server.failure_rate * objective * kFailureCost;
+    const bool late = expected > static_cast<double>(query.remaining.count());
+    if (late || excess > slots * QueueShare(query.route->priority) ||
+        (position >= kHomes && !spare)) {
+      reason = NoServerReason::kFull;
+      continue;
+    }
+    if (!ColdAllows(query, server, now)) continue;
+    const double cost = expected + usual * PositionCost(position) +
+                        server.FailureRate(now) * objective * kFailureCost;
     if (cost < best_cost) {
       best = &order[position];
       best_cost = cost;
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -84,9 +84,15 @@
   if (load) {
     const double total = load->running + load->waiting;
     const double others = std::max(0.0, total - server.in_flight);
-    server.others = Smooth(server.others, others, kLoadWeight);
+    const double believed = server.Load(now) - server.in_flight;
+    server.others = Smooth(believed, others, kLoadWeight);
+    server.others_at = now;
   }
   if (server.in_flight > 0) --server.in_flight;
+  if (end == AttemptEnd::kAbandoned) return;
+  server.latency_ratio = server.LatencyRatio(now);
+  server.failure_rate = server.FailureRate(now);
+  server.ended_at = now;
   switch (end) {
     case AttemptEnd::kAnswered:
       server.failures_in_row = 0;
@@ -101,6 +107,7 @@
     case AttemptEnd::kShed:
       // A full server is not broken, but it has no room for anybody now.
       server.others = std::max(server.others, static_cast<double>(server.report.slots));
+      server.others_at = now;
       server.failure_rate = Smooth(server.failure_rate, 1, kFailureWeight);
       return;
     case AttemptEnd::kServerError:
--- a/tests/steering/picker_fixture.h
+++ b/tests/steering/picker_fixture.h
@@ -69,7 +69,10 @@
     return pick == nullptr ? std::string() : pick->server->report.id;
   }
 
-  void SetLoad(const std::string& id, double load) { servers.Find(id)->others = load; }
+  void SetLoad(const std::string& id, double load) {
+    servers.Find(id)->others = load;
+    servers.Find(id)->others_at = now;
+  }
 
   config::Route route;
   config::ServiceLimits service;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -44,7 +44,7 @@
   const ServerPtr fresh = f.servers.Find("s1");
   CHECK(fresh != old);
   CHECK(old->gone);
-  CHECK(fresh->Load() == 0);
+  CHECK(fresh->Load(f.now) == 0);
   CHECK(f.servers.Assignable(*fresh));
   // The earlier incarnation's reports may still arrive.
   report.born_ms = 1;
@@ -89,5 +89,22 @@
   CHECK(server->in_flight == 0);
 }
 
+// Guards against a failure domain that stays unused: its servers were last seen full before an
+// evacuation, and nothing but a request would have shown that they are idle.
+TEST_CASE("the belief that a server is full fades when nothing renews it") {
+  PickerFixture f;
+  f.Add("east-a", 2);
+  for (const std::string& id : f.servers.Ids()) {
+    const ServerPtr server = f.servers.Find(id);
+    f.servers.OnSent(*server, f.now);
+    f.servers.OnEnd(*server, AttemptEnd::kShed, ServerLoad{9, 27, 9}, 1ms, 0ms, f.now);
+  }
+  f.SetLoad("east-a0", 36);
+  f.SetLoad("east-a1", 36);
+  CHECK(f.ChosenId("1").empty());
+  f.now += 4s;
+  CHECK_FALSE(f.ChosenId("1").empty());
+}
+
 }  // namespace
 }  // namespace vanilladeck::steering
