--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -139,6 +139,9 @@
   PumpStore();
   context_.picker.UpdateSplits(now);
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
+  if (context_.servers.OldestReport() + settings_.report_silence < now && follower_.reachable()) {
+    follower_.RequestListing(now);
+  }
   UpdateFleet();
   UpdateReadiness();
   if (draining_) DrainTick();
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -42,8 +42,7 @@
   } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
     NoteSuccess(now);
     if (checked) {
-      // The read may be older than what is known, so it only adds.
-      for (const store::Item& it : page->items) Take(it);
+      OnCheck(*page, now);
     } else {
       OnPage(*page, now);
     }
@@ -89,6 +88,28 @@
   if (sink_.on_synced) sink_.on_synced();
 }
 
+void StoreFollower::OnCheck(const store::RangePage& page, core::TimePoint now) {
+  std::set<std::string> present;
+  for (const store::Item& it : page.items) {
+    present.insert(it.key);
+    Take(it);
+  }
+  // The read may be older than what is known. An item is gone only if the read is newer than it.
+  std::vector<std::string> missing;
+  if (!page.more) {
+    for (const auto& [key, revision] : known_) {
+      const bool covered = key.rfind(settings_.check_prefix, 0) == 0 && revision <= page.revision;
+      if (covered && present.count(key) == 0) missing.push_back(key);
+    }
+  }
+  for (const std::string& it : missing) Remove(it, now);
+}
+
+void StoreFollower::RequestListing(core::TimePoint now) {
+  if (listing_ || now - last_listing_ < settings_.listing_pause) return;
+  StartListing();
+}
+
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -24,6 +24,7 @@
   /// Everything is read again this often, which bounds the effect of changes that a watch missed.
   /// Servers repeat their reports, so only removals depend on it.
   core::Duration relist_interval = std::chrono::seconds(20);
+  core::Duration listing_pause = std::chrono::seconds(4);
   /// Items that nobody repeats are checked this often by a cheap read that may be stale.
   core::Duration check_interval = std::chrono::seconds(3);
   std::string check_prefix;  ///< Empty: no such check.
@@ -53,6 +54,9 @@
   /// Applies removals whose grace has ended and notices an outage; call several times a second.
   void Tick(core::TimePoint now);
 
+  /// Something expected did not come: reads everything again, at most once in `listing_pause`.
+  void RequestListing(core::TimePoint now);
+
   /// When `Next` is due again, if nothing is in flight.
   [[nodiscard]] core::TimePoint next_due() const noexcept { return due_; }
   [[nodiscard]] bool synced() const noexcept { return synced_once_; }
@@ -62,6 +66,7 @@
 
  private:
   void OnPage(const store::RangePage& page, core::TimePoint now);
+  void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   void OnFailure(const store::CallError& error, core::TimePoint now);
   void Take(const store::Item& item);
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -26,10 +26,14 @@
 // are used often enough to know the object, the others would handle it from scratch.
 constexpr std::array<double, 4> kPositionCost{0, 0.25, 0.5, 1.2};
 constexpr double kFurtherPositionCost = 0.1;
-// Servers in an object's order that are kept for it. A server knows only some dozens of objects;
-// spreading each object further makes all of them forget, and a request for an unknown object holds
-// a slot three times as long.
-constexpr std::size_t kHomes = 3;
+// Most servers in an object's order that are kept for it. A server knows only some dozens of
+// objects; spreading each object further makes all of them forget, and a request for an unknown
+// object holds a slot three times as long.
+constexpr std::size_t kMaxHomes = 3;
+// Objects that a server is trusted to know; known services keep 20 to 80.
+constexpr double kObjectsPerServer = 40;
+// An object that was asked for within one to two such times counts.
+constexpr core::Duration kObjectGeneration = std::chrono::seconds(10);
 // Beyond its homes a request goes only to a server with this share of its slots in use at most.
 constexpr double kSpareUtilization = 0.5;
 constexpr double kLatencyWeight = 0.05;
@@ -91,6 +95,27 @@
   }
 }
 
+void ServerPicker::CountObject(const std::string& service, std::uint64_t object,
+                               core::TimePoint now) {
+  ObjectCount& count = objects_[service];
+  if (now - count.rotated > kObjectGeneration) {
+    count.previous = std::move(count.current);
+    count.current.clear();
+    count.rotated = now;
+  }
+  count.current.insert(object);
+}
+
+std::size_t ServerPicker::Homes(const std::string& service, std::size_t servers) const {
+  const auto it = objects_.find(service);
+  if (it == objects_.end()) return kMaxHomes;
+  const std::size_t objects = std::max(it->second.current.size(), it->second.previous.size());
+  if (objects == 0) return kMaxHomes;
+  const double homes =
+      kObjectsPerServer * static_cast<double>(servers) / static_cast<double>(objects);
+  return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(kMaxHomes)));
+}
+
 double ServerPicker::RegionShare(const std::string& service, const std::string& region) const {
   const auto it = splits_.find(service);
   return it == splits_.end() ? 0 : it->second.Share(region);
@@ -138,6 +163,7 @@
   if (order.empty()) return NoServerReason::kNoneUsable;
   const auto usual = static_cast<double>(Expected(*query.route).count());
   const auto objective = static_cast<double>(core::Duration(query.route->objective).count());
+  const std::size_t homes = Homes(query.service->name, order.size());
   NoServerReason reason = NoServerReason::kCold;
   const Candidate* best = nullptr;
   double best_cost = std::numeric_limits<double>::max();
@@ -156,7 +182,7 @@
     }
     const bool late = expected > static_cast<double>(query.remaining.count());
     if (late || excess > slots * QueueShare(query.route->priority) ||
-        (position >= kHomes && !spare)) {
+        (position >= homes && !spare)) {
       reason = NoServerReason::kFull;
       continue;
     }
@@ -192,6 +218,7 @@
   const std::uint64_t place = query.object.empty()
                                   ? core::Hash64("", query.spread)
                                   : core::Hash64(query.object, core::Hash64(query.route->name) + 1);
+  if (!query.object.empty()) CountObject(query.service->name, place, now);
   const std::string& region = split.RegionAt(static_cast<double>(place) / kTwoTo64);
   auto pick = Best(query, Order(query, region, true, now), now);
   if (std::holds_alternative<Pick>(pick)) return pick;
--- a/src/vanilladeck/steering/server_picker.h
+++ b/src/vanilladeck/steering/server_picker.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -73,6 +74,17 @@
     std::uint64_t weight = 0;
   };
 
+  /// Distinct objects of a service in the last seconds, in two generations.
+  struct ObjectCount {
+    std::unordered_set<std::uint64_t> current;
+    std::unordered_set<std::uint64_t> previous;
+    core::TimePoint rotated;
+  };
+
+  void CountObject(const std::string& service, std::uint64_t object, core::TimePoint now);
+  /// Servers in an object's order that are kept for it, out of `servers`.
+  [[nodiscard]] std::size_t Homes(const std::string& service, std::size_t servers) const;
+
   [[nodiscard]] std::vector<Candidate> Order(const PickQuery& query, const std::string& region,
                                              bool in_region, core::TimePoint now);
   [[nodiscard]] std::variant<Pick, NoServerReason> Best(const PickQuery& query,
@@ -85,8 +97,8 @@
   ServerSet& servers_;
   const FleetShare& fleet_;
   std::unordered_map<std::string, RegionSplit> splits_;
+  std::unordered_map<std::string, ObjectCount> objects_;
   std::unordered_map<std::string, core::Duration> latency_;  ///< By route name, smoothed.
-  std::uint64_t overflow_total_ = 0;
   core::TimePoint overflow_window_;
   std::uint32_t overflow_ = 0;  ///< Requests sent outside the split's region in the window.
   std::uint32_t picks_ = 0;     ///< All requests in the window.
