--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -25,7 +25,7 @@
 
 ClientSession::~ClientSession() {
   group_->open.erase(this);
-  group_->deadlines.Remove(deadline_);
+  group_->deadlines->Remove(deadline_);
 }
 
 void ClientSession::Start() {
@@ -36,8 +36,8 @@
 }
 
 void ClientSession::SetDeadline(core::Duration after) {
-  group_->deadlines.Remove(deadline_);
-  deadline_ = group_->deadlines.Add(core::RuntimeClock::now() + after, [this] { Close(); });
+  group_->deadlines->Remove(deadline_);
+  deadline_ = group_->deadlines->Add(core::RuntimeClock::now() + after, [this] { Close(); });
 }
 
 void ClientSession::StartParser() {
@@ -124,7 +124,7 @@
 }
 
 void ClientSession::OnRequest() {
-  group_->deadlines.Remove(deadline_);
+  group_->deadlines->Remove(deadline_);
   Request request = parser_->release();
   parser_.reset();
   keep_alive_ = request.keep_alive();
@@ -206,7 +206,7 @@
 void ClientSession::Close() {
   if (closed_) return;
   closed_ = true;
-  group_->deadlines.Remove(deadline_);
+  group_->deadlines->Remove(deadline_);
   boost::system::error_code ignored;  // Closing a socket that failed has nothing left to report.
   socket_.close(ignored);
 }
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -52,7 +52,7 @@
 /// What the sessions of one listener share.
 struct SessionGroup {
   RequestHandler& handler;
-  Deadlines& deadlines;
+  DeadlinesPtr deadlines;
   SessionLimits limits;
   bool closing = false;  ///< Answers carry `Connection: close`.
   std::unordered_set<ClientSession*> open;
--- a/src/vanilladeck/gateway/context.h
+++ b/src/vanilladeck/gateway/context.h
@@ -33,7 +33,7 @@
           steering::ServerSet::RegionOf region_of, steering::PickerSettings picker_settings,
           telemetry::EventStream& event_stream)
       : io(io_context),
-        deadlines(io_context),
+        deadlines(std::make_shared<Deadlines>(io_context)),
         names(std::move(wire_names)),
         limits(fleet_limits),
         servers(std::move(region_of)),
@@ -49,7 +49,7 @@
   }
 
   boost::asio::io_context& io;
-  Deadlines deadlines;
+  DeadlinesPtr deadlines;
   WireNames names;
   FleetLimits limits;
   steering::FleetShare fleet;
--- a/src/vanilladeck/gateway/deadlines.h
+++ b/src/vanilladeck/gateway/deadlines.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include "vanilladeck/core/runtime_clock.h"
@@ -36,4 +37,8 @@
   core::TimePoint armed_ = core::TimePoint::max();
 };
 
+/// Connections own the deadlines together: the ones that end with the I/O context outlive everybody
+/// else.
+using DeadlinesPtr = std::shared_ptr<Deadlines>;
+
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -100,13 +100,13 @@
             return it == domains.end() ? std::string() : it->second;
           },
           PickerSettingsOf(settings_), events),
-      follower_(settings_.follower, {[this](const store::Item& item) { OnItem(item); },
-                     [this](const std::string& key) { OnRemoved(key); }, [this] { OnSynced(); },
-                     [this](bool reachable) {
-                       events_.Write(
-                           reachable ? StreamEvent::kStoreRegained : StreamEvent::kStoreLost,
-                           {{"revision", follower_.revision()}});
-                     }}),
+      follower_(settings_.follower,
+                {[this](const store::Item& item) { OnItem(item); },
+                 [this](const std::string& key) { OnRemoved(key); }, [this] { OnSynced(); },
+                 [this](bool reachable) {
+                   events_.Write(reachable ? StreamEvent::kStoreRegained : StreamEvent::kStoreLost,
+                                 {{"revision", follower_.revision()}});
+                 }}),
       registration_({}, {settings_.instance, HostOf(settings_.clients), settings_.failure_domain,
                          settings_.region, false}),
       feed_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
@@ -146,7 +146,7 @@
   UpdateReadiness();
   if (draining_) DrainTick();
   events_.Flush();
-  context_.deadlines.Add(now + kTickInterval, [this] { Tick(); });
+  context_.deadlines->Add(now + kTickInterval, [this] { Tick(); });
 }
 
 void Gateway::PumpStore() {
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -8,10 +8,11 @@
 
 }  // namespace
 
-Listener::Listener(boost::asio::io_context& context, Deadlines& deadlines, RequestHandler& handler,
-                   std::size_t max_sessions)
+Listener::Listener(boost::asio::io_context& context, DeadlinesPtr deadlines,
+                   RequestHandler& handler, std::size_t max_sessions)
     : acceptor_(context),
-      group_(std::make_shared<SessionGroup>(SessionGroup{handler, deadlines, {}, false, {}})),
+      group_(std::make_shared<SessionGroup>(
+          SessionGroup{handler, std::move(deadlines), {}, false, {}})),
       max_sessions_(max_sessions) {}
 
 boost::system::error_code Listener::Open(const boost::asio::ip::tcp::endpoint& endpoint) {
--- a/src/vanilladeck/gateway/listener.h
+++ b/src/vanilladeck/gateway/listener.h
@@ -10,7 +10,7 @@
 /// Accepts connections and runs a `ClientSession` on each.
 class Listener {
  public:
-  Listener(boost::asio::io_context& context, Deadlines& deadlines, RequestHandler& handler,
+  Listener(boost::asio::io_context& context, DeadlinesPtr deadlines, RequestHandler& handler,
            std::size_t max_sessions);
 
   [[nodiscard]] boost::system::error_code Open(const boost::asio::ip::tcp::endpoint& endpoint);
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -159,7 +159,7 @@
   sent_ = now;
   context_.servers.OnSent(*server_, now);
   if (deadline_id_ == 0) {
-    deadline_id_ = context_.deadlines.Add(deadline_, [weak = weak_from_this()] {
+    deadline_id_ = context_.deadlines->Add(deadline_, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->OnDeadline();
     });
   }
@@ -422,7 +422,7 @@
 
 void ProxiedRequest::Finish(RequestEnd end, unsigned status, std::string_view reason) {
   finished_ = true;
-  context_.deadlines.Remove(deadline_id_);
+  context_.deadlines->Remove(deadline_id_);
   const core::Duration latency = core::RuntimeClock::now() - received_;
   const std::string route_name = route_ == nullptr ? "none" : route_->name;
   context_.metrics.CountRequest(route_name, end, latency);
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -17,11 +17,11 @@
 
 }  // namespace
 
-StoreChannel::StoreChannel(boost::asio::io_context& context, Deadlines& deadlines,
+StoreChannel::StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines,
                            boost::asio::ip::tcp::endpoint store, std::string host,
                            const store::VersionedCodec& codec)
     : context_(context),
-      deadlines_(deadlines),
+      deadlines_(std::move(deadlines)),
       store_(std::move(store)),
       host_(std::move(host)),
       codec_(codec) {}
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -15,7 +15,7 @@
  public:
   using Done = std::function<void(const store::VersionedResult&)>;
 
-  StoreChannel(boost::asio::io_context& context, Deadlines& deadlines,
+  StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines,
                boost::asio::ip::tcp::endpoint store, std::string host,
                const store::VersionedCodec& codec);
 
@@ -26,7 +26,7 @@
   void Send(const store::VersionedCall& call, core::TimePoint deadline, const Done& done);
 
   boost::asio::io_context& context_;
-  Deadlines& deadlines_;
+  DeadlinesPtr deadlines_;
   boost::asio::ip::tcp::endpoint store_;
   std::string host_;
   const store::VersionedCodec& codec_;
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -31,18 +31,18 @@
 
 }  // namespace
 
-UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, Deadlines& deadlines,
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
                                        const ResponseLimits& limits)
-    : socket_(context), deadlines_(deadlines), limits_(limits) {}
+    : socket_(context), deadlines_(std::move(deadlines)), limits_(limits) {}
 
-UpstreamConnection::~UpstreamConnection() { deadlines_.Remove(deadline_); }
+UpstreamConnection::~UpstreamConnection() { deadlines_->Remove(deadline_); }
 
 void UpstreamConnection::Connect(const boost::asio::ip::tcp::endpoint& endpoint,
                                  core::TimePoint deadline, ConnectDone done) {
   connect_done_ = std::move(done);
-  deadline_ = deadlines_.Add(deadline, [this] { Close(); });
+  deadline_ = deadlines_->Add(deadline, [this] { Close(); });
   socket_.async_connect(endpoint, [self = shared_from_this()](boost::system::error_code ec) {
-    self->deadlines_.Remove(self->deadline_);
+    self->deadlines_->Remove(self->deadline_);
     if (!ec && !self->socket_.is_open()) ec = boost::asio::error::timed_out;
     if (!ec) {
       SetConnectionOptions(self->socket_);
@@ -69,7 +69,7 @@
   writing_ = true;
   input_.clear();
   StartParser();
-  deadline_ = deadlines_.Add(deadline, [this] { Finish(ExchangeEnd::kTimeout, "deadline"); });
+  deadline_ = deadlines_->Add(deadline, [this] { Finish(ExchangeEnd::kTimeout, "deadline"); });
   boost::asio::async_write(socket_, boost::asio::buffer(request_),
                            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
                              self->writing_ = false;
@@ -170,7 +170,7 @@
 
 void UpstreamConnection::Finish(ExchangeEnd end, std::string detail) {
   if (!done_) return;
-  deadlines_.Remove(deadline_);
+  deadlines_->Remove(deadline_);
   ExchangeOutcome outcome;
   outcome.end = end;
   outcome.any_byte = any_byte_;
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -52,7 +52,7 @@
   /// True if the response belongs to the request; others are dropped and the next one is awaited.
   using Accepts = std::function<bool(const Response&)>;
 
-  UpstreamConnection(boost::asio::io_context& context, Deadlines& deadlines,
+  UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
                      const ResponseLimits& limits = {});
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
@@ -91,7 +91,7 @@
   void Close();
 
   boost::asio::ip::tcp::socket socket_;
-  Deadlines& deadlines_;
+  DeadlinesPtr deadlines_;
   ResponseLimits limits_;
   Deadlines::Id deadline_ = 0;
   std::string request_;
--- a/src/vanilladeck/gateway/upstream_pool.h
+++ b/src/vanilladeck/gateway/upstream_pool.h
@@ -19,8 +19,8 @@
   /// Null with an error text if no connection came about.
   using AcquireDone = std::function<void(ConnectionPtr, bool fresh, std::string error)>;
 
-  UpstreamPool(boost::asio::io_context& context, Deadlines& deadlines)
-      : context_(context), deadlines_(deadlines) {}
+  UpstreamPool(boost::asio::io_context& context, DeadlinesPtr deadlines)
+      : context_(context), deadlines_(std::move(deadlines)) {}
 
   /// A request that may run once only gets a connection with little risk of being closed.
   void Acquire(const steering::Server& server, config::RequestKind kind, core::TimePoint deadline,
@@ -42,7 +42,7 @@
   ConnectionPtr TakeIdle(const std::string& key, config::RequestKind kind, core::TimePoint now);
 
   boost::asio::io_context& context_;
-  Deadlines& deadlines_;
+  DeadlinesPtr deadlines_;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
   std::uint64_t opened_ = 0;
 };
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -19,8 +19,10 @@
     return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
   };
   if (!json.is_object() || key.size() <= kInstancePrefix.size()) return std::nullopt;
+  const auto ready = json.find("ready");
+  if (ready == json.end() || !ready->is_boolean()) return std::nullopt;
   InstanceRecord record{key.substr(kInstancePrefix.size()), text("address"), text("failure_domain"),
-                        text("region"), json.value("ready", false)};
+                        text("region"), ready->get<bool>()};
   if (record.address.empty() || record.region.empty()) return std::nullopt;
   return record;
 }
--- /dev/null
+++ b/tests/membership/registration_test.cc
@@ -0,0 +1,111 @@
+#include "vanilladeck/membership/registration.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanilladeck::membership {
+namespace {
+
+using namespace std::chrono_literals;
+using store::CallError;
+using store::CallErrorCode;
+using store::VersionedAnswer;
+using store::VersionedResult;
+
+InstanceRecord Record() { return {"edge-1", "127.0.0.1:80", "east-a", "east", false}; }
+
+struct Fixture {
+  Fixture() : registration({}, Record()), now(core::TimePoint(100s)) {}
+
+  template <class Call>
+  Call Expect() {
+    const auto call = registration.Next(now);
+    REQUIRE(call.has_value());
+    REQUIRE(std::holds_alternative<Call>(*call));
+    return std::get<Call>(*call);
+  }
+  void Answer(VersionedAnswer answer) { registration.OnAnswer(VersionedResult(answer), now); }
+  void Fail(CallErrorCode code) {
+    registration.OnAnswer(VersionedResult(CallError{code, ""}), now);
+    now += 400ms;
+  }
+  void Register() {
+    (void)Expect<store::GrantLease>();
+    Answer(store::LeaseGranted{7, 3000ms});
+    CHECK(Expect<store::PutItem>().lease == 7);
+    Answer(store::Done{});
+  }
+
+  Registration registration;
+  core::TimePoint now;
+};
+
+TEST_CASE("the record is written under a lease and the lease is renewed") {
+  Fixture f;
+  f.Register();
+  CHECK_FALSE(f.registration.Next(f.now).has_value());
+  f.now += 1100ms;
+  CHECK(f.Expect<store::RenewLease>().lease == 7);
+  f.Answer(store::Done{});
+}
+
+// Guards against an instance that no lookup names any more after an outage of the store.
+TEST_CASE("an ended lease leads to a new one and the record is written again") {
+  Fixture f;
+  f.Register();
+  f.now += 1100ms;
+  (void)f.Expect<store::RenewLease>();
+  f.Fail(CallErrorCode::kLeaseEnded);
+  (void)f.Expect<store::GrantLease>();
+  f.Answer(store::LeaseGranted{8, 3000ms});
+  CHECK(f.Expect<store::PutItem>().lease == 8);
+}
+
+// Guards against records that the store took away without telling: renewals go on working.
+TEST_CASE("a record that is missing in the feed is written again") {
+  Fixture f;
+  f.Register();
+  f.registration.OnRecordMissing();
+  (void)f.Expect<store::GrantLease>();
+}
+
+TEST_CASE("a change of readiness is written at once") {
+  Fixture f;
+  f.Register();
+  f.registration.SetReady(true);
+  const auto put = f.Expect<store::PutItem>();
+  const auto record = DecodeInstance(put.key, put.value);
+  REQUIRE(record.has_value());
+  CHECK(record->ready);
+  CHECK(record->name == "edge-1");
+}
+
+// Guards against a stopped instance that stays listed: the answer to an earlier call looked like
+// the withdrawal's.
+TEST_CASE("a withdrawal is done only when its own call succeeds") {
+  Fixture f;
+  f.Register();
+  f.now += 1100ms;
+  (void)f.Expect<store::RenewLease>();
+  f.registration.Withdraw();
+  f.Answer(store::Done{});
+  CHECK_FALSE(f.registration.withdrawn());
+  CHECK(f.Expect<store::DeleteItem>().key == "vanilladeck/instances/edge-1");
+  f.Fail(CallErrorCode::kNoAnswer);
+  CHECK_FALSE(f.registration.withdrawn());
+  (void)f.Expect<store::DeleteItem>();
+  f.Answer(store::Done{});
+  CHECK(f.registration.withdrawn());
+}
+
+TEST_CASE("damaged instance records are ignored") {
+  CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", "not json").has_value());
+  CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", "[1,2]").has_value());
+  CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", R"({"address":5})").has_value());
+  CHECK_FALSE(DecodeInstance("vanilladeck/instances/", EncodeInstance(Record())).has_value());
+  CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", R"({"address":"a","region":"r","ready":3})")
+                  .has_value());
+  CHECK(DecodeInstance("vanilladeck/instances/edge-1", EncodeInstance(Record())) == Record());
+}
+
+}  // namespace
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,179 @@
+#include "codec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace vanilladeck::platform {
+namespace {
+
+using nlohmann::json;
+
+const std::set<std::string>& Domains() {
+  static const std::set<std::string> domains{"east-a", "west-a"};
+  return domains;
+}
+
+json ServerEntry() {
+  return {{"address", "10.0.0.9:8080"},
+          {"born", 1700000000000},
+          {"info", {{"backend", "catalogue"}, {"version", "v1"}, {"zone", "east-a"}, {"slots", 9}}},
+          {"status", {{"state", "ready"}, {"seq", 4}, {"coldLeftS", 1.5}}}};
+}
+
+json Policy() {
+  return json::parse(R"({"version":"0000000c","resources":[
+    {"type":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example","prefix":"/x/",
+     "kind":"idempotent","timeoutS":2.5,"sloS":0.6,"priority":1,"attempts":2,
+     "split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],
+     "sessionAffinity":true,"allowedRegions":["east"]}},
+    {"type":"backends","metadata":{"name":"s1"},"spec":{"healthPath":"/healthz","maxConns":330,
+     "coldS":3.0,"coldPerS":8.8}},
+    {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":9000,"maxBodyBytes":70000,
+     "headerTimeoutS":3,"idleTimeoutS":15}}]})");
+}
+
+TEST_CASE("a server's entry is decoded into fields that say what they hold") {
+  const auto report = DecodeServer("i-1", ServerEntry().dump(), Domains());
+  REQUIRE(report.has_value());
+  CHECK(report.value().id == "i-1");
+  CHECK(report.value().born_ms == 1700000000000);
+  CHECK(report.value().service == "catalogue");
+  CHECK(report.value().slots == 9);
+  CHECK(report.value().sequence == 4);
+  CHECK(report.value().cold_left == std::chrono::milliseconds(1500));
+}
+
+// Guards against servers that other writers made up: such an entry must name no server to use.
+TEST_CASE("an entry with a missing or mistyped field names no server") {
+  const std::vector<json::json_pointer> fields{
+      json::json_pointer("/address"),         json::json_pointer("/info"),
+      json::json_pointer("/status"),          json::json_pointer("/info/backend"),
+      json::json_pointer("/info/zone"),       json::json_pointer("/info/slots"),
+      json::json_pointer("/status/state"),    json::json_pointer("/status/seq"),
+      json::json_pointer("/status/coldLeftS")};
+  for (const auto& field : fields) {
+    for (const json& value : {json(nullptr), json(json::array()), json(true)}) {
+      json entry = ServerEntry();
+      entry[field] = value;
+      CHECK_FALSE(DecodeServer("i-1", entry.dump(), Domains()).has_value());
+    }
+  }
+  json entry = ServerEntry();
+  entry["born"] = "yesterday";
+  CHECK_FALSE(DecodeServer("i-1", entry.dump(), Domains()).has_value());
+  entry = ServerEntry();
+  entry["status"]["state"] = "sleeping";
+  CHECK_FALSE(DecodeServer("i-1", entry.dump(), Domains()).has_value());
+  entry = ServerEntry();
+  entry["info"]["zone"] = "nowhere";
+  CHECK_FALSE(DecodeServer("i-1", entry.dump(), Domains()).has_value());
+  CHECK_FALSE(DecodeServer("i-1", "\xff\xfe", Domains()).has_value());
+}
+
+TEST_CASE("a configuration becomes a routing policy") {
+  const auto policy = DecodePolicy(Policy().dump());
+  REQUIRE(policy.has_value());
+  CHECK(policy.value().version == 12);
+  REQUIRE(policy.value().routes.size() == 1);
+  const config::Route& route = policy.value().routes[0];
+  CHECK(route.kind == config::RequestKind::kIdempotent);
+  CHECK(route.timeout == std::chrono::milliseconds(2500));
+  REQUIRE(route.services.size() == 2);
+  CHECK(route.services[1].weight == 10);
+  CHECK(route.allowed_regions == std::vector<std::string>{"east"});
+  REQUIRE(policy.value().services.size() == 1);
+  CHECK(policy.value().services[0].max_connections == 330);
+  CHECK(policy.value().limits.max_header_bytes == 9000);
+}
+
+// Guards against a second run of a request whose kind this version does not know.
+TEST_CASE("an unknown kind of request is served as one that must not be repeated") {
+  json policy = Policy();
+  policy["resources"][0]["spec"]["kind"] = "keyed";
+  const auto decoded = DecodePolicy(policy.dump());
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value().routes[0].kind == config::RequestKind::kNonIdempotent);
+}
+
+// Guards against a process that ends over one damaged value of the store.
+TEST_CASE("damaged values give an error or a value, never an end of the process") {
+  std::mt19937 random(20261204);
+  for (const std::string& text : {ServerEntry().dump(), Policy().dump()}) {
+    for (int i = 0; i < 5000; ++i) {
+      std::string damaged = text;
+      const int damages = 1 + static_cast<int>(random() % 4);
+      for (int k = 0; k < damages; ++k) {
+        const std::size_t at = random() % damaged.size();
+        switch (random() % 3) {
+          case 0:
+            damaged[at] = static_cast<char>(random() % 256);
+            break;
+          case 1:
+            damaged.erase(at, 1 + random() % 8);
+            break;
+          default:
+            damaged.insert(at, 1, "{}[]\",:0-e"[random() % 10]);
+            break;
+        }
+        if (damaged.empty()) damaged = "x";
+      }
+      (void)DecodeServer("i-1", damaged, Domains());
+      (void)DecodePolicy(damaged);
+    }
+  }
+  SUCCEED();
+}
+
+TEST_CASE("calls are encoded as the store's protocol has them") {
+  const Codec codec(Domains());
+  CHECK(codec.Encode(store::ReadRange{"op/", "op/config", true}).target ==
+        "/-/kv-range?prefix=op/&after=op/config&serializable=1");
+  CHECK(codec.Encode(store::WatchChanges{"", 411, std::chrono::milliseconds(1000)}).target ==
+        "/-/kv-watch?prefix=&after=411&waitMs=1000");
+  const auto put = codec.Encode(store::PutItem{"my/leader", "node-1", 77120});
+  CHECK(put.method == "POST");
+  const json body = json::parse(put.body);
+  CHECK(body["setKeys"][0]["value"] == "bm9kZS0x");
+  CHECK(body["setKeys"][0]["lease"] == 77120);
+  CHECK(body["expect"].empty());
+}
+
+TEST_CASE("answers of the store are decoded, base64 with and without padding") {
+  const Codec codec(Domains());
+  for (const auto& [encoded, plain] : std::vector<std::pair<std::string, std::string>>{
+           {"bm9kZS0x", "node-1"}, {"YQ==", "a"}, {"YWI=", "ab"}, {"", ""}}) {
+    const json body{{"items", {{{"key", "k"}, {"value", encoded}, {"rev", 4}}}},
+                    {"hasMore", true},
+                    {"currentRev", 9}};
+    const auto result = codec.Decode(store::ReadRange{}, 200, body.dump());
+    REQUIRE(result.has_value());
+    const auto& page = std::get<store::RangePage>(result.value());
+    CHECK(page.more);
+    CHECK(page.revision == 9);
+    CHECK(page.items.at(0).value == plain);
+  }
+  const json events{{"events", {{{"key", "k"}, {"rev", 5}, {"tombstone", true}}}},
+                    {"currentRev", 5}};
+  const auto changes = codec.Decode(store::WatchChanges{}, 200, events.dump());
+  REQUIRE(changes.has_value());
+  CHECK(std::get<store::Changes>(changes.value()).changes.at(0).removed);
+  using store::CallErrorCode;
+  CHECK(codec.Decode(store::WatchChanges{}, 410, "").error().code == CallErrorCode::kHistoryLost);
+  CHECK(codec.Decode(store::RenewLease{}, 404, "").error().code == CallErrorCode::kLeaseEnded);
+  CHECK(codec.Decode(store::ReadRange{}, 429, "").error().code == CallErrorCode::kRefused);
+  CHECK(codec.Decode(store::ReadRange{}, 200, "[").error().code == CallErrorCode::kMalformed);
+}
+
+TEST_CASE("lookups are decoded, percent signs at the end included") {
+  const Codec codec(Domains());
+  const auto query = codec.DecodeLookup("/-/resolve?name=a%2Eexample&region=east&zone=east-a");
+  REQUIRE(query.has_value());
+  CHECK(query->host == "a.example");
+  CHECK(query->region == "east");
+  CHECK_FALSE(codec.DecodeLookup("/other?name=a").has_value());
+  CHECK(codec.DecodeLookup("/-/resolve?name=%zz&region=%").has_value());
+}
+
+}  // namespace
+}  // namespace vanilladeck::platform
--- /dev/null
+++ b/tests/platform/settings_test.cc
@@ -0,0 +1,49 @@
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+namespace vanilladeck::platform {
+namespace {
+
+SettingsMap Complete() {
+  std::istringstream in(
+      "node=edge-1\nzone=east-a\nregion=east\nzones.east-a=east\nzones.west-a=west\n"
+      "listen.front=127.0.0.1:8144\nlisten.ready=127.0.0.1:8140\n"
+      "listen.directory=127.0.0.1:8143\nprovider.address=127.0.0.1:8142\n"
+      "bounds.drainS=2.5\nbounds.configS=4\nbounds.retryBudget=0.2\nbounds.budgetSlack=58\n"
+      "unknown.key=whatever\n");
+  return ReadSettings(in);
+}
+
+TEST_CASE("settings are translated and unknown keys ignored") {
+  const auto settings = GatewaySettingsOf(Complete());
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().instance == "edge-1");
+  CHECK(settings.value().region_of_domain.at("west-a") == "west");
+  CHECK(settings.value().fleet.retry_allowance == 58);
+  CHECK(settings.value().clients.port() == 8144);
+  CHECK(settings.value().follower.poll_interval == std::chrono::milliseconds(1000));
+}
+
+// Guards against a process that starts with half of its settings.
+TEST_CASE("a missing or malformed value is named") {
+  for (const std::string key : {"node", "zone", "region", "listen.front", "provider.address"}) {
+    SettingsMap map = Complete();
+    map.erase(key);
+    const auto settings = GatewaySettingsOf(map);
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().key == key);
+  }
+  for (const auto& [key, value] : std::map<std::string, std::string>{
+           {"listen.ready", "nowhere"}, {"bounds.coldSlack", "many"}, {"bounds.graceS", "-1"}}) {
+    SettingsMap map = Complete();
+    map[key] = value;
+    const auto settings = GatewaySettingsOf(map);
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().key == key);
+  }
+}
+
+}  // namespace
+}  // namespace vanilladeck::platform
--- /dev/null
+++ b/tests/steering/route_table_test.cc
@@ -0,0 +1,44 @@
+#include "vanilladeck/steering/route_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanilladeck::steering {
+namespace {
+
+config::Route MakeRoute(const std::string& name, const std::string& host,
+                        const std::string& prefix) {
+  config::Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  route.services.push_back({"s", 1});
+  return route;
+}
+
+TEST_CASE("the longest prefix of the host wins") {
+  config::RoutingPolicy policy;
+  policy.routes = {MakeRoute("short", "a.example", "/x/"), MakeRoute("long", "a.example", "/x/y/"),
+                   MakeRoute("other", "b.example", "/")};
+  const RouteTable table(policy);
+  CHECK(table.Match("a.example", "/x/1")->name == "short");
+  CHECK(table.Match("a.example", "/x/y/1?q=/x/")->name == "long");
+  CHECK(table.Match("A.Example:8080", "/x/y/")->name == "long");
+  CHECK(table.Match("a.example", "/x") == nullptr);
+  CHECK(table.Match("a.example", "/") == nullptr);
+  CHECK(table.Match("c.example", "/x/") == nullptr);
+  CHECK(table.Match("b.example", "/anything")->name == "other");
+}
+
+TEST_CASE("requests are divided by weight") {
+  config::Route route = MakeRoute("r", "a", "/");
+  route.services = {{"s1", 90}, {"s2", 10}};
+  int second = 0;
+  constexpr int kDraws = 1000;
+  for (int i = 0; i < kDraws; ++i) {
+    if (ChooseService(route, (i + 0.5) / kDraws) == "s2") ++second;
+  }
+  CHECK(second == kDraws / 10);
+}
+
+}  // namespace
+}  // namespace vanilladeck::steering
--- a/tests/telemetry/event_test.cc
+++ b/tests/telemetry/event_test.cc
@@ -13,6 +13,8 @@
   REQUIRE(in.good());
   std::vector<std::string> documented;
   for (std::string line; std::getline(in, line);) {
+    // The gateway's events have no numbers and a test of their own (event_stream_test.cc).
+    if (line == "## The gateway's stream") break;
     const bool is_row = line.rfind("| ", 0) == 0 && line.rfind("| number", 0) != 0;
     if (is_row) documented.push_back(line);
   }
