--- a/src/vanilladeck/config/deployment.h
+++ b/src/vanilladeck/config/deployment.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "vanilladeck/config/route.h"
 #include "vanilladeck/core/rank.h"
 
 /// The checked content of a deployment text.
@@ -76,6 +77,8 @@
   std::vector<FailureDomain> failure_domains;
   std::vector<Link> links;
   std::vector<Service> services;
+  std::vector<Route> routes;
+  ClientLimits client_limits;
 };
 
 }  // namespace vanilladeck::config
--- a/src/vanilladeck/config/impl/deployment_reader.cc
+++ b/src/vanilladeck/config/impl/deployment_reader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "vanilladeck/config/impl/route_reader.h"
+
 namespace vanilladeck::config::impl {
 namespace {
 
@@ -167,6 +169,7 @@
   ReadFailureDomains(reader, out, sink);
   ReadLinks(reader, out, sink);
   ReadServices(reader, out, sink);
+  ReadRoutes(reader, out.deployment, sink);
   reader.RejectUnknownKeys();
   return out;
 }
--- a/src/vanilladeck/config/impl/table_reader.h
+++ b/src/vanilladeck/config/impl/table_reader.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <toml++/toml.h>
-
 #include <cstdint>
 #include <limits>
 #include <set>
@@ -10,6 +8,7 @@
 #include <vector>
 
 #include "vanilladeck/config/config_error.h"
+#include "vanilladeck/core/toml.h"
 
 namespace vanilladeck::config::impl {
 
--- a/src/vanilladeck/config/parse_deployment.cc
+++ b/src/vanilladeck/config/parse_deployment.cc
@@ -9,13 +9,13 @@
 core::Result<Deployment, std::vector<ConfigError>> ParseDeployment(std::string_view text,
                                                                    std::string_view file_name) {
   impl::ErrorSink sink(file_name);
-  const auto parsed = toml::parse(text);
+  const auto parsed = core::ParseToml(text, file_name);
   if (!parsed) {
-    sink.Add(ConfigErrorCode::kMalformedToml, impl::PositionOf(parsed.error().source()),
-             std::string(parsed.error().description()));
+    sink.Add(ConfigErrorCode::kMalformedToml, {parsed.error().line, parsed.error().column},
+             parsed.error().message);
     return core::failure(sink.Take());
   }
-  auto read = impl::Read(parsed.table(), sink);
+  auto read = impl::Read(parsed.value(), sink);
   impl::CheckDeployment(read, sink);
   auto errors = sink.Take();
   if (!errors.empty()) return core::failure(std::move(errors));
--- a/src/vanilladeck/ctl/commands.cc
+++ b/src/vanilladeck/ctl/commands.cc
@@ -1,6 +1,7 @@
 #include "vanilladeck/ctl/commands.h"
 
 #include <cctype>
+#include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -12,6 +13,7 @@
 #include "vanilladeck/ctl/apply.h"
 #include "vanilladeck/ctl/ask.h"
 #include "vanilladeck/ctl/render.h"
+#include "vanilladeck/ctl/trace.h"
 
 namespace vanilladeck::ctl {
 namespace {
@@ -102,6 +104,22 @@
     return Get(target, Either(RenderExplanation));
   }
 
+  ExitCode operator()(const TraceCommand& command) const {
+    TraceReader reader(command.request_id);
+    for (const std::string& it : command.files) {
+      std::ifstream in(it);
+      if (!in) {
+        output_.errors << it << ": cannot be read\n";
+        return ExitCode::kRefused;
+      }
+      reader.Read(in);
+    }
+    const RequestTrace trace = reader.Finish();
+    output_.out << (options_.json ? TraceToJson(command.request_id, trace).dump() + '\n'
+                                  : RenderTrace(command.request_id, trace));
+    return trace.own.empty() ? ExitCode::kRefused : ExitCode::kOk;
+  }
+
  private:
   using Render = std::function<std::string(const json&)>;
 
--- a/src/vanilladeck/ctl/options.cc
+++ b/src/vanilladeck/ctl/options.cc
@@ -80,6 +80,12 @@
     return Command(ExplainCommand{Text(arguments, "SERVICE"), Text(arguments, "--client"),
                                   Text(arguments, "--rank")});
   }
+  if (Given(arguments, "trace")) {
+    const auto files = arguments.find("LOG");
+    return Command(TraceCommand{Text(arguments, "ID"), files == arguments.end()
+                                                           ? std::vector<std::string>()
+                                                           : files->second.asStringList()});
+  }
   ShowCommand show;
   if (const auto at = Text(arguments, "--at"); !at.empty()) {
     show.at_ms = ParseTime(at);
--- a/src/vanilladeck/ctl/options.h
+++ b/src/vanilladeck/ctl/options.h
@@ -22,6 +22,7 @@
   vanilladeckctl show [--at=TIME] [options]
   vanilladeckctl status [options]
   vanilladeckctl explain SERVICE --client=ADDR [--rank=RANK] [options]
+  vanilladeckctl trace ID LOG... [options]
   vanilladeckctl --help
 
 Options:
@@ -64,10 +65,15 @@
   std::string client;
   std::string rank;  ///< Empty: the service's default.
 };
+/// Joins the event streams of several processes into one account of a request.
+struct TraceCommand {
+  std::string request_id;
+  std::vector<std::string> files;
+};
 struct HelpCommand {};
 
 using Command = std::variant<CheckCommand, DiffCommand, ApplyCommand, HistoryCommand, ShowCommand,
-                             StatusCommand, ExplainCommand, HelpCommand>;
+                             StatusCommand, ExplainCommand, TraceCommand, HelpCommand>;
 
 struct Options {
   Command command;
--- a/src/vanilladeck/daemon/settings.cc
+++ b/src/vanilladeck/daemon/settings.cc
@@ -1,7 +1,5 @@
 #include "vanilladeck/daemon/settings.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -11,6 +9,8 @@
 #include <set>
 #include <sstream>
 
+#include "vanilladeck/core/toml.h"
+
 namespace vanilladeck::daemon {
 namespace {
 
@@ -242,13 +242,14 @@
 core::Result<Settings, std::vector<SettingsError>> Settings::Parse(std::string_view text,
                                                                    const std::string& file) {
   Reader reader(file);
-  const toml::parse_result parsed = toml::parse(text, file);
+  const auto parsed = core::ParseToml(text, file);
   if (!parsed) {
-    reader.Fail(SettingsErrorCode::kSyntax, parsed.error().source(), "",
-                std::string(parsed.error().description()));
+    toml::source_region at;
+    at.begin = {parsed.error().line, parsed.error().column};
+    reader.Fail(SettingsErrorCode::kSyntax, at, "", parsed.error().message);
     return core::failure(reader.TakeErrors());
   }
-  Settings settings = ReadRoot(reader, parsed.table());
+  Settings settings = ReadRoot(reader, parsed.value());
   auto errors = reader.TakeErrors();
   if (!errors.empty()) return core::failure(std::move(errors));
   return settings;
