--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -4,7 +4,9 @@
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/metrics_text.h"
+#include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/gateway/proxied_request.h"
+#include "vanilladeck/http/endpoint.h"
 
 namespace vanilladeck::gateway {
 namespace {
@@ -32,6 +34,12 @@
 constexpr core::Duration kDrainIdleTime = milliseconds(1200);
 // Time before the end by force in which the process exits by itself.
 constexpr core::Duration kExitMargin = milliseconds(250);
+// Instances of one region ask each other this often: with a reader's own interval the sum stays
+// below the bound on changes, and an answer without changes is small.
+constexpr core::Duration kPeerPollInterval = milliseconds(400);
+constexpr core::Duration kPeerTimeout = milliseconds(500);
+// A reader that has heard nothing from the store for this many of its intervals is behind.
+constexpr int kPeerMaxIntervals = 2;
 // A record that the store lost is written again after this time without it.
 constexpr core::Duration kRecordMissingTime = milliseconds(2500);
 
@@ -108,9 +116,12 @@
                                  {{"revision", follower_.revision()}});
                  }}),
       registration_({}, {settings_.instance, HostOf(settings_.clients), settings_.failure_domain,
-                         settings_.region, false}),
+                         settings_.region, false,
+                         settings_.peers.port() == 0 ? "" : HostOf(settings_.peers)}),
       feed_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
       lease_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
+      log_(settings_.instance + '/' + std::to_string(core::RuntimeClock::WallMs())),
+      source_(settings_.instance),
       proxy_(std::make_unique<ProxyHandler>(context_)),
       entry_(std::make_unique<EntryHandler>([this](ClientSession& session, const Request& request) {
         AnswerEntry(session, request);
@@ -118,7 +129,8 @@
       clients_(context, context_.deadlines, *proxy_, kMaxClientSessions),
       readiness_(context, context_.deadlines, *entry_, kMaxEntrySessions),
       lookups_(context, context_.deadlines, *entry_, kMaxEntrySessions),
-      metrics_(context, context_.deadlines, *entry_, kMaxEntrySessions) {}
+      metrics_(context, context_.deadlines, *entry_, kMaxEntrySessions),
+      peers_(context, context_.deadlines, *entry_, kMaxEntrySessions) {}
 
 Gateway::~Gateway() = default;
 
@@ -127,6 +139,7 @@
   if (!ec) ec = readiness_.Open(settings_.readiness);
   if (!ec) ec = lookups_.Open(settings_.lookups);
   if (!ec && settings_.metrics.port() != 0) ec = metrics_.Open(settings_.metrics);
+  if (!ec && settings_.peers.port() != 0) ec = peers_.Open(settings_.peers);
   if (ec) return ec;
   Tick();
   return ec;
@@ -139,7 +152,10 @@
   PumpStore();
   context_.picker.UpdateSplits(now);
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
-  if (context_.servers.OldestReport() + settings_.report_silence < now && follower_.reachable()) {
+  // Readers pass on changes, not every report, so only they can miss one.
+  const bool reads_store = source_.Choose(now) == nullptr;
+  if (reads_store && follower_.reachable() &&
+      context_.servers.OldestReport() + settings_.report_silence < now) {
     follower_.RequestListing(now);
   }
   UpdateFleet();
@@ -151,7 +167,11 @@
 
 void Gateway::PumpStore() {
   const core::TimePoint now = core::RuntimeClock::now();
-  if (auto call = follower_.Next(now)) {
+  auto call = follower_.Next(now);
+  const membership::FeedPeer* peer = source_.Choose(now);
+  if (call && peer != nullptr && membership::StoreFollower::CanAskPeer(*call)) {
+    AskPeer(*peer);
+  } else if (call) {
     feed_.Call(*call, kStoreTimeout, [this, call = *call](const store::VersionedResult& result) {
       CountCall(call, result);
       follower_.OnAnswer(result, core::RuntimeClock::now());
@@ -159,12 +179,13 @@
       if (result && std::holds_alternative<store::RangePage>(result.value())) PumpStore();
     });
   }
-  if (auto call = registration_.Next(now)) {
-    lease_.Call(*call, kStoreTimeout, [this, call = *call](const store::VersionedResult& result) {
-      CountCall(call, result);
-      registration_.OnAnswer(result, core::RuntimeClock::now());
-      if (result) PumpStore();
-    });
+  if (auto lease_call = registration_.Next(now)) {
+    lease_.Call(*lease_call, kStoreTimeout,
+                [this, call = *lease_call](const store::VersionedResult& result) {
+                  CountCall(call, result);
+                  registration_.OnAnswer(result, core::RuntimeClock::now());
+                  if (result) PumpStore();
+                });
   }
 }
 
@@ -178,10 +199,77 @@
                  {"detail", result.error().detail}});
 }
 
+void Gateway::AskPeer(const membership::FeedPeer& peer) {
+  const core::TimePoint deadline = core::RuntimeClock::now() + kPeerTimeout;
+  const auto ask = [this, peer, deadline] {
+    peer_connection_->Exchange(
+        EncodePeerRequest(peer_epoch_, peer_position_), false, deadline, nullptr,
+        [this, peer](const ExchangeOutcome& outcome) { OnPeerAnswer(peer, outcome); });
+  };
+  if (peer_connection_ && peer_name_ == peer.name && peer_connection_->reusable() &&
+      peer_connection_->QuietNow()) {
+    ask();
+    return;
+  }
+  if (peer_connection_) peer_connection_->Cancel();
+  peer_name_ = peer.name;
+  peer_connection_ = std::make_shared<UpstreamConnection>(io_, context_.deadlines);
+  const auto endpoint = http::ParseEndpoint(peer.address);
+  if (!endpoint) {
+    OnPeerAnswer(peer, {});
+    return;
+  }
+  peer_connection_->Connect(*endpoint, deadline, [this, peer, ask](boost::system::error_code ec) {
+    if (ec) {
+      ExchangeOutcome outcome;
+      outcome.detail = ec.message();
+      OnPeerAnswer(peer, outcome);
+    } else {
+      ask();
+    }
+  });
+}
+
+void Gateway::OnPeerAnswer(const membership::FeedPeer& peer, const ExchangeOutcome& outcome) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (outcome.end == ExchangeEnd::kResponse && peer_connection_->reusable()) {
+    peer_connection_->WatchIdle(nullptr);
+  }
+  std::optional<membership::PeerChanges> changes;
+  std::string reason = outcome.detail;
+  if (outcome.end == ExchangeEnd::kResponse && outcome.response.result_int() == 200) {
+    changes = membership::DecodePeerChanges(outcome.response.body());
+    if (!changes) reason = "malformed";
+  }
+  const core::Duration longest =
+      kPeerMaxIntervals * (settings_.follower.poll_interval + kStoreTimeout / 2);
+  if (changes && changes->age <= longest) {
+    peer_epoch_ = changes->epoch;
+    peer_position_ = changes->position;
+    follower_.OnPeerChanges(*changes, kPeerPollInterval, now);
+    return;
+  }
+  if (changes) reason = "behind the store";
+  source_.OnFailure(peer.name, now);
+  events_.Write(StreamEvent::kPeerFailed, {{"peer", peer.name}, {"reason", reason}});
+  follower_.OnPeerFailed(now);
+  PumpStore();
+}
+
+void Gateway::UpdateFeedPeers() {
+  std::vector<membership::FeedPeer> peers;
+  for (const auto& [name, record] : instances_) {
+    if (record.region != settings_.region || !record.ready || record.peer_address.empty()) continue;
+    peers.push_back({name, record.peer_address});
+  }
+  source_.SetPeers(std::move(peers));
+}
+
 void Gateway::OnItem(const store::Item& item) {
   DecodedItem decoded = codec_.DecodeItem(item);
+  bool matters = true;
   if (auto* server = std::get_if<ServerItem>(&decoded)) {
-    TakeServer(server->report);
+    matters = TakeServer(server->report);
   } else if (auto* policy = std::get_if<PolicyItem>(&decoded)) {
     TakePolicy(std::move(policy->policy), item.revision);
   } else if (auto* evacuation = std::get_if<EvacuationItem>(&decoded)) {
@@ -191,14 +279,17 @@
     if (auto record = membership::DecodeInstance(item.key, item.value)) {
       instances_[record->name] = *record;
       UpdateFleet();
+      UpdateFeedPeers();
     }
   } else if (auto* unusable = std::get_if<UnusableItem>(&decoded)) {
     events_.Write(StreamEvent::kEntryRejected,
                   {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
   }
+  log_.Put(item, matters);
 }
 
 void Gateway::OnRemoved(const std::string& key) {
+  log_.Remove(key, core::RuntimeClock::now());
   const RemovedItem removed = codec_.DecodeRemoval(key);
   if (const auto* server = std::get_if<RemovedServer>(&removed)) {
     DropServer(server->id, "entry removed");
@@ -208,6 +299,7 @@
   } else if (key.rfind(membership::kInstancePrefix, 0) == 0) {
     instances_.erase(key.substr(membership::kInstancePrefix.size()));
     UpdateFleet();
+    UpdateFeedPeers();
   }
 }
 
@@ -224,11 +316,12 @@
   }
 }
 
-void Gateway::TakeServer(const steering::ServerReport& report) {
+bool Gateway::TakeServer(const steering::ServerReport& report) {
   const auto old = context_.servers.Find(report.id);
+  const bool was_cold = old && old->report.cold_left > core::Duration::zero();
   const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
   using Change = steering::ServerSet::Change;
-  if (change == Change::kNone) return;
+  if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
   if (old && (old->gone || old->draining)) context_.pool.Forget(*old);
   events_.Write(
       change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
@@ -240,6 +333,7 @@
        {"sequence", report.sequence},
        {"cold_ms", std::chrono::duration_cast<milliseconds>(report.cold_left).count()},
        {"draining", report.state == steering::ServerState::kDraining}});
+  return true;
 }
 
 void Gateway::DropServer(const std::string& id, std::string_view reason) {
@@ -380,6 +474,13 @@
     ReplyWith(session, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
     return;
   }
+  if (const auto position = DecodePeerRequest(target)) {
+    membership::PeerChanges changes = log_.Since(position->epoch, position->position);
+    changes.revision = follower_.revision();
+    changes.age = core::RuntimeClock::now() - follower_.last_success();
+    ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
+    return;
+  }
   if (target == "/metrics") {
     ReplyWith(session, "text/plain; version=0.0.4", MetricsText());
     return;
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -14,6 +14,8 @@
 #include "vanilladeck/gateway/listener.h"
 #include "vanilladeck/gateway/platform_port.h"
 #include "vanilladeck/gateway/store_channel.h"
+#include "vanilladeck/membership/change_log.h"
+#include "vanilladeck/membership/feed_source.h"
 #include "vanilladeck/membership/registration.h"
 #include "vanilladeck/membership/store_follower.h"
 
@@ -30,6 +32,7 @@
   boost::asio::ip::tcp::endpoint lookups;    ///< Listener for lookups.
   boost::asio::ip::tcp::endpoint metrics;    ///< Port 0: none.
   boost::asio::ip::tcp::endpoint store;
+  boost::asio::ip::tcp::endpoint peers;  ///< Listener for other instances; port 0: none.
   WireNames names;
   FleetLimits fleet;
   membership::FollowerSettings follower;
@@ -59,11 +62,15 @@
  private:
   void Tick();
   void PumpStore();
+  void AskPeer(const membership::FeedPeer& peer);
+  void OnPeerAnswer(const membership::FeedPeer& peer, const ExchangeOutcome& outcome);
+  void UpdateFeedPeers();
   void OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
   void OnSynced();
   void TakePolicy(config::RoutingPolicy policy, store::Revision revision);
-  void TakeServer(const steering::ServerReport& report);
+  /// True if other instances need to know.
+  bool TakeServer(const steering::ServerReport& report);
   void DropServer(const std::string& id, std::string_view reason);
   void ApplyEvacuations();
   void UpdateFleet();
@@ -83,6 +90,12 @@
   membership::Registration registration_;
   StoreChannel feed_;
   StoreChannel lease_;
+  membership::ChangeLog log_;
+  membership::FeedSource source_;
+  std::shared_ptr<UpstreamConnection> peer_connection_;
+  std::string peer_name_;   ///< The peer at the other end of `peer_connection_`.
+  std::string peer_epoch_;  ///< Of the log read last.
+  std::uint64_t peer_position_ = 0;
   std::map<std::string, membership::InstanceRecord> instances_;
   std::set<std::string> evacuated_;
   std::unique_ptr<RequestHandler> proxy_;
@@ -91,6 +104,7 @@
   Listener readiness_;
   Listener lookups_;
   Listener metrics_;
+  Listener peers_;
   core::TimePoint policy_at_;
   core::TimePoint drain_began_;
   core::TimePoint record_missing_since_;
--- /dev/null
+++ b/src/vanilladeck/membership/change_log.cc
@@ -0,0 +1,116 @@
+#include "vanilladeck/membership/change_log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace vanilladeck::membership {
+namespace {
+
+// An instance asks several times a second; one that was away for longer gets the whole state.
+constexpr core::Duration kRemovalMemory = std::chrono::seconds(30);
+
+}  // namespace
+
+std::string EncodePeerChanges(const PeerChanges& changes) {
+  auto list = nlohmann::json::array();
+  for (const store::Change& it : changes.changes) {
+    nlohmann::json line{{"key", it.item.key}, {"revision", it.item.revision}};
+    if (it.removed) {
+      line["removed"] = true;
+    } else {
+      line["value"] = it.item.value;
+    }
+    list.push_back(std::move(line));
+  }
+  const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(changes.age).count();
+  const nlohmann::json message{{"epoch", changes.epoch}, {"position", changes.position},
+                               {"full", changes.full},   {"revision", changes.revision},
+                               {"age_ms", age_ms},       {"changes", std::move(list)}};
+  // Values of other writers may hold any bytes; damaged text stays damaged text.
+  return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<PeerChanges> DecodePeerChanges(const std::string& text) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  const auto field = [&json](const char* name) { return json.find(name); };
+  const auto epoch = field("epoch");
+  const auto position = field("position");
+  const auto full = field("full");
+  const auto revision = field("revision");
+  const auto age = field("age_ms");
+  const auto list = field("changes");
+  if (epoch == json.end() || !epoch->is_string() || position == json.end() ||
+      !position->is_number_unsigned() || full == json.end() || !full->is_boolean() ||
+      revision == json.end() || !revision->is_number_integer() || age == json.end() ||
+      !age->is_number_integer() || list == json.end() || !list->is_array()) {
+    return std::nullopt;
+  }
+  PeerChanges changes;
+  changes.epoch = epoch->get<std::string>();
+  changes.position = position->get<std::uint64_t>();
+  changes.full = full->get<bool>();
+  changes.revision = revision->get<store::Revision>();
+  changes.age = std::chrono::milliseconds(age->get<std::int64_t>());
+  for (const auto& it : *list) {
+    const auto key = it.find("key");
+    const auto item_revision = it.find("revision");
+    const auto value = it.find("value");
+    if (key == it.end() || !key->is_string() || item_revision == it.end() ||
+        !item_revision->is_number_integer()) {
+      return std::nullopt;
+    }
+    store::Change change;
+    change.item.key = key->get<std::string>();
+    change.item.revision = item_revision->get<store::Revision>();
+    change.removed = value == it.end() || !value->is_string();
+    if (!change.removed) change.item.value = value->get<std::string>();
+    changes.changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+void ChangeLog::Put(const store::Item& item, bool matters) {
+  const auto [it, added] = entries_.try_emplace(item.key);
+  Entry& entry = it->second;
+  const bool was_removed = entry.removed;
+  entry.item = item;
+  entry.removed = false;
+  if (added || was_removed || matters) entry.position = ++position_;
+}
+
+void ChangeLog::Remove(const std::string& key, core::TimePoint now) {
+  Prune(now);
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  it->second.removed = true;
+  it->second.removed_at = now;
+  it->second.item.value.clear();
+  it->second.position = ++position_;
+}
+
+void ChangeLog::Prune(core::TimePoint now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const Entry& entry = it->second;
+    if (entry.removed && now - entry.removed_at > kRemovalMemory) {
+      oldest_ = std::max(oldest_, entry.position + 1);
+      it = entries_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+PeerChanges ChangeLog::Since(const std::string& epoch, std::uint64_t position) const {
+  PeerChanges changes;
+  changes.epoch = epoch_;
+  changes.position = position_;
+  changes.full = epoch != epoch_ || position < oldest_ || position > position_;
+  for (const auto& [key, entry] : entries_) {
+    if (changes.full ? entry.removed : entry.position <= position) continue;
+    changes.changes.push_back({entry.item, entry.removed});
+  }
+  return changes;
+}
+
+}  // namespace vanilladeck::membership
--- /dev/null
+++ b/src/vanilladeck/membership/feed_source.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "vanilladeck/core/runtime_clock.h"
+
+namespace vanilladeck::membership {
+
+/// An instance of the own region that could pass changes on.
+struct FeedPeer {
+  std::string name;
+  std::string address;  ///< "IP:port" of its peer listener.
+};
+
+/// Decides whether an instance reads the store itself or asks another one of its region.
+///
+/// The instances of a region agree on its readers without any message: the first few by a hash of
+/// their names. So the store's calls grow with the regions and not with the instances. A reader
+/// that fails or is behind is avoided for a while; without any reader an instance reads the store
+/// itself.
+class FeedSource {
+ public:
+  explicit FeedSource(std::string own_name) : own_name_(std::move(own_name)) {}
+
+  /// `peers` are the ready instances of the region, the own one included.
+  void SetPeers(std::vector<FeedPeer> peers);
+
+  /// The peer to ask; null to read the store.
+  [[nodiscard]] const FeedPeer* Choose(core::TimePoint now) const;
+
+  void OnFailure(const std::string& name, core::TimePoint now);
+
+  /// Readers of a region: one may fail at any moment.
+  static constexpr std::size_t kReaders = 2;
+  /// In smaller regions everybody reads the store: there is little to save.
+  static constexpr std::size_t kSmallRegion = 4;
+
+ private:
+  std::string own_name_;
+  std::vector<FeedPeer> readers_;
+  bool own_reader_ = true;
+  std::map<std::string, core::TimePoint> avoided_until_;
+};
+
+}  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -8,7 +8,8 @@
   return nlohmann::json{{"address", record.address},
                         {"failure_domain", record.failure_domain},
                         {"region", record.region},
-                        {"ready", record.ready}}
+                        {"ready", record.ready},
+                        {"peer_address", record.peer_address}}
       .dump();
 }
 
@@ -21,8 +22,12 @@
   if (!json.is_object() || key.size() <= kInstancePrefix.size()) return std::nullopt;
   const auto ready = json.find("ready");
   if (ready == json.end() || !ready->is_boolean()) return std::nullopt;
-  InstanceRecord record{key.substr(kInstancePrefix.size()), text("address"), text("failure_domain"),
-                        text("region"), ready->get<bool>()};
+  InstanceRecord record{key.substr(kInstancePrefix.size()),
+                        text("address"),
+                        text("failure_domain"),
+                        text("region"),
+                        ready->get<bool>(),
+                        text("peer_address")};
   if (record.address.empty() || record.region.empty()) return std::nullopt;
   return record;
 }
--- a/src/vanilladeck/membership/registration.h
+++ b/src/vanilladeck/membership/registration.h
@@ -15,6 +15,7 @@
   std::string failure_domain;
   std::string region;
   bool ready = false;
+  std::string peer_address;  ///< Other instances ask here, "IP:port"; empty: nobody may.
 
   [[nodiscard]] bool operator==(const InstanceRecord& other) const = default;
 };
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -77,7 +77,7 @@
   for (const auto& [key, revision] : known_) {
     if (listed_.count(key) == 0 && revision <= listing_revision_) missing.push_back(key);
   }
-  for (const std::string& it : missing) Remove(it, now);
+  for (const std::string& it : missing) Remove(it, listing_revision_, now);
   // A stale listing must not move the feed back.
   revision_ = std::max(revision_, listing_revision_);
   listing_ = false;
@@ -88,6 +88,39 @@
   if (sink_.on_synced) sink_.on_synced();
 }
 
+void StoreFollower::OnPeerChanges(const PeerChanges& changes, core::Duration pause,
+                                  core::TimePoint now) {
+  in_flight_ = false;
+  const core::TimePoint heard = now - changes.age;
+  if (changes.age < settings_.outage_after && heard > last_success_) NoteSuccess(heard);
+  std::set<std::string> present;
+  for (const store::Change& it : changes.changes) {
+    present.insert(it.item.key);
+    const auto known = known_.find(it.item.key);
+    if (!it.removed) {
+      Take(it.item);
+    } else if (known != known_.end() && known->second <= it.item.revision) {
+      Remove(it.item.key, it.item.revision, now);
+    }
+  }
+  if (changes.full) {
+    std::vector<std::string> missing;
+    for (const auto& [key, revision] : known_) {
+      if (present.count(key) == 0 && revision <= changes.revision) missing.push_back(key);
+    }
+    for (const std::string& it : missing) Remove(it, changes.revision, now);
+  }
+  revision_ = std::max(revision_, changes.revision);
+  // What the reader lists anew arrives here as well.
+  last_listing_ = now;
+  due_ = now + pause;
+}
+
+void StoreFollower::OnPeerFailed(core::TimePoint now) {
+  in_flight_ = false;
+  due_ = now;
+}
+
 void StoreFollower::OnCheck(const store::RangePage& page, core::TimePoint now) {
   std::set<std::string> present;
   for (const store::Item& it : page.items) {
@@ -102,7 +135,7 @@
       if (covered && present.count(key) == 0) missing.push_back(key);
     }
   }
-  for (const std::string& it : missing) Remove(it, now);
+  for (const std::string& it : missing) Remove(it, page.revision, now);
 }
 
 void StoreFollower::RequestListing(core::TimePoint now) {
@@ -114,7 +147,8 @@
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
       const auto known = known_.find(it.item.key);
-      if (known != known_.end() && known->second < it.item.revision) Remove(it.item.key, now);
+      if (known != known_.end() && known->second < it.item.revision)
+        Remove(it.item.key, it.item.revision, now);
     } else {
       Take(it.item);
     }
@@ -134,6 +168,11 @@
 }
 
 void StoreFollower::Take(const store::Item& item) {
+  const auto removed = removed_.find(item.key);
+  if (removed != removed_.end()) {
+    if (item.revision <= removed->second.revision) return;
+    removed_.erase(removed);
+  }
   auto [known, added] = known_.try_emplace(item.key, item.revision);
   if (!added) {
     if (item.revision < known->second) return;
@@ -145,13 +184,18 @@
   if (sink_.on_item) sink_.on_item(item);
 }
 
-void StoreFollower::Remove(const std::string& key, core::TimePoint now) {
+void StoreFollower::Remove(const std::string& key, store::Revision revision, core::TimePoint now) {
   if (now - recovered_at_ < settings_.lapse_grace && recovered_at_ != core::TimePoint{}) {
-    lapsed_.emplace(key, recovered_at_ + settings_.lapse_grace);
+    lapsed_.emplace(key, Removal{revision, recovered_at_ + settings_.lapse_grace});
     return;
   }
+  Drop(key, revision, now);
+}
+
+void StoreFollower::Drop(const std::string& key, store::Revision revision, core::TimePoint now) {
   known_.erase(key);
   lapsed_.erase(key);
+  removed_[key] = Removal{revision, now};
   if (sink_.on_removed) sink_.on_removed(key);
 }
 
@@ -160,17 +204,18 @@
     reachable_ = false;
     if (sink_.on_reachable) sink_.on_reachable(false);
   }
+  for (auto it = removed_.begin(); it != removed_.end();) {
+    it = now - it->second.at > settings_.removal_memory ? removed_.erase(it) : std::next(it);
+  }
   // Without the store nobody can register again, so the grace does not run meanwhile.
   if (!reachable_) return;
   for (auto it = lapsed_.begin(); it != lapsed_.end();) {
-    if (now < it->second) {
+    if (now < it->second.at) {
       ++it;
       continue;
     }
-    const std::string key = it->first;
-    it = lapsed_.erase(it);
-    known_.erase(key);
-    if (sink_.on_removed) sink_.on_removed(key);
+    const auto [key, removal] = *it++;
+    Drop(key, removal.revision, now);
   }
 }
 
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "vanilladeck/core/runtime_clock.h"
+#include "vanilladeck/membership/change_log.h"
 #include "vanilladeck/store/versioned_call.h"
 
 namespace vanilladeck::membership {
@@ -28,6 +29,8 @@
   /// Items that nobody repeats are checked this often by a cheap read that may be stale.
   core::Duration check_interval = std::chrono::seconds(3);
   std::string check_prefix;  ///< Empty: no such check.
+  /// How long a removal is remembered against older reads; peers and replicas lag by seconds.
+  core::Duration removal_memory = std::chrono::seconds(120);
   /// Silence from the store that makes it count as unreachable.
   core::Duration outage_after = std::chrono::milliseconds(2500);
 };
@@ -51,6 +54,15 @@
   [[nodiscard]] std::optional<store::VersionedCall> Next(core::TimePoint now);
   void OnAnswer(const store::VersionedResult& result, core::TimePoint now);
 
+  /// True if the call that `Next` gave reads changes, which a peer may answer as well.
+  [[nodiscard]] static bool CanAskPeer(const store::VersionedCall& call) noexcept {
+    return std::holds_alternative<store::WatchChanges>(call);
+  }
+  /// Takes over what a peer passed on, in place of `OnAnswer`; the next call is due `pause` later.
+  void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
+  /// The peer did not answer or is behind; the call is due again at once.
+  void OnPeerFailed(core::TimePoint now);
+
   /// Applies removals whose grace has ended and notices an outage; call several times a second.
   void Tick(core::TimePoint now);
 
@@ -70,7 +82,9 @@
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   void OnFailure(const store::CallError& error, core::TimePoint now);
   void Take(const store::Item& item);
-  void Remove(const std::string& key, core::TimePoint now);
+  /// `revision` is one at which the key was absent.
+  void Remove(const std::string& key, store::Revision revision, core::TimePoint now);
+  void Drop(const std::string& key, store::Revision revision, core::TimePoint now);
   void NoteSuccess(core::TimePoint now);
   void StartListing() noexcept;
 
@@ -85,7 +99,12 @@
   store::Revision listing_revision_ = 0;  ///< Of the first page; changes continue from there.
   std::set<std::string> listed_;
   std::map<std::string, store::Revision> known_;
-  std::map<std::string, core::TimePoint> lapsed_;  ///< Removed around an outage, not yet applied.
+  struct Removal {
+    store::Revision revision = 0;
+    core::TimePoint at;  ///< For `lapsed_`: when it is applied; for `removed_`: when it was.
+  };
+  std::map<std::string, Removal> lapsed_;   ///< Removed around an outage, not yet applied.
+  std::map<std::string, Removal> removed_;  ///< Older items of these keys must not come back.
   store::Revision revision_ = 0;
   core::TimePoint due_;
   core::TimePoint last_success_;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -23,6 +23,7 @@
   kStoreLost,
   kStoreRegained,
   kStoreCallFailed,
+  kPeerFailed,
   kEntryRejected,
   kServerAdded,
   kServerDraining,
@@ -37,18 +38,19 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 22> kStreamEventNames{
+inline constexpr std::array<std::string_view, 23> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "ready",           "policy",
     "policy-rejected", "store-lost",
     "store-regained",  "store-call-failed",
-    "entry-rejected",  "server-added",
-    "server-draining", "server-removed",
-    "server-ejected",  "evacuation",
-    "fleet",           "request",
-    "refused",         "failed",
-    "attempt",         "dropped"};
+    "peer-failed",     "entry-rejected",
+    "server-added",    "server-draining",
+    "server-removed",  "server-ejected",
+    "evacuation",      "fleet",
+    "request",         "refused",
+    "failed",          "attempt",
+    "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256 * 1024;  ///< Lines that do not fit are dropped and counted.
--- /dev/null
+++ b/tests/membership/change_log_test.cc
@@ -0,0 +1,203 @@
+#include "vanilladeck/membership/change_log.h"
+
+#include <catch2/catch.hpp>
+
+#include "vanilladeck/membership/feed_source.h"
+#include "vanilladeck/membership/store_follower.h"
+
+namespace vanilladeck::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+core::TimePoint At(core::Duration since) { return core::TimePoint(100s) + since; }
+
+TEST_CASE("only changes that matter are passed on, in both directions of a difference") {
+  ChangeLog log("a/1");
+  log.Put({"servers/x", "v1", 5}, true);
+  log.Put({"servers/y", "v1", 6}, true);
+  const PeerChanges first = log.Since("", 0);
+  CHECK(first.full);
+  CHECK(first.changes.size() == 2);
+  log.Put({"servers/x", "v2", 7}, false);
+  CHECK(log.Since("a/1", first.position).changes.empty());
+  log.Put({"servers/x", "v3", 8}, true);
+  log.Remove("servers/y", At(0s));
+  const PeerChanges second = log.Since("a/1", first.position);
+  CHECK_FALSE(second.full);
+  REQUIRE(second.changes.size() == 2);
+  CHECK(second.changes[0].item.value == "v3");
+  CHECK(second.changes[1].removed);
+}
+
+// Guards against positions of a restarted reader that are taken for the old one's.
+TEST_CASE("another log or a forgotten position gives the whole state") {
+  ChangeLog log("a/2");
+  log.Put({"servers/x", "v1", 5}, true);
+  CHECK(log.Since("a/1", 2).full);
+  CHECK(log.Since("a/2", 99).full);
+  const std::uint64_t position = log.Since("", 0).position;
+  log.Remove("servers/x", At(0s));
+  log.Put({"servers/y", "v1", 6}, true);
+  CHECK_FALSE(log.Since("a/2", position).full);
+  log.Remove("servers/y", At(60s));
+  CHECK(log.Since("a/2", position).full);
+}
+
+TEST_CASE("messages between instances survive any value and reject damage") {
+  ChangeLog log("a/1");
+  log.Put({"op/config", "{\"version\":\"0000000c\"}", 5}, true);
+  log.Put({"servers/x", std::string("\xff\x00\"\n", 4), 6}, true);
+  PeerChanges sent = log.Since("", 0);
+  sent.revision = 9;
+  sent.age = 250ms;
+  const std::string text = EncodePeerChanges(sent);
+  const auto read = DecodePeerChanges(text);
+  REQUIRE(read.has_value());
+  CHECK(read->revision == 9);
+  CHECK(read->age == 250ms);
+  REQUIRE(read->changes.size() == 2);
+  CHECK(read->changes[0].item.value == "{\"version\":\"0000000c\"}");
+  for (std::size_t n = 0; n < text.size(); n += 7) {
+    CHECK_FALSE(DecodePeerChanges(text.substr(0, n)).has_value());
+  }
+  CHECK_FALSE(DecodePeerChanges("[]").has_value());
+  CHECK_FALSE(DecodePeerChanges("{\"epoch\":3}").has_value());
+}
+
+/// A follower that took over one listing at revision 10.
+struct Follower {
+  Follower()
+      : follower({}, {[this](const store::Item& item) { items[item.key] = item.value; },
+                      [this](const std::string& key) { items.erase(key); },
+                      {},
+                      {}}) {
+    REQUIRE(follower.Next(At(0s)).has_value());
+    follower.OnAnswer(store::VersionedResult(store::VersionedAnswer(store::RangePage{
+                          {{"op/config", "old", 3}, {"servers/x", "v", 4}}, false, 10})),
+                      At(0s));
+  }
+  std::map<std::string, std::string> items;
+  StoreFollower follower;
+};
+
+// Guards against a step back when a reader that lags answers after a faster one.
+TEST_CASE("a peer's older state neither undoes nor removes what is newer") {
+  Follower f;
+  PeerChanges newer;
+  newer.revision = 20;
+  newer.changes = {{{"op/config", "new", 15}, false}, {{"servers/z", "v", 18}, false}};
+  f.follower.OnPeerChanges(newer, 400ms, At(1s));
+  PeerChanges older;
+  older.full = true;
+  older.revision = 12;
+  older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  f.follower.OnPeerChanges(older, 400ms, At(2s));
+  CHECK(f.items.at("op/config") == "new");
+  CHECK(f.items.count("servers/z") == 1);
+  CHECK(f.items.count("servers/x") == 1);
+  CHECK(f.follower.revision() == 20);
+}
+
+// Guards against work for a server that left: kawabata-deck-grown, scale-2, seed 351965808097. A
+// reader that had been cut off passed on its old state, and a removed server came back as ready.
+TEST_CASE("an item that is older than its removal does not come back from a peer") {
+  Follower f;
+  PeerChanges state;
+  state.full = true;
+  state.revision = 20;
+  state.changes = {{{"op/config", "old", 3}, false}};
+  f.follower.OnPeerChanges(state, 400ms, At(1s));
+  REQUIRE(f.items.count("servers/x") == 0);
+  PeerChanges lagging;
+  lagging.full = true;
+  lagging.revision = 12;
+  lagging.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  f.follower.OnPeerChanges(lagging, 400ms, At(8s));
+  CHECK(f.items.count("servers/x") == 0);
+  lagging.revision = 30;
+  lagging.changes[1].item.revision = 25;
+  f.follower.OnPeerChanges(lagging, 400ms, At(9s));
+  CHECK(f.items.count("servers/x") == 1);
+}
+
+// Guards against a log that reports the store lost and regained several times a second.
+TEST_CASE("a reader that has not heard from the store does not regain it") {
+  int regained = 0;
+  StoreFollower follower({}, {{}, {}, {}, [&](bool reachable) { regained += reachable ? 1 : 0; }});
+  REQUIRE(follower.Next(At(0s)).has_value());
+  PeerChanges silent;
+  for (int i = 1; i < 20; ++i) {
+    silent.age = i * 500ms;
+    follower.OnPeerChanges(silent, 400ms, At(i * 500ms));
+    follower.Tick(At(i * 500ms));
+  }
+  CHECK(regained == 0);
+}
+
+TEST_CASE("a peer's whole state removes what it no longer holds") {
+  Follower f;
+  PeerChanges state;
+  state.full = true;
+  state.revision = 20;
+  state.changes = {{{"op/config", "old", 3}, false}};
+  f.follower.OnPeerChanges(state, 400ms, At(1s));
+  CHECK(f.items.count("servers/x") == 0);
+  CHECK(f.items.count("op/config") == 1);
+}
+
+// Guards against an outage that nobody notices because a peer answers with old news.
+TEST_CASE("a peer's answers do not hide that the store is silent") {
+  Follower f;
+  PeerChanges stale;
+  stale.revision = 10;
+  for (int i = 1; i < 10; ++i) {
+    stale.age = i * 1s;
+    f.follower.OnPeerChanges(stale, 400ms, At(i * 1s));
+    f.follower.Tick(At(i * 1s));
+  }
+  CHECK_FALSE(f.follower.reachable());
+}
+
+std::vector<FeedPeer> Peers(int n) {
+  std::vector<FeedPeer> peers;
+  for (int i = 0; i < n; ++i) peers.push_back({"edge-" + std::to_string(i), "127.0.0.1:1"});
+  return peers;
+}
+
+// Guards against store calls that grow with the instances.
+TEST_CASE("two instances of a region read the store whatever its size") {
+  for (const int n : {5, 20, 100}) {
+    int readers = 0;
+    for (int i = 0; i < n; ++i) {
+      FeedSource source("edge-" + std::to_string(i));
+      source.SetPeers(Peers(n));
+      if (source.Choose(At(0s)) == nullptr) ++readers;
+    }
+    CHECK(readers == 2);
+  }
+  for (int i = 0; i < 3; ++i) {
+    FeedSource source("edge-" + std::to_string(i));
+    source.SetPeers(Peers(3));
+    CHECK(source.Choose(At(0s)) == nullptr);
+  }
+}
+
+// Guards against a region that hears nothing because its readers are gone.
+TEST_CASE("failed readers are avoided, and without any the store is read") {
+  FeedSource source("edge-none");
+  source.SetPeers(Peers(20));
+  const FeedPeer* first = source.Choose(At(0s));
+  REQUIRE(first != nullptr);
+  const std::string first_name = first->name;
+  source.OnFailure(first_name, At(0s));
+  const FeedPeer* second = source.Choose(At(1s));
+  REQUIRE(second != nullptr);
+  CHECK(second->name != first_name);
+  source.OnFailure(second->name, At(1s));
+  CHECK(source.Choose(At(2s)) == nullptr);
+  CHECK(source.Choose(At(10s)) != nullptr);
+}
+
+}  // namespace
+}  // namespace vanilladeck::membership
