--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -144,7 +144,7 @@
   if (pending) pending->OnClientGone();
 }
 
-void ClientSession::Reply(std::string head, std::string body) {
+void ClientSession::Reply(std::string head, const std::string& body) {
   if (closed_ || !serving_) return;
   serving_ = false;
   pending_ = nullptr;
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -72,7 +72,7 @@
 
   /// Sends the answer to the request under way: `head` is the status line and the fields without
   /// `Connection`, each ended by CRLF; the blank line is added.
-  void Reply(std::string head, std::string body);
+  void Reply(std::string head, const std::string& body);
 
   /// Closes without an answer; for a request that may have run and whose answer is lost.
   void Abort();
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -67,10 +67,10 @@
   Answer answer_;
 };
 
-void ReplyWith(ClientSession& session, const std::string& type, std::string body) {
+void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
   std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-  session.Reply(std::move(head), std::move(body));
+  session.Reply(std::move(head), body);
 }
 
 steering::PickerSettings PickerSettingsOf(const GatewaySettings& settings) {
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -2,14 +2,12 @@
 
 #include <sstream>
 
+#include "vanilladeck/steering/server_set.h"
 #include "vanilladeck/store/versioned_call.h"
 
 namespace vanilladeck::gateway {
 namespace {
 
-constexpr std::array<std::string_view, 6> kAttemptEndNames{"answered", "server-error", "shed",
-                                                           "failed",   "unreachable",  "abandoned"};
-
 /// Label values come from the policy; quotes, backslashes and line breaks are escaped.
 std::string Escape(std::string_view text) {
   std::string escaped;
@@ -57,8 +55,8 @@
     out << "vanilladeck_not_served_total{reason=\"" << Escape(reason) << "\"} " << n << '\n';
   }
   out << "# TYPE vanilladeck_attempts_total counter\n";
-  for (std::size_t i = 0; i < kAttemptEndNames.size(); ++i) {
-    out << "vanilladeck_attempts_total{end=\"" << kAttemptEndNames[i] << "\"} "
+  for (std::size_t i = 0; i < steering::kAttemptEndNames.size(); ++i) {
+    out << "vanilladeck_attempts_total{end=\"" << steering::kAttemptEndNames[i] << "\"} "
         << metrics.attempts[i] << '\n';
   }
   out << "# TYPE vanilladeck_store_calls_total counter\n";
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -163,15 +163,16 @@
       if (const auto self = weak.lock()) self->OnDeadline();
     });
   }
-  context_.pool.Acquire(*server_, route_->kind, std::min(deadline_, now + kConnectTimeout),
-                        [self = shared_from_this(), server = server_](
-                            UpstreamPool::ConnectionPtr connection, bool fresh, std::string error) {
-                          if (self->finished_ || self->server_ != server) {
-                            if (connection) self->context_.pool.Release(*server, connection);
-                            return;
-                          }
-                          self->OnConnection(connection, fresh, error);
-                        });
+  context_.pool.Acquire(
+      *server_, route_->kind, std::min(deadline_, now + kConnectTimeout),
+      [self = shared_from_this(), server = server_](const UpstreamPool::ConnectionPtr& connection,
+                                                    bool fresh, const std::string& error) {
+        if (self->finished_ || self->server_ != server) {
+          if (connection) self->context_.pool.Release(*server, connection);
+          return;
+        }
+        self->OnConnection(connection, fresh, error);
+      });
 }
 
 void ProxiedRequest::OnConnection(const UpstreamPool::ConnectionPtr& connection, bool fresh,
@@ -210,11 +211,11 @@
       [self = shared_from_this()](const Response& response) {
         return self->BelongsToRequest(response);
       },
-      [self = shared_from_this(), server = server_, connection](ExchangeOutcome outcome) {
+      [self = shared_from_this(), server = server_, connection](const ExchangeOutcome& outcome) {
         self->context_.pool.Release(*server, connection);
         if (self->finished_ || self->connection_ != connection) return;
         self->connection_ = nullptr;
-        self->OnOutcome(std::move(outcome));
+        self->OnOutcome(outcome);
       });
 }
 
@@ -283,14 +284,15 @@
     context_.metrics.server_latency.Add(latency);
     if (unqueued) context_.picker.OnLatency(*route_, latency);
   } else if (end != AttemptEnd::kAbandoned) {
-    context_.events.Write(StreamEvent::kAttempt, {{"id", id_},
-                                                  {"server", server_->report.id},
-                                                  {"end", static_cast<int>(end)},
-                                                  {"detail", detail},
-                                                  {"ms", Ms(latency)},
-                                                  {"load", load_when_sent_},
-                                                  {"report_age_ms", Ms(now - server_->reported_at)},
-                                                  {"position", position_}});
+    context_.events.Write(StreamEvent::kAttempt,
+                          {{"id", id_},
+                           {"server", server_->report.id},
+                           {"end", steering::kAttemptEndNames[static_cast<std::size_t>(end)]},
+                           {"detail", detail},
+                           {"ms", Ms(latency)},
+                           {"load", load_when_sent_},
+                           {"report_age_ms", Ms(now - server_->reported_at)},
+                           {"position", position_}});
   }
   if (!ejected_before && now < server_->ejected_until) {
     context_.events.Write(StreamEvent::kServerEjected,
@@ -302,9 +304,9 @@
   server_ = nullptr;
 }
 
-void ProxiedRequest::OnOutcome(ExchangeOutcome outcome) {
+void ProxiedRequest::OnOutcome(const ExchangeOutcome& outcome) {
   if (outcome.end == ExchangeEnd::kResponse) {
-    OnResponse(std::move(outcome.response));
+    OnResponse(outcome.response);
     return;
   }
   may_have_run_ = true;
@@ -314,7 +316,7 @@
   Fail(outcome.end == ExchangeEnd::kTimeout ? kGatewayTimeout : kBadGateway, name);
 }
 
-void ProxiedRequest::OnResponse(Response response) {
+void ProxiedRequest::OnResponse(const Response& response) {
   const unsigned status = response.result_int();
   const auto load = LoadOf(response);
   if (status == kMisdirected || response.count(context_.names.not_run) > 0) {
@@ -432,18 +434,19 @@
     StreamEvent event = StreamEvent::kRequest;
     if (end == RequestEnd::kRefused) event = StreamEvent::kRefused;
     if (end == RequestEnd::kFailed || end == RequestEnd::kTimedOut) event = StreamEvent::kFailed;
-    context_.events.Write(event, {{"id", id_},
-                                  {"route", route_name},
-                                  {"service", service_name_},
-                                  {"policy", routes_ ? routes_->version() : 0},
-                                  {"end", kRequestEndNames[static_cast<std::size_t>(end)]},
-                                  {"status", status},
-                                  {"reason", reason},
-                                  {"ms", Ms(latency)},
-                                  {"left_ms", Ms(deadline_ - core::RuntimeClock::now())},
-                                  {"servers", tried_},
-                                  {"position", position_},
-                                  {"may_have_run", may_have_run_}});
+    context_.events.Write(
+        event, {{"id", id_},
+                {"route", route_name},
+                {"service", service_name_},
+                {"policy", routes_ ? routes_->version() : 0},
+                {"end", kRequestEndNames[static_cast<std::size_t>(end)]},
+                {"status", status},
+                {"reason", reason},
+                {"ms", Ms(latency)},
+                {"left_ms", route_ == nullptr ? 0 : Ms(deadline_ - core::RuntimeClock::now())},
+                {"servers", tried_},
+                {"position", position_},
+                {"may_have_run", may_have_run_}});
   }
   session_ = nullptr;
 }
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -31,8 +31,8 @@
   void OnConnection(const UpstreamPool::ConnectionPtr& connection, bool fresh,
                     const std::string& error);
   void Send(const UpstreamPool::ConnectionPtr& connection, bool fresh);
-  void OnOutcome(ExchangeOutcome outcome);
-  void OnResponse(Response response);
+  void OnOutcome(const ExchangeOutcome& outcome);
+  void OnResponse(const Response& response);
   void OnNotRun(const Response& response);
   /// Sends the request to another server if everything permits it.
   [[nodiscard]] bool Repeat(bool arrived);
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -26,7 +26,8 @@
       host_(std::move(host)),
       codec_(codec) {}
 
-void StoreChannel::Call(const store::VersionedCall& call, core::Duration timeout, Done done) {
+void StoreChannel::Call(const store::VersionedCall& call, core::Duration timeout,
+                        const Done& done) {
   const core::TimePoint now = core::RuntimeClock::now();
   core::TimePoint deadline = now + timeout;
   if (const auto* watch = std::get_if<store::WatchChanges>(&call)) deadline += watch->wait;
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -20,7 +20,7 @@
                const store::VersionedCodec& codec);
 
   /// `timeout` bounds the whole call; a watch's own wait is added. `done` runs exactly once.
-  void Call(const store::VersionedCall& call, core::Duration timeout, Done done);
+  void Call(const store::VersionedCall& call, core::Duration timeout, const Done& done);
 
  private:
   void Send(const store::VersionedCall& call, core::TimePoint deadline, const Done& done);
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -75,8 +75,9 @@
                              self->writing_ = false;
                              // A server may answer before it has read everything; the read decides
                              // about the end.
-                             if (ec && self->done_ && !self->reading_)
+                             if (ec && self->done_ && !self->reading_) {
                                self->Finish(ExchangeEnd::kClosed, ec.message());
+                             }
                            });
   if (!reading_) Read();
 }
--- a/src/vanilladeck/gateway/upstream_pool.cc
+++ b/src/vanilladeck/gateway/upstream_pool.cc
@@ -46,8 +46,8 @@
 
 void UpstreamPool::Acquire(const steering::Server& server, config::RequestKind kind,
                            core::TimePoint deadline, AcquireDone done) {
-  if (ConnectionPtr idle = TakeIdle(KeyOf(server), kind, core::RuntimeClock::now())) {
-    done(std::move(idle), false, {});
+  if (const ConnectionPtr idle = TakeIdle(KeyOf(server), kind, core::RuntimeClock::now())) {
+    done(idle, false, {});
     return;
   }
   const auto endpoint = http::ParseEndpoint(server.report.address);
--- a/src/vanilladeck/gateway/upstream_pool.h
+++ b/src/vanilladeck/gateway/upstream_pool.h
@@ -17,7 +17,8 @@
  public:
   using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
   /// Null with an error text if no connection came about.
-  using AcquireDone = std::function<void(ConnectionPtr, bool fresh, std::string error)>;
+  using AcquireDone =
+      std::function<void(const ConnectionPtr&, bool fresh, const std::string& error)>;
 
   UpstreamPool(boost::asio::io_context& context, DeadlinesPtr deadlines)
       : context_(context), deadlines_(std::move(deadlines)) {}
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -6,7 +6,7 @@
 namespace vanilladeck::membership {
 
 StoreFollower::StoreFollower(FollowerSettings settings, Sink sink)
-    : settings_(settings), sink_(std::move(sink)) {}
+    : settings_(std::move(settings)), sink_(std::move(sink)) {}
 
 void StoreFollower::StartListing() noexcept {
   listing_ = true;
@@ -147,8 +147,9 @@
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
       const auto known = known_.find(it.item.key);
-      if (known != known_.end() && known->second < it.item.revision)
+      if (known != known_.end() && known->second < it.item.revision) {
         Remove(it.item.key, it.item.revision, now);
+      }
     } else {
       Take(it.item);
     }
--- a/src/vanilladeck/steering/region_split.cc
+++ b/src/vanilladeck/steering/region_split.cc
@@ -19,16 +19,16 @@
 void RegionSplit::Start(const std::map<std::string, RegionLoad>& regions) {
   double total = 0;
   double remote = 0;
-  std::size_t populated = 0;
+  double populated = 0;
   for (const auto& [name, region] : regions) {
     total += region.slots;
     if (name != own_region_) remote += region.slots;
-    if (region.slots > 0) ++populated;
+    if (region.slots > 0) populated += 1;
   }
   if (total <= 0) return;
   const auto own = regions.find(own_region_);
   const double own_slots = own == regions.end() ? 0 : own->second.slots;
-  const double demand = kInitialUtilization * total / std::max<std::size_t>(1, populated);
+  const double demand = kInitialUtilization * total / std::max(1.0, populated);
   const double own_share =
       remote <= 0 ? 1 : std::min(1.0, own_slots * kHighUtilization / std::max(demand, 1e-9));
   for (const auto& [name, region] : regions) {
@@ -88,8 +88,8 @@
 }
 
 const std::string& RegionSplit::RegionAt(double position) const {
-  static const std::string kNone;
-  if (shares_.empty()) return kNone;
+  static const std::string none;
+  if (shares_.empty()) return none;
   const auto own = shares_.find(own_region_);
   if (own != shares_.end()) {
     if (position < own->second) return own->first;
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -54,7 +54,8 @@
 
 double PositionCost(std::size_t position) {
   if (position < kPositionCost.size()) return kPositionCost[position];
-  return kPositionCost.back() + kFurtherPositionCost * (position - kPositionCost.size() + 1);
+  return kPositionCost.back() +
+         kFurtherPositionCost * static_cast<double>(position - kPositionCost.size() + 1);
 }
 
 }  // namespace
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -98,7 +98,8 @@
       server.failures_in_row = 0;
       server.failure_rate = Smooth(server.failure_rate, 0, kFailureWeight);
       if (expected.count() > 0) {
-        const double ratio = static_cast<double>(latency.count()) / expected.count();
+        const double ratio =
+            static_cast<double>(latency.count()) / static_cast<double>(expected.count());
         server.latency_ratio =
             Smooth(server.latency_ratio, std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio),
                    kLatencyWeight);
@@ -143,9 +144,9 @@
 }
 
 const std::vector<ServerPtr>& ServerSet::OfService(const std::string& service) const {
-  static const std::vector<ServerPtr> kNone;
+  static const std::vector<ServerPtr> none;
   const auto it = by_service_.find(service);
-  return it == by_service_.end() ? kNone : it->second;
+  return it == by_service_.end() ? none : it->second;
 }
 
 ServerPtr ServerSet::Find(const std::string& id) const {
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,6 +24,9 @@
   kAbandoned,    ///< The caller left or the time was over; says nothing of the server.
 };
 
+inline constexpr std::array<std::string_view, 6> kAttemptEndNames{
+    "answered", "server-error", "shed", "failed", "unreachable", "abandoned"};
+
 /// Backend servers from the platform's list, joined with what own requests have shown.
 ///
 /// A report with a new `born_ms` starts a new incarnation with empty statistics. Draining is sticky
--- a/src/vanilladeck/telemetry/event_stream.cc
+++ b/src/vanilladeck/telemetry/event_stream.cc
@@ -20,8 +20,6 @@
 EventStream::EventStream(int fd, std::string instance, StreamLimits limits)
     : fd_(fd), instance_(std::move(instance)), limits_(limits) {}
 
-EventStream::~EventStream() { Flush(); }
-
 bool EventStream::Sampled(std::string_view request_id) noexcept {
   return core::Hash64(request_id) % kSampleEvery == 0;
 }
@@ -48,10 +46,10 @@
             {"cut", text.substr(0, kMaxLineBytes / 2)}};
     text = line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
   }
-  Append(std::move(text));
+  Append(text);
 }
 
-void EventStream::Append(std::string line) {
+void EventStream::Append(const std::string& line) {
   buffer_ += line;
   buffer_ += '\n';
 }
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -53,8 +53,8 @@
     "dropped"};
 
 struct StreamLimits {
-  std::size_t buffer_bytes = 256 * 1024;  ///< Lines that do not fit are dropped and counted.
-  std::uint32_t lines_per_event = 40;     ///< A second and event; more are counted only.
+  std::size_t buffer_bytes = 256U << 10U;  ///< Lines that do not fit are dropped and counted.
+  std::uint32_t lines_per_event = 40;      ///< A second and event; more are counted only.
 };
 
 /// JSON lines to a file descriptor, bounded and never blocking.
@@ -64,7 +64,6 @@
 class EventStream {
  public:
   EventStream(int fd, std::string instance, StreamLimits limits = {});
-  ~EventStream();
   EventStream(const EventStream&) = delete;
   EventStream& operator=(const EventStream&) = delete;
 
@@ -87,7 +86,7 @@
     std::uint32_t lines = 0;
   };
 
-  void Append(std::string line);
+  void Append(const std::string& line);
 
   int fd_;
   std::string instance_;
--- a/tests/config/route_test.cc
+++ b/tests/config/route_test.cc
@@ -6,7 +6,7 @@
 namespace vanilladeck::config {
 namespace {
 
-const char* const kBase = R"([deployment]
+constexpr const char* kBase = R"([deployment]
 name = "small"
 [ranks]
 urgent = { target_ms = 100, floor = 0.5 }
@@ -24,7 +24,7 @@
 place = [ { failure_domain = "north-a", servers = 1, slots = 4, connections = 10 } ]
 )";
 
-const char* const kRoute = R"([[route]]
+constexpr const char* kRoute = R"([[route]]
 name = "reads"
 host = "a.example"
 prefix = "/x/"
--- a/tests/ctl/trace_test.cc
+++ b/tests/ctl/trace_test.cc
@@ -15,7 +15,7 @@
   return reader.Finish();
 }
 
-const char* const kEast =
+constexpr const char* kEast =
     R"({"t":1000,"event":"server-draining","instance":"e1","server":"i-1"}
 {"t":1100,"event":"server-added","instance":"e1","server":"i-9"}
   12.5 e1 {"t":2000,"event":"attempt","instance":"e1","id":"abc","server":"i-1","detail":"reset"}
@@ -23,7 +23,7 @@
 not a line of the stream
 {"t":2300,"event":"dropped","instance":"e1","refused":7,"failed":2}
 )";
-const char* const kWest =
+constexpr const char* kWest =
     R"({"t":1500,"event":"policy","instance":"w1","version":4}
 {"t":900,"event":"attempt","instance":"w1","id":"other","server":"i-1"}
 )";
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -94,8 +94,9 @@
       if (head_end == std::string::npos) return;
       std::size_t length = 0;
       const auto at = connection->input.find("Content-Length: ");
-      if (at != std::string::npos && at < head_end)
+      if (at != std::string::npos && at < head_end) {
         length = std::stoul(connection->input.substr(at + 16));
+      }
       if (connection->input.size() < head_end + 4 + length) return;
       const std::string request = connection->input.substr(0, head_end + 4 + length);
       connection->input.erase(0, request.size());
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -161,6 +161,7 @@
 
 std::vector<FeedPeer> Peers(int n) {
   std::vector<FeedPeer> peers;
+  peers.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) peers.push_back({"edge-" + std::to_string(i), "127.0.0.1:1"});
   return peers;
 }
