Pass changes on by the store's revision, judge regions by stated loads

Readers answered each instance that changed its reader with the whole state, 121 KB; six of them at once need 0.6 s on a link of 10 Mbit/s, the instances wait 0.3 s, so all left for the other reader and then for the store, several times a minute. And the utilization of a region came from beliefs about single servers, which fade within a second; 71 instances ask a server less than once a second, so a full region looked empty.

Change: an instance states the store's revision it holds; any reader answers the difference. Positions are kept for each reader. Regions are compared by the mean load that servers state in their answers. A new log line states changes of the shares.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -1,9 +1,9 @@
 #include "vanilladeck/gateway/gateway.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "vanilladeck/gateway/metrics_text.h"
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/gateway/proxied_request.h"
 #include "vanilladeck/http/endpoint.h"
@@ -15,11 +15,9 @@
 using telemetry::StreamEvent;
 
 constexpr core::Duration kTickInterval = milliseconds(100);
+// A change of a region's share that is worth a line in the log.
+constexpr double kLoggedShareChange = 0.05;
 constexpr core::Duration kTrimInterval = std::chrono::seconds(1);
-// Clients may keep an answer three times as long as stated, and 5 s at most counts; a short time
-// moves them away from stopped instances soon at the price of one small answer.
-constexpr core::Duration kLookupTtl = std::chrono::seconds(2);
-constexpr std::size_t kMaxLookupAddresses = 64;
 // A call between regions takes 0.12 s; a store that is slow takes 0.4 s.
 constexpr core::Duration kStoreTimeout = milliseconds(1200);
 // Sessions of clients; upstream connections and files use the other descriptors.
@@ -67,12 +65,6 @@
   Answer answer_;
 };
 
-void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
-  std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
-                     "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-  session.Reply(std::move(head), body);
-}
-
 steering::PickerSettings PickerSettingsOf(const GatewaySettings& settings) {
   steering::PickerSettings picker;
   picker.region = settings.region;
@@ -83,10 +75,6 @@
   return picker;
 }
 
-std::string HostOf(const boost::asio::ip::tcp::endpoint& endpoint) {
-  return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
-}
-
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& context, GatewaySettings settings,
@@ -109,11 +97,13 @@
                    events_.Write(reachable ? StreamEvent::kStoreRegained : StreamEvent::kStoreLost,
                                  {{"revision", follower_.revision()}});
                  }}),
-      registration_({}, {settings_.instance, HostOf(settings_.clients), settings_.failure_domain,
-                         settings_.region, false,
-                         settings_.peers.port() == 0 ? "" : HostOf(settings_.peers)}),
-      feed_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
-      lease_(context, context_.deadlines, settings_.store, HostOf(settings_.store), codec),
+      registration_({}, {settings_.instance, http::EndpointText(settings_.clients),
+                         settings_.failure_domain, settings_.region, false,
+                         settings_.peers.port() == 0 ? "" : http::EndpointText(settings_.peers)}),
+      feed_(context, context_.deadlines, settings_.store, http::EndpointText(settings_.store),
+            codec),
+      lease_(context, context_.deadlines, settings_.store, http::EndpointText(settings_.store),
+             codec),
       log_(settings_.instance + '/' + std::to_string(core::RuntimeClock::WallMs())),
       source_(settings_.instance),
       proxy_(std::make_unique<ProxyHandler>(context_)),
@@ -145,6 +135,7 @@
   follower_.Tick(now);
   PumpStore();
   context_.picker.UpdateSplits(now);
+  LogSplits();
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
   // Readers pass on changes, not every report, so only they can miss one.
   const bool reads_store = source_.Choose(now) == nullptr;
@@ -197,8 +188,10 @@
   const core::TimePoint deadline =
       core::RuntimeClock::now() + membership::FeedSource::kAnswerTimeout;
   const auto ask = [this, peer, deadline] {
+    membership::PeerPosition& known = peer_positions_[peer.name];
+    known.revision = follower_.revision();
     peer_connection_->Exchange(
-        EncodePeerRequest(peer_epoch_, peer_position_), false, deadline, nullptr,
+        EncodePeerRequest(known), false, deadline, nullptr,
         [this, peer](const ExchangeOutcome& outcome) { OnPeerAnswer(peer, outcome); });
   };
   if (peer_connection_ && peer_name_ == peer.name && peer_connection_->reusable() &&
@@ -237,8 +230,7 @@
     if (!changes) reason = "malformed";
   }
   if (changes && membership::FeedSource::Current(changes->age, settings_.follower.poll_interval)) {
-    peer_epoch_ = changes->epoch;
-    peer_position_ = changes->position;
+    peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     return;
   }
@@ -255,6 +247,9 @@
     if (record.region != settings_.region || !record.ready || record.peer_address.empty()) continue;
     peers.push_back({name, record.peer_address});
   }
+  for (auto it = peer_positions_.begin(); it != peer_positions_.end();) {
+    it = instances_.count(it->first) == 0 ? peer_positions_.erase(it) : std::next(it);
+  }
   source_.SetPeers(std::move(peers));
 }
 
@@ -282,7 +277,7 @@
 }
 
 void Gateway::OnRemoved(const std::string& key) {
-  log_.Remove(key, core::RuntimeClock::now());
+  log_.Remove(key, follower_.revision(), core::RuntimeClock::now());
   const RemovedItem removed = codec_.DecodeRemoval(key);
   if (const auto* server = std::get_if<RemovedServer>(&removed)) {
     DropServer(server->id, "entry removed");
@@ -297,6 +292,7 @@
 }
 
 void Gateway::OnSynced() {
+  log_.OnListed(follower_.revision());
   // Lookups and shares of other instances depend on the own record being listed.
   const core::TimePoint now = core::RuntimeClock::now();
   if (instances_.count(settings_.instance) > 0 || draining_) {
@@ -388,6 +384,19 @@
   context_.fleet.SetFleet(fleet_peak_, rank);
 }
 
+void Gateway::LogSplits() {
+  for (const auto& [service, split] : context_.picker.splits()) {
+    auto& logged = logged_splits_[service];
+    const bool changed =
+        std::any_of(split.shares().begin(), split.shares().end(), [&logged](const auto& it) {
+          return std::abs(it.second - logged[it.first]) >= kLoggedShareChange;
+        });
+    if (!changed) continue;
+    logged = split.shares();
+    events_.Write(StreamEvent::kRegionSplit, {{"service", service}, {"shares", logged}});
+  }
+}
+
 bool Gateway::Ready() const noexcept {
   return !draining_ && context_.routes != nullptr && follower_.synced() &&
          context_.servers.size() > 0;
@@ -433,74 +442,4 @@
   if (on_stopped_) on_stopped_();
 }
 
-std::vector<std::string> Gateway::LookupAddresses(const std::string& region) const {
-  std::vector<std::string> addresses;
-  for (const bool own_region : {true, false}) {
-    for (const auto& [name, record] : instances_) {
-      if (name == settings_.instance && draining_) continue;
-      if (!record.ready || (record.region == region) != own_region) continue;
-      addresses.push_back(record.address);
-    }
-    if (!addresses.empty()) break;
-  }
-  if (addresses.size() > kMaxLookupAddresses) addresses.resize(kMaxLookupAddresses);
-  if (addresses.empty() && Ready()) addresses.push_back(HostOf(settings_.clients));
-  return addresses;
-}
-
-void Gateway::AnswerEntry(ClientSession& session, const Request& request) {
-  const std::string_view target(request.target().data(), request.target().size());
-  constexpr std::string_view kEmpty503 =
-      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
-  if (codec_.IsReadinessCheck(target)) {
-    session.Reply(Ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" : std::string(kEmpty503),
-                  {});
-    return;
-  }
-  if (const auto query = codec_.DecodeLookup(target)) {
-    ++context_.metrics.lookups;
-    const auto addresses = LookupAddresses(query->region);
-    if (addresses.empty() || context_.routes == nullptr) {
-      session.Reply(std::string(kEmpty503), {});
-      return;
-    }
-    ReplyWith(session, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
-    return;
-  }
-  if (const auto position = DecodePeerRequest(target)) {
-    membership::PeerChanges changes = log_.Since(position->epoch, position->position);
-    changes.revision = follower_.revision();
-    changes.age = core::RuntimeClock::now() - follower_.last_success();
-    ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
-    return;
-  }
-  if (target == "/metrics") {
-    ReplyWith(session, "text/plain; version=0.0.4", MetricsText());
-    return;
-  }
-  session.Reply("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n", {});
-}
-
-std::string Gateway::MetricsText() const {
-  const core::TimePoint now = core::RuntimeClock::now();
-  ProcessGauges gauges;
-  gauges.policy_version = context_.routes ? context_.routes->version() : 0;
-  gauges.policy_age_s = std::chrono::duration<double>(now - policy_at_).count();
-  gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
-  gauges.instances = instances_.size();
-  gauges.servers = context_.servers.size();
-  gauges.connections_opened = context_.pool.opened();
-  gauges.dropped_lines = events_.dropped();
-  for (const std::string& id : context_.servers.Ids()) {
-    const auto server = context_.servers.Find(id);
-    if (context_.servers.Usable(*server, now)) {
-      ++gauges.usable_servers;
-    } else if (server->draining) {
-      ++gauges.draining_servers;
-    }
-    if (server->Cold(now)) ++gauges.cold_servers;
-  }
-  return PrometheusText(context_.metrics, gauges);
-}
-
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -74,6 +74,7 @@
   void DropServer(const std::string& id, std::string_view reason);
   void ApplyEvacuations();
   void UpdateFleet();
+  void LogSplits();
   void UpdateReadiness();
   void DrainTick();
   void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
@@ -93,11 +94,13 @@
   membership::ChangeLog log_;
   membership::FeedSource source_;
   std::shared_ptr<UpstreamConnection> peer_connection_;
-  std::string peer_name_;   ///< The peer at the other end of `peer_connection_`.
-  std::string peer_epoch_;  ///< Of the log read last.
-  std::uint64_t peer_position_ = 0;
+  std::string peer_name_;  ///< The peer at the other end of `peer_connection_`.
+  /// In the log of each reader asked so far. The revision is filled in when it is used.
+  std::map<std::string, membership::PeerPosition> peer_positions_;
   std::map<std::string, membership::InstanceRecord> instances_;
   std::set<std::string> evacuated_;
+  /// Shares by region of each service, as last written to the log.
+  std::map<std::string, std::map<std::string, double>> logged_splits_;
   std::unique_ptr<RequestHandler> proxy_;
   std::unique_ptr<RequestHandler> entry_;
   Listener clients_;
--- /dev/null
+++ b/src/vanilladeck/gateway/gateway_entry.cc
@@ -0,0 +1,93 @@
+#include "vanilladeck/gateway/gateway.h"
+#include "vanilladeck/gateway/metrics_text.h"
+#include "vanilladeck/gateway/peer_request.h"
+#include "vanilladeck/http/endpoint.h"
+
+/// Answers on the instance's own listeners: lookups, readiness, changes for peers, metrics.
+namespace vanilladeck::gateway {
+namespace {
+
+// Clients may keep an answer three times as long as stated, and 5 s at most counts; a short time
+// moves them away from stopped instances soon at the price of one small answer.
+constexpr core::Duration kLookupTtl = std::chrono::seconds(2);
+constexpr std::size_t kMaxLookupAddresses = 64;
+
+void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
+                     "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  session.Reply(std::move(head), body);
+}
+
+}  // namespace
+
+std::vector<std::string> Gateway::LookupAddresses(const std::string& region) const {
+  std::vector<std::string> addresses;
+  for (const bool own_region : {true, false}) {
+    for (const auto& [name, record] : instances_) {
+      if (name == settings_.instance && draining_) continue;
+      if (!record.ready || (record.region == region) != own_region) continue;
+      addresses.push_back(record.address);
+    }
+    if (!addresses.empty()) break;
+  }
+  if (addresses.size() > kMaxLookupAddresses) addresses.resize(kMaxLookupAddresses);
+  if (addresses.empty() && Ready()) addresses.push_back(http::EndpointText(settings_.clients));
+  return addresses;
+}
+
+void Gateway::AnswerEntry(ClientSession& session, const Request& request) {
+  const std::string_view target(request.target().data(), request.target().size());
+  constexpr std::string_view kEmpty503 =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
+  if (codec_.IsReadinessCheck(target)) {
+    session.Reply(Ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" : std::string(kEmpty503),
+                  {});
+    return;
+  }
+  if (const auto query = codec_.DecodeLookup(target)) {
+    ++context_.metrics.lookups;
+    const auto addresses = LookupAddresses(query->region);
+    if (addresses.empty() || context_.routes == nullptr) {
+      session.Reply(std::string(kEmpty503), {});
+      return;
+    }
+    ReplyWith(session, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
+    return;
+  }
+  if (const auto known = DecodePeerRequest(target)) {
+    membership::PeerChanges changes = log_.Since(*known);
+    changes.revision = follower_.revision();
+    changes.age = core::RuntimeClock::now() - follower_.last_success();
+    ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
+    return;
+  }
+  if (target == "/metrics") {
+    ReplyWith(session, "text/plain; version=0.0.4", MetricsText());
+    return;
+  }
+  session.Reply("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n", {});
+}
+
+std::string Gateway::MetricsText() const {
+  const core::TimePoint now = core::RuntimeClock::now();
+  ProcessGauges gauges;
+  gauges.policy_version = context_.routes ? context_.routes->version() : 0;
+  gauges.policy_age_s = std::chrono::duration<double>(now - policy_at_).count();
+  gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
+  gauges.instances = instances_.size();
+  gauges.servers = context_.servers.size();
+  gauges.connections_opened = context_.pool.opened();
+  gauges.dropped_lines = events_.dropped();
+  for (const std::string& id : context_.servers.Ids()) {
+    const auto server = context_.servers.Find(id);
+    if (context_.servers.Usable(*server, now)) {
+      ++gauges.usable_servers;
+    } else if (server->draining) {
+      ++gauges.draining_servers;
+    }
+    if (server->Cold(now)) ++gauges.cold_servers;
+  }
+  return PrometheusText(context_.metrics, gauges);
+}
+
+}  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -1,22 +1,17 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace vanilladeck::gateway {
+#include "vanilladeck/membership/change_log.h"
 
-/// Where an instance stands in another one's change log.
-struct PeerPosition {
-  std::string epoch;  ///< Empty: nothing read yet.
-  std::uint64_t position = 0;
-};
+namespace vanilladeck::gateway {
 
 /// The HTTP request text that asks a peer for its changes.
-[[nodiscard]] std::string EncodePeerRequest(const std::string& epoch, std::uint64_t position);
+[[nodiscard]] std::string EncodePeerRequest(const membership::PeerPosition& known);
 
 /// None when `target` is another resource.
-[[nodiscard]] std::optional<PeerPosition> DecodePeerRequest(std::string_view target);
+[[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target);
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/http/endpoint.cc
+++ b/src/vanilladeck/http/endpoint.cc
@@ -1,7 +1,5 @@
 #include "vanilladeck/http/endpoint.h"
 
-#include <string>
-
 #include "vanilladeck/http/header_fields.h"
 
 namespace vanilladeck::http {
@@ -19,4 +17,8 @@
   return boost::asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(*port));
 }
 
+std::string EndpointText(const boost::asio::ip::tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ':' + std::to_string(endpoint.port());
+}
+
 }  // namespace vanilladeck::http
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -76,10 +76,16 @@
   const bool was_removed = entry.removed;
   entry.item = item;
   entry.removed = false;
-  if (added || was_removed || matters) entry.position = ++position_;
+  if (!added && !was_removed && !matters) return;
+  entry.position = ++position_;
+  entry.revision = item.revision;
 }
 
-void ChangeLog::Remove(const std::string& key, core::TimePoint now) {
+void ChangeLog::OnListed(store::Revision revision) noexcept {
+  if (!complete_from_) complete_from_ = revision;
+}
+
+void ChangeLog::Remove(const std::string& key, store::Revision revision, core::TimePoint now) {
   Prune(now);
   const auto it = entries_.find(key);
   if (it == entries_.end()) return;
@@ -87,13 +93,15 @@
   it->second.removed_at = now;
   it->second.item.value.clear();
   it->second.position = ++position_;
+  it->second.revision = revision;
 }
 
 void ChangeLog::Prune(core::TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const Entry& entry = it->second;
     if (entry.removed && now - entry.removed_at > kRemovalMemory) {
-      oldest_ = std::max(oldest_, entry.position + 1);
+      oldest_ = std::max(oldest_, entry.position);
+      if (complete_from_) complete_from_ = std::max(*complete_from_, entry.revision);
       it = entries_.erase(it);
     } else {
       ++it;
@@ -101,13 +109,21 @@
   }
 }
 
-PeerChanges ChangeLog::Since(const std::string& epoch, std::uint64_t position) const {
+PeerChanges ChangeLog::Since(const PeerPosition& known) const {
   PeerChanges changes;
   changes.epoch = epoch_;
   changes.position = position_;
-  changes.full = epoch != epoch_ || position < oldest_ || position > position_;
+  const bool by_position =
+      known.epoch == epoch_ && known.position >= oldest_ && known.position <= position_;
+  // An instance that changes its reader is seconds behind at most. The whole state for all that
+  // change at the same time would take longer on a link of 10 Mbit/s than they wait.
+  const bool by_revision = !by_position && complete_from_ && known.revision >= *complete_from_;
+  changes.full = !by_position && !by_revision;
   for (const auto& [key, entry] : entries_) {
-    if (changes.full ? entry.removed : entry.position <= position) continue;
+    if (changes.full && entry.removed) continue;
+    if (by_position && entry.position <= known.position) continue;
+    // Removals are few, and one that was held back may be older than the instance's revision.
+    if (by_revision && !entry.removed && entry.revision <= known.revision) continue;
     changes.changes.push_back({entry.item, entry.removed});
   }
   return changes;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -11,6 +11,14 @@
 
 namespace vanilladeck::membership {
 
+/// How far an instance that asks for changes has got.
+struct PeerPosition {
+  std::string epoch;  ///< Of the log read last; empty: none.
+  std::uint64_t position = 0;
+  store::Revision revision =
+      0;  ///< Of the store; the instance holds everything up to it. 0: nothing.
+};
+
 /// Changes that one instance passes on to others, so that they need not read the store.
 struct PeerChanges {
   std::string epoch;             ///< Names the log; positions of another log mean nothing here.
@@ -34,15 +42,21 @@
 
   /// `matters` is false for a change that others need not know.
   void Put(const store::Item& item, bool matters);
-  void Remove(const std::string& key, core::TimePoint now);
+  /// `revision` is the store's when the removal took effect here.
+  void Remove(const std::string& key, store::Revision revision, core::TimePoint now);
+  /// The log holds everything that the store held at `revision`; only the first call counts.
+  void OnListed(store::Revision revision) noexcept;
 
-  /// What changed after `position` of the log `epoch`; the whole state if that is unknown.
-  [[nodiscard]] PeerChanges Since(const std::string& epoch, std::uint64_t position) const;
+  /// What an instance lacks: the difference by position in this log, or by the store's revision if
+  /// it read another log before, or the whole state if neither is known.
+  [[nodiscard]] PeerChanges Since(const PeerPosition& known) const;
 
  private:
   struct Entry {
     store::Item item;
     std::uint64_t position = 0;
+    /// Of the last change that matters; the item itself may have been renewed since.
+    store::Revision revision = 0;
     bool removed = false;
     core::TimePoint removed_at;
   };
@@ -52,7 +66,9 @@
   std::string epoch_;
   std::map<std::string, Entry> entries_;
   std::uint64_t position_ = 1;
-  std::uint64_t oldest_ = 1;  ///< Removals before this position are forgotten.
+  std::uint64_t oldest_ = 1;  ///< Removals up to this position may be forgotten.
+  /// Removals up to this revision may be unknown or forgotten; none before the first listing.
+  std::optional<store::Revision> complete_from_;
 };
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/steering/region_split.h
+++ b/src/vanilladeck/steering/region_split.h
@@ -34,6 +34,7 @@
   [[nodiscard]] const std::string& RegionAt(double position) const;
 
   [[nodiscard]] double Share(const std::string& region) const;
+  [[nodiscard]] const std::map<std::string, double>& shares() const noexcept { return shares_; }
 
  private:
   void Start(const std::map<std::string, RegionLoad>& regions);
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -92,6 +92,11 @@
       region.slots += it->report.slots;
       region.load += it->Load(now);
     }
+    for (auto& [name, region] : regions) {
+      if (const auto mean = servers_.MeanUtilization(service, name, now)) {
+        region.load = *mean * region.slots;
+      }
+    }
     split.Update(regions, kSplitStep, now);
   }
 }
--- a/src/vanilladeck/steering/server_picker.h
+++ b/src/vanilladeck/steering/server_picker.h
@@ -67,6 +67,9 @@
   /// Moves the region shares; call a few times a second.
   void UpdateSplits(core::TimePoint now);
   [[nodiscard]] double RegionShare(const std::string& service, const std::string& region) const;
+  [[nodiscard]] const std::unordered_map<std::string, RegionSplit>& splits() const noexcept {
+    return splits_;
+  }
 
  private:
   struct Candidate {
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -87,6 +87,10 @@
     const double believed = server.Load(now) - server.in_flight;
     server.others = Smooth(believed, others, kLoadWeight);
     server.others_at = now;
+    const double slots = std::max(1U, load->slots);
+    utilization_[{server.report.service, server.region}].Add(total / slots, now);
+  } else if (end == AttemptEnd::kShed) {
+    utilization_[{server.report.service, server.region}].Add(1, now);
   }
   if (server.in_flight > 0) --server.in_flight;
   if (end == AttemptEnd::kAbandoned) return;
@@ -143,6 +147,13 @@
   evacuated_ = std::move(failure_domains);
 }
 
+std::optional<double> ServerSet::MeanUtilization(const std::string& service,
+                                                 const std::string& region,
+                                                 core::TimePoint now) const {
+  const auto it = utilization_.find({service, region});
+  return it == utilization_.end() ? std::nullopt : it->second.Mean(now);
+}
+
 const std::vector<ServerPtr>& ServerSet::OfService(const std::string& service) const {
   static const std::vector<ServerPtr> none;
   const auto it = by_service_.find(service);
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "vanilladeck/steering/server.h"
+#include "vanilladeck/steering/utilization.h"
 
 namespace vanilladeck::steering {
 
@@ -57,6 +59,11 @@
   void SetEvacuated(std::set<std::string> failure_domains, core::Duration cold_duration,
                     core::TimePoint now);
 
+  /// Mean over the servers of a service in a region; none without recent answers.
+  [[nodiscard]] std::optional<double> MeanUtilization(const std::string& service,
+                                                      const std::string& region,
+                                                      core::TimePoint now) const;
+
   [[nodiscard]] const std::vector<ServerPtr>& OfService(const std::string& service) const;
   [[nodiscard]] ServerPtr Find(const std::string& id) const;
 
@@ -78,6 +85,7 @@
   std::map<std::string, ServerPtr> by_id_;
   std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
   std::set<std::string> evacuated_;
+  std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
 };
 
 }  // namespace vanilladeck::steering
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -31,6 +31,7 @@
   kServerEjected,
   kEvacuation,
   kFleet,
+  kRegionSplit,
   kRequest,
   kRefused,
   kFailed,
@@ -38,7 +39,7 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 23> kStreamEventNames{
+inline constexpr std::array<std::string_view, 24> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "ready",           "policy",
@@ -48,9 +49,9 @@
     "server-added",    "server-draining",
     "server-removed",  "server-ejected",
     "evacuation",      "fleet",
-    "request",         "refused",
-    "failed",          "attempt",
-    "dropped"};
+    "region-split",    "request",
+    "refused",         "failed",
+    "attempt",         "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< Lines that do not fit are dropped and counted.
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -16,14 +16,14 @@
   ChangeLog log("a/1");
   log.Put({"servers/x", "v1", 5}, true);
   log.Put({"servers/y", "v1", 6}, true);
-  const PeerChanges first = log.Since("", 0);
+  const PeerChanges first = log.Since({});
   CHECK(first.full);
   CHECK(first.changes.size() == 2);
   log.Put({"servers/x", "v2", 7}, false);
-  CHECK(log.Since("a/1", first.position).changes.empty());
+  CHECK(log.Since({"a/1", first.position, 0}).changes.empty());
   log.Put({"servers/x", "v3", 8}, true);
-  log.Remove("servers/y", At(0s));
-  const PeerChanges second = log.Since("a/1", first.position);
+  log.Remove("servers/y", 8, At(0s));
+  const PeerChanges second = log.Since({"a/1", first.position, 0});
   CHECK_FALSE(second.full);
   REQUIRE(second.changes.size() == 2);
   CHECK(second.changes[0].item.value == "v3");
@@ -34,21 +34,74 @@
 TEST_CASE("another log or a forgotten position gives the whole state") {
   ChangeLog log("a/2");
   log.Put({"servers/x", "v1", 5}, true);
-  CHECK(log.Since("a/1", 2).full);
-  CHECK(log.Since("a/2", 99).full);
-  const std::uint64_t position = log.Since("", 0).position;
-  log.Remove("servers/x", At(0s));
+  CHECK(log.Since({"a/1", 2, 0}).full);
+  CHECK(log.Since({"a/2", 99, 0}).full);
+  const std::uint64_t position = log.Since({}).position;
+  log.Remove("servers/x", 6, At(0s));
   log.Put({"servers/y", "v1", 6}, true);
-  CHECK_FALSE(log.Since("a/2", position).full);
-  log.Remove("servers/y", At(60s));
-  CHECK(log.Since("a/2", position).full);
+  CHECK_FALSE(log.Since({"a/2", position, 0}).full);
+  log.Remove("servers/y", 7, At(60s));
+  CHECK(log.Since({"a/2", position, 0}).full);
+}
+
+// Guards against readers that answer every instance with the whole state, 121 KB on
+// trempelog-grown: six such answers on a link of 10 Mbit/s take longer than the instances wait, so
+// they all left for the other reader and then for the store, several times a minute.
+TEST_CASE("an instance that changes its reader gets what changed since its revision") {
+  ChangeLog log("b/1");
+  for (int i = 0; i < 400; ++i) log.Put({"servers/" + std::to_string(i), "v", 100 + i}, true);
+  log.OnListed(600);
+  for (int i = 0; i < 400; ++i) log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false);
+  log.Put({"servers/7", "draining", 1200}, true);
+  log.Remove("servers/8", 1201, At(0s));
+  const PeerChanges changes = log.Since({"a/1", 55, 1100});
+  CHECK_FALSE(changes.full);
+  REQUIRE(changes.changes.size() == 2);
+  CHECK(changes.changes[0].item.value == "draining");
+  CHECK(changes.changes[1].removed);
+  // Removals from before the first listing are unknown here.
+  CHECK(log.Since({"a/1", 55, 599}).full);
+  ChangeLog unlisted("c/1");
+  unlisted.Put({"servers/x", "v", 5}, true);
+  CHECK(unlisted.Since({"a/1", 55, 4}).full);
+}
+
+// Guards against a removal that took effect after the instance's revision had passed it, because
+// the reader had held it back while the store returned.
+TEST_CASE("a removal that was held back reaches an instance that changes its reader") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", 5}, true);
+  log.OnListed(10);
+  log.Remove("servers/x", 20, At(0s));
+  const PeerChanges changes = log.Since({"a/1", 3, 25});
+  CHECK_FALSE(changes.full);
+  REQUIRE(changes.changes.size() == 1);
+  CHECK(changes.changes[0].removed);
+  // Once it is forgotten, only the whole state tells an instance that is that far behind.
+  log.Put({"servers/y", "v", 30}, true);
+  log.Remove("servers/y", 40, At(60s));
+  CHECK(log.Since({"a/1", 3, 19}).full);
+  CHECK_FALSE(log.Since({"a/1", 3, 25}).full);
+}
+
+// Guards against a whole state for an instance that had already seen the forgotten removal.
+TEST_CASE("forgetting a removal does not concern those that have passed its position") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", 5}, true);
+  log.Put({"servers/y", "v", 6}, true);
+  log.Remove("servers/x", 7, At(0s));
+  const std::uint64_t position = log.Since({}).position;
+  log.Remove("servers/y", 8, At(60s));
+  const PeerChanges changes = log.Since({"b/1", position, 7});
+  CHECK_FALSE(changes.full);
+  CHECK(changes.changes.size() == 1);
 }
 
 TEST_CASE("messages between instances survive any value and reject damage") {
   ChangeLog log("a/1");
   log.Put({"op/config", "{\"version\":\"0000000c\"}", 5}, true);
   log.Put({"servers/x", std::string("\xff\x00\"\n", 4), 6}, true);
-  PeerChanges sent = log.Since("", 0);
+  PeerChanges sent = log.Since({});
   sent.revision = 9;
   sent.age = 250ms;
   const std::string text = EncodePeerChanges(sent);
