Keep a watch open instead of reading the store for silent servers

After each listing a pause without a watch made the reader look behind the store, and all instances of its region read the store themselves for 5 s.

Change: a watch waits for the whole interval and the next follows at once; watches that find something stay an interval apart. A watch that was cut is followed by a listing instead, which covers what the silence was meant for. An instance registers once, when it is ready.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,9 +35,9 @@
 // A record that the store lost is written again after this time without it.
 constexpr core::Duration kRecordMissingTime = milliseconds(2500);
 
-}  // namespace
-
-namespace {
+std::int64_t Ms(core::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
 
 class ProxyHandler : public RequestHandler {
  public:
@@ -137,12 +137,6 @@
   context_.picker.UpdateSplits(now);
   LogSplits();
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
-  // Readers pass on changes, not every report, so only they can miss one.
-  const bool reads_store = source_.Choose(now) == nullptr;
-  if (reads_store && follower_.reachable() &&
-      context_.servers.OldestReport() + settings_.report_silence < now) {
-    follower_.RequestListing(now);
-  }
   UpdateFleet();
   UpdateReadiness();
   if (draining_) DrainTick();
@@ -160,8 +154,8 @@
     feed_.Call(*call, kStoreTimeout, [this, call = *call](const store::VersionedResult& result) {
       CountCall(call, result);
       follower_.OnAnswer(result, core::RuntimeClock::now());
-      // Pages of a listing follow each other at once.
-      if (result && std::holds_alternative<store::RangePage>(result.value())) PumpStore();
+      // Pages of a listing and watches without changes follow each other at once.
+      if (result) PumpStore();
     });
   }
   if (auto lease_call = registration_.Next(now)) {
@@ -236,7 +230,9 @@
   }
   if (changes) reason = "behind the store";
   source_.OnFailure(peer.name, now);
-  events_.Write(StreamEvent::kPeerFailed, {{"peer", peer.name}, {"reason", reason}});
+  events_.Write(
+      StreamEvent::kPeerFailed,
+      {{"peer", peer.name}, {"reason", reason}, {"age_ms", changes ? Ms(changes->age) : 0}});
   follower_.OnPeerFailed(now);
   PumpStore();
 }
@@ -320,7 +316,7 @@
        {"address", report.address},
        {"failure_domain", report.failure_domain},
        {"sequence", report.sequence},
-       {"cold_ms", std::chrono::duration_cast<milliseconds>(report.cold_left).count()},
+       {"cold_ms", Ms(report.cold_left)},
        {"draining", report.state == steering::ServerState::kDraining}});
   return true;
 }
@@ -435,9 +431,7 @@
   const bool finished = since >= kDrainListenTime && open.empty();
   if (!finished && since < settings_.stop_grace - kExitMargin) return;
   stopped_ = true;
-  events_.Write(StreamEvent::kStop,
-                {{"sessions_left", open.size()},
-                 {"ms", std::chrono::duration_cast<milliseconds>(since).count()}});
+  events_.Write(StreamEvent::kStop, {{"sessions_left", open.size()}, {"ms", Ms(since)}});
   events_.Flush();
   if (on_stopped_) on_stopped_();
 }
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -36,8 +36,6 @@
   WireNames names;
   FleetLimits fleet;
   membership::FollowerSettings follower;
-  /// A server that reports nothing for this long crashed, or its removal was missed.
-  core::Duration report_silence = std::chrono::seconds(5);
   /// From SIGTERM to the end by force.
   core::Duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -58,6 +58,8 @@
   if (in_flight_ || now < due_) return std::nullopt;
   switch (state_) {
     case State::kNoLease:
+      // Nobody needs to know an instance that serves nobody; one write a start instead of two.
+      if (!record_.ready) return std::nullopt;
       in_flight_ = true;
       return store::GrantLease{settings_.ttl};
     case State::kLeased:
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -30,7 +30,9 @@
     return store::ReadRange{settings_.check_prefix, "", true};
   }
   due_ = now + settings_.poll_interval;
-  return store::WatchChanges{"", revision_, settings_.watch_wait};
+  return store::WatchChanges{
+      "", revision_,
+      std::chrono::duration_cast<std::chrono::milliseconds>(settings_.poll_interval)};
 }
 
 void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
@@ -83,8 +85,9 @@
   listing_ = false;
   last_listing_ = now;
   last_check_ = now;
-  due_ = now + settings_.poll_interval;
+  due_ = now;
   synced_once_ = true;
+  doubtful_ = false;
   if (sink_.on_synced) sink_.on_synced();
 }
 
@@ -138,11 +141,6 @@
   for (const std::string& it : missing) Remove(it, page.revision, now);
 }
 
-void StoreFollower::RequestListing(core::TimePoint now) {
-  if (listing_ || now - last_listing_ < settings_.listing_pause) return;
-  StartListing();
-}
-
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
@@ -155,6 +153,11 @@
     }
   }
   revision_ = std::max(revision_, changes.revision);
+  if (doubtful_ && now - last_listing_ >= settings_.listing_pause) {
+    doubtful_ = false;
+    StartListing();
+    due_ = now;
+  }
 }
 
 void StoreFollower::OnFailure(const store::CallError& error, core::TimePoint now) {
@@ -164,6 +167,7 @@
     due_ = now;
     return;
   }
+  doubtful_ = doubtful_ || error.code == store::CallErrorCode::kNoAnswer;
   if (listing_) StartListing();
   due_ = now + settings_.retry_pause;
 }
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -13,17 +13,15 @@
 namespace vanilladeck::membership {
 
 struct FollowerSettings {
-  /// Pause between two reads of changes. Servers report every 1.5 s, so that an open watch would
-  /// return for every single report; one read a second costs a fraction of that.
+  /// Time that a watch waits for changes. The next one follows at once, or this long after the
+  /// last one began if that found changes, so that a stream of changes costs as many calls as none.
   core::Duration poll_interval = std::chrono::milliseconds(1000);
-  std::chrono::milliseconds watch_wait{1000};
   /// A failed call is repeated after this pause.
   core::Duration retry_pause = std::chrono::milliseconds(300);
   /// Entries that vanished during an outage are kept this long after the store's return, since
   /// servers that live register again within 2 s.
   core::Duration lapse_grace = std::chrono::milliseconds(2200);
   /// Everything is read again this often, which bounds the effect of changes that a watch missed.
-  /// Servers repeat their reports, so only removals depend on it.
   core::Duration relist_interval = std::chrono::seconds(20);
   core::Duration listing_pause = std::chrono::seconds(4);
   /// Items that nobody repeats are checked this often by a cheap read that may be stale.
@@ -66,8 +64,6 @@
   /// Applies removals whose grace has ended and notices an outage; call several times a second.
   void Tick(core::TimePoint now);
 
-  /// Something expected did not come: reads everything again, at most once in `listing_pause`.
-  void RequestListing(core::TimePoint now);
 
   /// When `Next` is due again, if nothing is in flight.
   [[nodiscard]] core::TimePoint next_due() const noexcept { return due_; }
@@ -107,6 +103,8 @@
   std::map<std::string, Removal> removed_;  ///< Older items of these keys must not come back.
   store::Revision revision_ = 0;
   core::TimePoint due_;
+  /// A watch ended without an answer: the store may have dropped changes that it did not send.
+  bool doubtful_ = false;
   core::TimePoint last_success_;
   core::TimePoint last_listing_;
   core::TimePoint last_check_;
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -173,13 +173,6 @@
   return Assignable(server) && now >= server.ejected_until;
 }
 
-core::TimePoint ServerSet::OldestReport() const noexcept {
-  // Far enough from the end of the range that a duration can be added.
-  core::TimePoint oldest = core::TimePoint::max() - std::chrono::hours(1);
-  for (const auto& [id, server] : by_id_) oldest = std::min(oldest, server->reported_at);
-  return oldest;
-}
-
 std::vector<std::string> ServerSet::Ids() const {
   std::vector<std::string> ids;
   ids.reserve(by_id_.size());
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -72,8 +72,6 @@
   /// Assignable and not ejected after failures.
   [[nodiscard]] bool Usable(const Server& server, core::TimePoint now) const noexcept;
 
-  /// Arrival of the report that is the longest ago; the latest time possible without servers.
-  [[nodiscard]] core::TimePoint OldestReport() const noexcept;
   [[nodiscard]] std::size_t size() const noexcept { return by_id_.size(); }
   [[nodiscard]] std::vector<std::string> Ids() const;
 
--- a/tests/steering/server_picker_test.cc
+++ b/tests/steering/server_picker_test.cc
@@ -172,5 +172,30 @@
   CHECK(std::get<Pick>(choice).server->report.id != first);
 }
 
+// Guards against a full region that looks empty: with 71 instances each one asks a server less than
+// once a second, and what it believes of a single server has faded by then. trempelog-grown, mix,
+// seed 733035484353: a region with a tenth of the servers took a third of the requests back.
+TEST_CASE("a full region keeps sending requests away although each server is asked seldom") {
+  PickerFixture f;
+  f.Add("east-a", 30);
+  f.Add("west-a", 100);
+  (void)f.Choose("x");
+  const double before = f.picker.RegionShare("catalogue", "east");
+  const std::vector<std::string> ids = f.servers.Ids();
+  for (int step = 0; step < 300; ++step) {
+    // Each server is heard of every 3 s.
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+      if (i % 30 != static_cast<std::size_t>(step % 30)) continue;
+      const auto server = f.servers.Find(ids[i]);
+      f.servers.OnSent(*server, f.now);
+      const ServerLoad load = server->region == "east" ? ServerLoad{9, 3, 9} : ServerLoad{3, 0, 9};
+      f.servers.OnEnd(*server, AttemptEnd::kAnswered, load, 300ms, 300ms, f.now);
+    }
+    f.now += 100ms;
+    f.picker.UpdateSplits(f.now);
+  }
+  CHECK(f.picker.RegionShare("catalogue", "east") < before - 0.2);
+}
+
 }  // namespace
 }  // namespace vanilladeck::steering
