Count early answers without changes as changes when watches are paced

Cause: a store that answers watches at once without changes got two calls an interval. Change: such an answer starts the same pause as one with changes; the test counts 20 s of both.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -157,7 +157,7 @@
     }
   }
   revision_ = std::max(revision_, changes.revision);
-  if (!changes.changes.empty()) due_ = watch_sent_ + settings_.poll_interval;
+  if (!changes.changes.empty() || now < due_) due_ = watch_sent_ + settings_.poll_interval;
   if (doubtful_ && now - last_listing_ >= settings_.listing_pause) {
     doubtful_ = false;
     StartListing();
