Name a lasting selection of entry instances to each failure domain

Cause: in a region of more than 64 instances lookups named the first 64 by name; the others got no callers, which 300 instances in three regions would meet. Change: a pure module chooses; beyond the limit each failure domain has its own selection by rendezvous hashing. Ruled out: a new random selection for each answer, since callers close connections to instances that the newest answer leaves out.

--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -77,7 +77,7 @@
   void DrainTick();
   void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
   void AnswerEntry(ClientSession& session, const Request& request);
-  [[nodiscard]] std::vector<std::string> LookupAddresses(const std::string& region) const;
+  [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query) const;
   [[nodiscard]] std::string MetricsText() const;
 
   boost::asio::io_context& io_;
--- a/src/vanilladeck/gateway/gateway_entry.cc
+++ b/src/vanilladeck/gateway/gateway_entry.cc
@@ -2,6 +2,7 @@
 #include "vanilladeck/gateway/metrics_text.h"
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/http/endpoint.h"
+#include "vanilladeck/membership/entry_choice.h"
 
 /// Answers on the instance's own listeners: lookups, readiness, changes for peers, metrics.
 namespace vanilladeck::gateway {
@@ -10,6 +11,7 @@
 // Clients may keep an answer three times as long as stated, and 5 s at most counts; a short time
 // moves them away from stopped instances soon at the price of one small answer.
 constexpr core::Duration kLookupTtl = std::chrono::seconds(2);
+// Callers use the first 64 addresses of an answer.
 constexpr std::size_t kMaxLookupAddresses = 64;
 
 void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
@@ -20,17 +22,10 @@
 
 }  // namespace
 
-std::vector<std::string> Gateway::LookupAddresses(const std::string& region) const {
-  std::vector<std::string> addresses;
-  for (const bool own_region : {true, false}) {
-    for (const auto& [name, record] : instances_) {
-      if (name == settings_.instance && draining_) continue;
-      if (!record.ready || (record.region == region) != own_region) continue;
-      addresses.push_back(record.address);
-    }
-    if (!addresses.empty()) break;
-  }
-  if (addresses.size() > kMaxLookupAddresses) addresses.resize(kMaxLookupAddresses);
+std::vector<std::string> Gateway::LookupAddresses(const LookupQuery& query) const {
+  auto addresses =
+      membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain},
+                                       draining_ ? settings_.instance : "", kMaxLookupAddresses);
   if (addresses.empty() && Ready()) addresses.push_back(http::EndpointText(settings_.clients));
   return addresses;
 }
@@ -46,7 +41,7 @@
   }
   if (const auto query = codec_.DecodeLookup(target)) {
     ++context_.metrics.lookups;
-    const auto addresses = LookupAddresses(query->region);
+    const auto addresses = LookupAddresses(*query);
     if (addresses.empty() || context_.routes == nullptr) {
       session.Reply(std::string(kEmpty503), {});
       return;
--- /dev/null
+++ b/src/vanilladeck/membership/entry_choice.cc
@@ -0,0 +1,34 @@
+#include "vanilladeck/membership/entry_choice.h"
+
+#include <algorithm>
+
+#include "vanilladeck/core/hash.h"
+
+namespace vanilladeck::membership {
+
+std::vector<std::string> ChooseEntryAddresses(
+    const std::map<std::string, InstanceRecord>& instances, const EntryQuery& query,
+    std::string_view leaving, std::size_t limit) {
+  std::vector<const InstanceRecord*> chosen;
+  for (const bool own_region : {true, false}) {
+    for (const auto& [name, record] : instances) {
+      if (name == leaving || !record.ready) continue;
+      if ((record.region == query.region) == own_region) chosen.push_back(&record);
+    }
+    if (!chosen.empty()) break;
+  }
+  if (chosen.size() > limit) {
+    const std::uint64_t domain = core::Hash64(query.failure_domain);
+    std::sort(chosen.begin(), chosen.end(),
+              [domain](const InstanceRecord* a, const InstanceRecord* b) {
+                return core::Hash64(a->name, domain) < core::Hash64(b->name, domain);
+              });
+    chosen.resize(limit);
+  }
+  std::vector<std::string> addresses;
+  addresses.reserve(chosen.size());
+  for (const InstanceRecord* it : chosen) addresses.push_back(it->address);
+  return addresses;
+}
+
+}  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -64,7 +64,6 @@
   /// Applies removals whose grace has ended and notices an outage; call several times a second.
   void Tick(core::TimePoint now);
 
-
   /// When `Next` is due again, if nothing is in flight.
   [[nodiscard]] core::TimePoint next_due() const noexcept { return due_; }
   [[nodiscard]] bool synced() const noexcept { return synced_once_; }
--- /dev/null
+++ b/tests/membership/entry_choice_test.cc
@@ -0,0 +1,67 @@
+#include "vanilladeck/membership/entry_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace vanilladeck::membership {
+namespace {
+
+constexpr std::size_t kLimit = 64;
+
+std::map<std::string, InstanceRecord> Fleet(int per_region) {
+  std::map<std::string, InstanceRecord> fleet;
+  for (const std::string region : {"east", "west"}) {
+    for (int i = 0; i < per_region; ++i) {
+      const std::string name = region + std::to_string(i);
+      fleet[name] = {name, name + ":80", region + "-a", region, true, name + ":81"};
+    }
+  }
+  return fleet;
+}
+
+TEST_CASE("a lookup names the ready instances of the caller's region") {
+  auto fleet = Fleet(3);
+  fleet["east1"].ready = false;
+  const auto named = ChooseEntryAddresses(fleet, {"east", "east-a"}, "east2", kLimit);
+  CHECK(named == std::vector<std::string>{"east0:80"});
+}
+
+// Guards against callers that are turned away while instances elsewhere could take them.
+TEST_CASE("a region without a ready instance is sent to the others") {
+  auto fleet = Fleet(3);
+  for (int i = 0; i < 3; ++i) fleet["east" + std::to_string(i)].ready = false;
+  CHECK(ChooseEntryAddresses(fleet, {"east", "east-a"}, "", kLimit).size() == 3);
+}
+
+// Guards against a large region in which only the first 64 instances by name get callers.
+TEST_CASE("the failure domains of a region together reach all its instances") {
+  const auto fleet = Fleet(100);
+  std::set<std::string> reached;
+  for (const char domain : std::string("abcdefgh")) {
+    const auto named =
+        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain}, "", kLimit);
+    CHECK(named.size() == kLimit);
+    reached.insert(named.begin(), named.end());
+  }
+  CHECK(reached.size() == 100);
+}
+
+// Guards against callers that reconnect with every answer: they close connections to instances that
+// the newest answer leaves out.
+TEST_CASE("the selection of a failure domain lasts, and a lost instance changes one address") {
+  auto fleet = Fleet(100);
+  const EntryQuery query{"east", "east-a"};
+  const auto before = ChooseEntryAddresses(fleet, query, "", kLimit);
+  CHECK(ChooseEntryAddresses(fleet, query, "", kLimit) == before);
+  const std::string lost = before[10].substr(0, before[10].find(':'));
+  fleet.erase(lost);
+  const auto after = ChooseEntryAddresses(fleet, query, "", kLimit);
+  const auto kept = std::count_if(after.begin(), after.end(), [&before](const std::string& it) {
+    return std::find(before.begin(), before.end(), it) != before.end();
+  });
+  CHECK(kept == kLimit - 1);
+}
+
+}  // namespace
+}  // namespace vanilladeck::membership
