Allow overflow to another region only beyond one pick in 25

Cause: the share of overflow was compared before the pick was counted in, so that the first refused pick of each window of 2 s always left its region; with 24 instances and few requests that is half of them. Change: the pick counts itself. The test names the load and failed with 24 of 72 before.

--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -239,7 +239,7 @@
   const auto reason = std::get<NoServerReason>(pick);
   // Without any server in its region a request goes elsewhere freely; overload may move only few.
   if (reason != NoServerReason::kNoneUsable) {
-    if (overflow_ >= kOverflowShare * picks_) return pick;
+    if (overflow_ + 1 > kOverflowShare * picks_) return pick;
     ++overflow_;
   }
   auto remote = Best(query, Order(query, region, false, now), now);
--- a/tests/steering/server_picker_test.cc
+++ b/tests/steering/server_picker_test.cc
@@ -245,5 +245,29 @@
   CHECK_FALSE(f.ChosenId("1").empty());
 }
 
+// Guards against moves that no instance sees in its own count: each of 24 instances sent the first
+// request of a window to another region, which is half of them when there are few.
+TEST_CASE("many instances with few requests each do not overflow to another region") {
+  int remote = 0;
+  for (int instance = 0; instance < 24; ++instance) {
+    PickerFixture f;
+    f.Add("east-a", 4);
+    f.Add("west-a", 4);
+    (void)f.ChosenId("0");
+    for (const std::string& id : f.servers.Ids()) {
+      if (id[0] == 'e') f.SetLoad(id, 40);
+    }
+    f.now += 2100ms;
+    for (const std::string& id : f.servers.Ids()) {
+      if (id[0] == 'e') f.SetLoad(id, 40);
+    }
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = f.ChosenId(std::to_string(24 * instance + i));
+      if (!id.empty() && id[0] == 'w') ++remote;
+    }
+  }
+  CHECK(remote <= 24 * 3 * 0.15);
+}
+
 }  // namespace
 }  // namespace vanilladeck::steering
