Let the readers of a region grow with the root of its size

Change: half of the square root of the instances read the store, each other instance has two of them. Regions of up to 24 instances keep two readers. Ruled out: all readers as spare ones for each instance, since asking several silent ones takes longer than the bound on configurations.

--- a/src/vanilladeck/membership/feed_source.cc
+++ b/src/vanilladeck/membership/feed_source.cc
@@ -1,6 +1,7 @@
 #include "vanilladeck/membership/feed_source.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "vanilladeck/core/hash.h"
 
@@ -12,6 +13,11 @@
 
 }  // namespace
 
+std::size_t FeedSource::Readers(std::size_t instances) noexcept {
+  const double root = std::sqrt(static_cast<double>(instances));
+  return std::max(kReadersAsked, static_cast<std::size_t>(std::lround(root / 2)));
+}
+
 void FeedSource::SetPeers(std::vector<FeedPeer> peers) {
   if (peers.size() <= kSmallRegion) {
     own_reader_ = true;
@@ -21,11 +27,15 @@
   std::sort(peers.begin(), peers.end(), [](const FeedPeer& a, const FeedPeer& b) {
     return core::Hash64(a.name) < core::Hash64(b.name);
   });
-  peers.resize(kReaders);
+  peers.resize(Readers(peers.size()));
   own_reader_ = std::any_of(peers.begin(), peers.end(),
                             [this](const FeedPeer& it) { return it.name == own_name_; });
-  // Each reader serves half of the others.
-  if (core::Hash64(own_name_) % 2 == 1) std::swap(peers[0], peers[1]);
+  // The readers share the others; each instance has two, so that a failed one costs little time.
+  const std::uint64_t own = core::Hash64(own_name_);
+  std::sort(peers.begin(), peers.end(), [own](const FeedPeer& a, const FeedPeer& b) {
+    return core::Hash64(a.name, own) < core::Hash64(b.name, own);
+  });
+  peers.resize(kReadersAsked);
   readers_ = std::move(peers);
 }
 
--- a/src/vanilladeck/membership/feed_source.h
+++ b/src/vanilladeck/membership/feed_source.h
@@ -17,7 +17,7 @@
 /// Decides whether an instance reads the store itself or asks another one of its region.
 ///
 /// The instances of a region agree on its readers without any message: the first few by a hash of
-/// their names. So the store's calls grow with the regions and not with the instances. A reader
+/// their names. So the store's calls grow more slowly than the instances. A reader
 /// that fails or is behind is avoided for a while; without any reader an instance reads the store
 /// itself.
 class FeedSource {
@@ -45,8 +45,12 @@
   static constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds(300);
   /// A read of the store between regions.
   static constexpr core::Duration kReadTime = std::chrono::milliseconds(200);
-  /// Readers of a region: one may fail at any moment.
-  static constexpr std::size_t kReaders = 2;
+  /// Readers that an instance turns to: one may fail at any moment.
+  static constexpr std::size_t kReadersAsked = 2;
+  /// Readers of a region with this many instances: half of the square root, so that neither the
+  /// store's calls nor what one reader sends grow like the fleet. With two readers for 100
+  /// instances the busier one sent 1.7 MB/s, more than a link of 10 Mbit/s takes.
+  [[nodiscard]] static std::size_t Readers(std::size_t instances) noexcept;
   /// In smaller regions everybody reads the store: there is little to save.
   static constexpr std::size_t kSmallRegion = 4;
 
