Start from another instance's state while the store is away

Cause: an instance that was killed or replaced while the store was down, or turned it away, had no configuration and no servers; it answered 503 until the store came back, and lookups named it. Change: the gateway serves the control listener, whose addresses the settings name as seeds. After 1.5 s without a listing an instance asks one seed after the other for its whole state and serves with it; the listing stays due and decides once the store answers. An instance that holds nothing answers 503 to such a question. Ruled out: asking all instances of a region, which are unknown without the store.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,6 +35,11 @@
 // A record that the store lost is written again after this time without it.
 constexpr core::Duration kRecordMissingTime = milliseconds(2500);
 
+// A listing takes less at a start unless the store is out of reach.
+constexpr core::Duration kSeedDelay = milliseconds(1500);
+// One seed after the other; a whole state may take a second on a slow link.
+constexpr core::Duration kSeedInterval = milliseconds(1000);
+
 std::int64_t Ms(core::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -137,6 +142,7 @@
   context_.picker.UpdateSplits(now);
   LogSplits();
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
+  AskSeed(now);
   UpdateFleet();
   UpdateReadiness();
   if (draining_) DrainTick();
@@ -237,6 +243,56 @@
   PumpStore();
 }
 
+void Gateway::AskSeed(core::TimePoint now) {
+  if (follower_.listed()) {
+    seed_connection_ = nullptr;
+    return;
+  }
+  if (seed_due_ == core::TimePoint{}) seed_due_ = now + kSeedDelay;
+  if (now < seed_due_ || settings_.seeds.empty()) return;
+  seed_due_ = now + kSeedInterval;
+  const auto seed = settings_.seeds[seed_turn_++ % settings_.seeds.size()];
+  if (seed == settings_.peers) return;
+  if (seed_connection_) seed_connection_->Cancel();
+  seed_connection_ = std::make_shared<UpstreamConnection>(io_, context_.deadlines);
+  const std::string name = http::EndpointText(seed);
+  const core::TimePoint deadline = now + kSeedInterval;
+  seed_connection_->Connect(
+      seed, deadline,
+      [this, connection = seed_connection_, name, deadline](boost::system::error_code ec) {
+        if (connection != seed_connection_) return;
+        if (ec) {
+          ExchangeOutcome outcome;
+          outcome.detail = ec.message();
+          OnSeedAnswer(name, outcome);
+          return;
+        }
+        connection->Exchange(EncodePeerRequest({}), false, deadline, nullptr,
+                             [this, connection, name](const ExchangeOutcome& outcome) {
+                               if (connection == seed_connection_) OnSeedAnswer(name, outcome);
+                             });
+      });
+}
+
+void Gateway::OnSeedAnswer(const std::string& seed, const ExchangeOutcome& outcome) {
+  std::string reason = outcome.detail;
+  if (outcome.end == ExchangeEnd::kResponse) {
+    reason = "status " + std::to_string(outcome.response.result_int());
+    if (outcome.response.result_int() == 200) {
+      if (const auto changes = membership::DecodePeerChanges(outcome.response.body())) {
+        events_.Write(StreamEvent::kSeedState, {{"seed", seed},
+                                                {"revision", changes->revision},
+                                                {"age_ms", Ms(changes->age)},
+                                                {"items", changes->changes.size()}});
+        follower_.OnSeedState(*changes, core::RuntimeClock::now());
+        return;
+      }
+      reason = "malformed";
+    }
+  }
+  events_.Write(StreamEvent::kPeerFailed, {{"peer", seed}, {"reason", reason}, {"age_ms", 0}});
+}
+
 void Gateway::UpdateFeedPeers() {
   std::vector<membership::FeedPeer> peers;
   for (const auto& [name, record] : instances_) {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -33,6 +33,8 @@
   boost::asio::ip::tcp::endpoint metrics;    ///< Port 0: none.
   boost::asio::ip::tcp::endpoint store;
   boost::asio::ip::tcp::endpoint peers;  ///< Listener for other instances; port 0: none.
+  /// Peer listeners of instances that may be up, asked while the store is out of reach at a start.
+  std::vector<boost::asio::ip::tcp::endpoint> seeds;
   WireNames names;
   FleetLimits fleet;
   membership::FollowerSettings follower;
@@ -61,6 +63,9 @@
   void Tick();
   void PumpStore();
   void AskPeer(const membership::FeedPeer& peer);
+  /// Asks a seed for its state while the store has not answered since the start.
+  void AskSeed(core::TimePoint now);
+  void OnSeedAnswer(const std::string& seed, const ExchangeOutcome& outcome);
   void OnPeerAnswer(const membership::FeedPeer& peer, const ExchangeOutcome& outcome);
   void UpdateFeedPeers();
   void OnItem(const store::Item& item);
@@ -106,6 +111,9 @@
   Listener lookups_;
   Listener metrics_;
   Listener peers_;
+  std::shared_ptr<UpstreamConnection> seed_connection_;
+  std::size_t seed_turn_ = 0;
+  core::TimePoint seed_due_;  ///< The epoch of the clock before the first tick.
   core::TimePoint policy_at_;
   core::TimePoint drain_began_;
   core::TimePoint record_missing_since_;
--- a/src/vanilladeck/gateway/gateway_entry.cc
+++ b/src/vanilladeck/gateway/gateway_entry.cc
@@ -50,6 +50,11 @@
     return;
   }
   if (const auto known = DecodePeerRequest(target)) {
+    // An instance that has only just started holds nothing.
+    if (!follower_.synced()) {
+      session.Reply(std::string(kEmpty503), {});
+      return;
+    }
     membership::PeerChanges changes = log_.Since(*known);
     changes.revision = follower_.revision();
     changes.age = core::RuntimeClock::now() - follower_.last_success();
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -91,6 +91,7 @@
   last_check_ = now;
   due_ = now;
   synced_once_ = true;
+  listed_once_ = true;
   doubtful_ = false;
   if (sink_.on_synced) sink_.on_synced();
 }
@@ -100,6 +101,19 @@
   in_flight_ = false;
   const core::TimePoint heard = now - changes.age;
   if (changes.age < settings_.outage_after && heard > last_success_) NoteSuccess(heard);
+  TakePeerState(changes, now);
+  // What the reader lists anew arrives here as well.
+  last_listing_ = now;
+  due_ = now + pause;
+}
+
+void StoreFollower::OnSeedState(const PeerChanges& changes, core::TimePoint now) {
+  if (listed_once_ || !changes.full) return;
+  TakePeerState(changes, now);
+  synced_once_ = true;
+}
+
+void StoreFollower::TakePeerState(const PeerChanges& changes, core::TimePoint now) {
   std::set<std::string> present;
   for (const store::Change& it : changes.changes) {
     present.insert(it.item.key);
@@ -118,9 +132,6 @@
     for (const std::string& it : missing) Remove(it, changes.revision, now);
   }
   revision_ = std::max(revision_, changes.revision);
-  // What the reader lists anew arrives here as well.
-  last_listing_ = now;
-  due_ = now + pause;
 }
 
 void StoreFollower::OnPeerFailed(core::TimePoint now) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -58,6 +58,9 @@
   }
   /// Takes over what a peer passed on, in place of `OnAnswer`; the next call is due `pause` later.
   void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
+  /// Takes over the state of another instance while the store has not answered since the start. The
+  /// listing stays due.
+  void OnSeedState(const PeerChanges& changes, core::TimePoint now);
   /// The peer did not answer or is behind; the call is due again at once.
   void OnPeerFailed(core::TimePoint now);
 
@@ -67,6 +70,8 @@
   /// When `Next` is due again, if nothing is in flight.
   [[nodiscard]] core::TimePoint next_due() const noexcept { return due_; }
   [[nodiscard]] bool synced() const noexcept { return synced_once_; }
+  /// The store itself was listed since the start.
+  [[nodiscard]] bool listed() const noexcept { return listed_once_; }
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
   [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
@@ -80,6 +85,7 @@
   /// `revision` is one at which the key was absent.
   void Remove(const std::string& key, store::Revision revision, core::TimePoint now);
   void Drop(const std::string& key, store::Revision revision, core::TimePoint now);
+  void TakePeerState(const PeerChanges& changes, core::TimePoint now);
   void NoteSuccess(core::TimePoint now);
   void StartListing() noexcept;
 
@@ -103,6 +109,7 @@
   store::Revision revision_ = 0;
   core::TimePoint due_;
   core::TimePoint watch_sent_;
+  bool listed_once_ = false;
   /// A watch ended without an answer: the store may have dropped changes that it did not send.
   bool doubtful_ = false;
   core::TimePoint last_success_;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -24,6 +24,7 @@
   kStoreRegained,
   kStoreCallFailed,
   kPeerFailed,
+  kSeedState,
   kEntryRejected,
   kServerAdded,
   kServerDraining,
@@ -39,19 +40,20 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 24> kStreamEventNames{
+inline constexpr std::array<std::string_view, 25> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "ready",           "policy",
     "policy-rejected", "store-lost",
     "store-regained",  "store-call-failed",
-    "peer-failed",     "entry-rejected",
-    "server-added",    "server-draining",
-    "server-removed",  "server-ejected",
-    "evacuation",      "fleet",
-    "region-split",    "request",
-    "refused",         "failed",
-    "attempt",         "dropped"};
+    "peer-failed",     "seed-state",
+    "entry-rejected",  "server-added",
+    "server-draining", "server-removed",
+    "server-ejected",  "evacuation",
+    "fleet",           "region-split",
+    "request",         "refused",
+    "failed",          "attempt",
+    "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< Lines that do not fit are dropped and counted.
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -246,5 +246,26 @@
   CHECK(calls <= 21);
 }
 
+// Guards against a seed's old state that stays although the store, once back, no longer holds it.
+TEST_CASE("a seed's state holds until the store is listed") {
+  Fixture f;
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  f.Fail(CallErrorCode::kUnreachable);
+  PeerChanges seed;
+  seed.full = true;
+  seed.revision = 30;
+  seed.changes = {{{"servers/a", "", 5}, false}, {{"servers/b", "", 6}, false}};
+  f.follower.OnSeedState(seed, f.now);
+  CHECK(f.follower.synced());
+  CHECK_FALSE(f.follower.listed());
+  CHECK(f.present.size() == 2);
+  f.List({{"servers/a", "", 5}}, 40);
+  CHECK(f.follower.listed());
+  f.Pass(2300ms);
+  CHECK(f.present == std::set<std::string>{"servers/a"});
+  f.follower.OnSeedState(seed, f.now);
+  CHECK(f.present == std::set<std::string>{"servers/a"});
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -13,6 +13,7 @@
       "listen.directory=127.0.0.1:8143\nprovider.address=127.0.0.1:8142\n"
       "internalPorts=7660,7675\nbounds.drainS=2.5\nbounds.configS=4\nbounds.retryBudget=0."
       "2\nbounds.budgetSlack=58\n"
+      "listen.control=127.0.0.1:8146\nseeds=127.0.0.2:8146,127.0.0.3:8146\n"
       "unknown.key=whatever\n");
   return ReadSettings(in);
 }
@@ -24,9 +25,22 @@
   CHECK(settings.value().region_of_domain.at("west-a") == "west");
   CHECK(settings.value().fleet.retry_allowance == 58);
   CHECK(settings.value().clients.port() == 8144);
+  CHECK(settings.value().peers.port() == 8146);
+  CHECK(settings.value().seeds.size() == 2);
   CHECK(settings.value().follower.poll_interval == std::chrono::milliseconds(1000));
 }
 
+// Guards against a process that does not start because a list or an address of others is empty.
+TEST_CASE("empty seeds and an empty peer listener are no error") {
+  SettingsMap map = Complete();
+  map["seeds"] = "";
+  map["listen.control"] = "";
+  const auto settings = GatewaySettingsOf(map);
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().seeds.empty());
+  CHECK(settings.value().peers.port() == 7660);
+}
+
 // Guards against a process that starts with half of its settings.
 TEST_CASE("a missing or malformed value is named") {
   for (const std::string key : {"node", "zone", "region", "listen.front", "provider.address"}) {
@@ -36,8 +50,11 @@
     REQUIRE_FALSE(settings.has_value());
     CHECK(settings.error().key == key);
   }
-  for (const auto& [key, value] : std::map<std::string, std::string>{
-           {"listen.ready", "nowhere"}, {"bounds.coldSlack", "many"}, {"bounds.graceS", "-1"}}) {
+  for (const auto& [key, value] :
+       std::map<std::string, std::string>{{"listen.ready", "nowhere"},
+                                          {"bounds.coldSlack", "many"},
+                                          {"bounds.graceS", "-1"},
+                                          {"seeds", "10.0.0.1:1,nowhere"}}) {
     SettingsMap map = Complete();
     map[key] = value;
     const auto settings = GatewaySettingsOf(map);
