Keep instances that have just started away from cold servers

Change: until the count of instances has stood for 1.5 s with the own record in it, an instance has no part in such rates. The test mixes both views and failed with the old parts.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -26,6 +26,8 @@
 // The number of instances only shrinks after this time, because shares of fleet-wide limits that
 // grow too early break the sum while a stopped instance still finishes its requests.
 constexpr core::Duration kFleetMemory = std::chrono::seconds(10);
+// Instances that start together register within about a second of each other.
+constexpr core::Duration kFleetSettleTime = milliseconds(1500);
 // After a stop began, new connections are still taken while lookups that name this instance live.
 constexpr core::Duration kDrainListenTime = milliseconds(2800);
 // Idle connections of clients are closed from here on; those that follow lookups have left by then.
@@ -433,7 +435,12 @@
     fleet_peak_ = count;
     fleet_peak_at_ = now;
   }
-  context_.fleet.SetFleet(fleet_peak_, rank);
+  if (count != fleet_seen_) {
+    fleet_seen_ = count;
+    fleet_seen_at_ = now;
+  }
+  fleet_settled_ = fleet_settled_ || (own && now - fleet_seen_at_ >= kFleetSettleTime);
+  context_.fleet.SetFleet(fleet_peak_, rank, fleet_settled_);
 }
 
 void Gateway::LogSplits() {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -119,6 +119,9 @@
   core::TimePoint record_missing_since_;
   std::uint32_t fleet_peak_ = 1;
   core::TimePoint fleet_peak_at_;
+  std::uint32_t fleet_seen_ = 0;  ///< Instances counted last.
+  core::TimePoint fleet_seen_at_;
+  bool fleet_settled_ = false;
   bool draining_ = false;
   bool stopped_ = false;
   bool was_ready_ = false;
--- a/src/vanilladeck/steering/fleet_share.cc
+++ b/src/vanilladeck/steering/fleet_share.cc
@@ -7,7 +7,7 @@
 namespace vanilladeck::steering {
 
 std::uint32_t FleetShare::Units(double limit, std::string_view subject) const noexcept {
-  if (limit <= 0) return 0;
+  if (limit <= 0 || !settled_) return 0;
   const auto whole = static_cast<std::uint32_t>(limit);
   const std::uint32_t base = whole / instances_;
   const std::uint32_t remainder = whole % instances_;
--- a/src/vanilladeck/steering/fleet_share.h
+++ b/src/vanilladeck/steering/fleet_share.h
@@ -14,10 +14,12 @@
 /// smaller than the number of instances, rendezvous hashing names those that may use it.
 class FleetShare {
  public:
-  /// `instances` counts the own one.
-  void SetFleet(std::uint32_t instances, std::uint32_t own_rank) noexcept {
+  /// `instances` counts the own one. `settled` is false while an instance that has just started may
+  /// not know all others yet; until then it gets no units, since its parts would be too large.
+  void SetFleet(std::uint32_t instances, std::uint32_t own_rank, bool settled = true) noexcept {
     instances_ = instances == 0 ? 1 : instances;
     own_rank_ = own_rank;
+    settled_ = settled;
   }
 
   [[nodiscard]] std::uint32_t instances() const noexcept { return instances_; }
@@ -30,6 +32,7 @@
 
  private:
   std::uint32_t instances_ = 1;
+  bool settled_ = true;
   std::uint32_t own_rank_ = 0;  ///< Position of this instance among the sorted names.
 };
 
--- a/tests/steering/fleet_share_test.cc
+++ b/tests/steering/fleet_share_test.cc
@@ -22,6 +22,26 @@
   }
 }
 
+// Guards against a cold server that is overloaded when a region returns: its instances know only
+// the rest of the fleet at first and would take a larger part beside the others' own (FAILBACK on
+// trempelog-grown, deploy/days/growing-fleet.toml --vary --seed 236229291425).
+TEST_CASE("instances that do not know the whole fleet yet add nothing to a limit's sum") {
+  constexpr std::uint32_t kKnown = 47;
+  constexpr std::uint32_t kFleet = 71;
+  constexpr double kLimit = 12.2;
+  for (int server = 0; server < 50; ++server) {
+    const std::string subject = "server-" + std::to_string(server);
+    std::uint32_t sum = 0;
+    for (std::uint32_t rank = 0; rank < kFleet; ++rank) {
+      FleetShare share;
+      const bool young = rank >= kKnown;
+      share.SetFleet(young ? kKnown + 1 : kFleet, young ? kKnown : rank, !young);
+      sum += share.Units(kLimit, subject);
+    }
+    CHECK(sum <= kLimit);
+  }
+}
+
 // Guards against retries that multiply the load on servers which already fail.
 TEST_CASE("repeats stay within the ratio and the allowance of any window") {
   RetryWindow window(10s);
