--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -15,8 +15,8 @@
 struct PeerPosition {
   std::string epoch;  ///< Of the log read last; empty: none.
   std::uint64_t position = 0;
-  store::Revision revision =
-      0;  ///< Of the store; the instance holds everything up to it. 0: nothing.
+  /// Of the store: the instance holds everything up to it. 0: it holds nothing.
+  store::Revision revision = 0;
 };
 
 /// Changes that one instance passes on to others, so that they need not read the store.
--- a/src/vanilladeck/steering/region_split.cc
+++ b/src/vanilladeck/steering/region_split.cc
@@ -75,6 +75,7 @@
     busiest_it->second -= step;
     shares_[roomiest->first] += step;
   } else if (own_utilization < kLowUtilization && shares_[own_region_] < 1) {
+    // Back home at half the pace, from the busiest remote region first.
     double step = max_step / 2;
     for (auto& [name, share] : shares_) {
       if (name == own_region_ || step <= 0) continue;
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -177,7 +177,7 @@
   double best_cost = std::numeric_limits<double>::max();
   double best_expected = 0;
   std::size_t best_position = 0;
-  std::map<std::string_view, double> means;  // Utilization by region.
+  std::map<std::string_view, double> means;  // Mean utilization of the regions in `order`.
   for (std::size_t position = 0; position < order.size(); ++position) {
     Server& server = *order[position].server;
     const double slots = std::max(1U, server.report.slots);
