--- a/tests/platform/seed_start_test.cc
+++ b/tests/platform/seed_start_test.cc
@@ -17,11 +17,9 @@
 using boost::asio::ip::tcp;
 using gateway::testing::ScriptedServer;
 
-const auto kLoopback = boost::asio::ip::make_address("127.0.0.1");
-
 tcp::endpoint FreeEndpoint() {
   boost::asio::io_context io;
-  tcp::acceptor acceptor(io, tcp::endpoint(kLoopback, 0));
+  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
   return acceptor.local_endpoint();
 }
 
--- a/tests/steering/server_picker_test.cc
+++ b/tests/steering/server_picker_test.cc
@@ -209,9 +209,9 @@
     f.servers.OnSent(*server, f.now);
     f.servers.OnEnd(*server, AttemptEnd::kAnswered, load, 300ms, 300ms, f.now);
   };
-  for (int step = 0; step < 30; ++step) {
-    hear(ids[static_cast<std::size_t>(2 * step)], {9, 11, 9});
-    hear(ids[static_cast<std::size_t>(2 * step + 1)], {9, 11, 9});
+  for (std::size_t step = 0; step < 30; ++step) {
+    hear(ids[2 * step], {9, 11, 9});
+    hear(ids[2 * step + 1], {9, 11, 9});
     f.now += 100ms;
   }
   const auto admitted = [&f](std::uint32_t priority) {
@@ -224,8 +224,8 @@
   CHECK(admitted(1) == 0);
   CHECK(admitted(0) == 100);
   // Once the servers have room again, everybody is admitted within two seconds.
-  for (int step = 0; step < 20; ++step) {
-    hear(ids[static_cast<std::size_t>(step)], {4, 0, 9});
+  for (std::size_t step = 0; step < 20; ++step) {
+    hear(ids[step], {4, 0, 9});
     f.now += 100ms;
   }
   CHECK(admitted(2) == 100);
