Refuse JSON texts that would take many times their size once parsed

Cause: a response of the store, a peer or an item's value is parsed into a tree of values without a bound. A text of 16 MiB "[[[[" or "0,0,0," is within the limit of a response and takes hundreds of megabytes as values; instances with 160 MB end. The class of fault is a bound on what arrives that says nothing about what is made of it.

Change: core::ParseJson counts the values that a text can hold in one pass that allocates nothing, and discards texts of more than 200,000. The largest configuration that the store takes (1 MB) has about 40,000.

Memory with the old parser was not measured.

--- /dev/null
+++ b/src/vanilladeck/core/json.cc
@@ -0,0 +1,31 @@
+#include "vanilladeck/core/json.h"
+
+namespace vanilladeck::core {
+namespace {
+
+/// An upper bound of the number of values: each but the first follows one of these characters.
+std::size_t CountValues(std::string_view text) {
+  std::size_t n = 1;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == ',' || c == '[' || c == '{') {
+      ++n;
+    }
+  }
+  return n;
+}
+
+}  // namespace
+
+nlohmann::json ParseJson(std::string_view text) {
+  if (CountValues(text) > kMaxJsonValues) return nlohmann::json::value_t::discarded;
+  return nlohmann::json::parse(text, nullptr, false);
+}
+
+}  // namespace vanilladeck::core
--- /dev/null
+++ b/src/vanilladeck/core/json.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace vanilladeck::core {
+
+/// Values in one text; each takes up to some hundred bytes once parsed, whatever it took as text.
+inline constexpr std::size_t kMaxJsonValues = 200'000;
+
+/// Parses a JSON text; the result is discarded (`is_discarded()`) when the text is malformed or
+/// holds more values than `kMaxJsonValues`.
+[[nodiscard]] nlohmann::json ParseJson(std::string_view text);
+
+}  // namespace vanilladeck::core
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -1,7 +1,8 @@
 #include "vanilladeck/membership/change_log.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+
+#include "vanilladeck/core/json.h"
 
 namespace vanilladeck::membership {
 namespace {
@@ -31,7 +32,7 @@
 }
 
 std::optional<PeerChanges> DecodePeerChanges(const std::string& text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = core::ParseJson(text);
   if (!json.is_object()) return std::nullopt;
   const auto field = [&json](const char* name) { return json.find(name); };
   const auto epoch = field("epoch");
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -1,6 +1,6 @@
 #include "vanilladeck/membership/registration.h"
 
-#include <nlohmann/json.hpp>
+#include "vanilladeck/core/json.h"
 
 namespace vanilladeck::membership {
 
@@ -14,7 +14,7 @@
 }
 
 std::optional<InstanceRecord> DecodeInstance(const std::string& key, const std::string& value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto json = core::ParseJson(value);
   const auto text = [&](const char* field) {
     const auto it = json.find(field);
     return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
