Bound the calls of a listing that never ends and of a store without history

Cause: a page that states more to come is followed by the next call at once, also when it ends with the key that the call began after. A lost history leads to a listing at once, also when every watch loses its history. Both loops keep thread and store busy without a pause.

Change: pages that do not advance start the listing anew after the usual pause, and a lost history waits until that pause has passed since the last listing.

Tests, both failing on the old code (reverted in a scratch copy): "pages that do not advance end the listing and are asked again after a pause", "a store that keeps no history is listed a few times a second at most".

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -75,8 +75,14 @@
     Take(it);
   }
   if (page.more && !page.items.empty()) {
-    page_after_ = page.items.back().key;
-    due_ = now;
+    // Pages that do not advance would never end.
+    const bool advances = page.items.back().key > page_after_;
+    due_ = advances ? now : now + settings_.retry_pause;
+    if (advances) {
+      page_after_ = page.items.back().key;
+    } else {
+      StartListing();
+    }
     return;
   }
   std::vector<std::string> missing;
@@ -180,7 +186,8 @@
   if (error.code == store::CallErrorCode::kHistoryLost) {
     NoteSuccess(now);
     StartListing();
-    due_ = now;
+    // A store that keeps no history at all answers every watch like this.
+    due_ = std::max(now, last_listing_ + settings_.retry_pause);
     return;
   }
   doubtful_ = doubtful_ || error.code == store::CallErrorCode::kNoAnswer;
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -75,6 +75,38 @@
   CHECK(std::get<store::WatchChanges>(watch).after == 10);
 }
 
+// Guards against a store that keeps the instance listing without end and never says "no more".
+TEST_CASE("pages that do not advance end the listing and are asked again after a pause") {
+  Fixture f;
+  (void)f.NextCall();
+  f.Answer(store::RangePage{{{"b", "", 1}}, true, 10});
+  (void)f.NextCall();
+  f.Answer(store::RangePage{{{"b", "", 1}}, true, 10});
+  CHECK_FALSE(f.follower.Next(f.now));
+  const auto call = f.NextCall();
+  REQUIRE(std::holds_alternative<store::ReadRange>(call));
+  CHECK(std::get<store::ReadRange>(call).after_key.empty());
+}
+
+// Guards against listings that follow each other without a pause at a store without history.
+TEST_CASE("a store that keeps no history is listed a few times a second at most") {
+  Fixture f;
+  f.List({{"a", "", 1}}, 10);
+  const auto began = f.now;
+  int listings = 0;
+  while (f.now - began < 3s) {
+    const auto call = f.NextCall();
+    if (std::holds_alternative<store::WatchChanges>(call)) {
+      f.Fail(CallErrorCode::kHistoryLost);
+    } else {
+      if (std::get<store::ReadRange>(call).prefix.empty()) ++listings;
+      f.Answer(store::RangePage{{{"a", "", 1}}, false, 10});
+    }
+    if (listings > 100) break;
+  }
+  CHECK(listings <= 12);
+}
+
 // Guards against servers that stay in use although their removal fell into a dropped history.
 TEST_CASE("a lost history leads to a listing that finds the removals") {
   Fixture f;
