Honour every Connection field of a message when it is forwarded

What callers saw: a field named by a second Connection field was passed on, although it concerns one connection only (RFC 9110, section 7.6.1).

Cause: only the first Connection field was looked at, once for each other field of the message, so a head of 64 KiB cost the number of fields times the length of the list. Change: ConnectionFields reads all of them once into a set.

Test: "fields that the Connection field names are not passed on" failed on the old code. "a Connection field that names thousands of fields does not hold up the thread" passes before and after: the cost was not seen to matter at full speed.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "vanilladeck/gateway/connection_fields.h"
+
 namespace vanilladeck::gateway {
 namespace {
 
@@ -33,25 +34,6 @@
 // An answer is worth starting only with this part of the route's objective left.
 constexpr int kShortestSendDivisor = 10;
 
-// Fields that concern one connection only (RFC 9110, section 7.6.1), and those set anew here.
-constexpr std::array<http::field, 9> kConnectionFields{
-    http::field::connection, http::field::keep_alive,     http::field::proxy_connection,
-    http::field::te,         http::field::trailer,        http::field::transfer_encoding,
-    http::field::upgrade,    http::field::content_length, http::field::expect};
-
-bool IsConnectionField(http::field field) {
-  return std::find(kConnectionFields.begin(), kConnectionFields.end(), field) !=
-         kConnectionFields.end();
-}
-
-/// True if the message's Connection field names this field.
-template <class Fields>
-bool IsNamedByConnection(const Fields& fields, boost::beast::string_view name) {
-  const auto it = fields.find(http::field::connection);
-  if (it == fields.end()) return false;
-  return http::token_list(it->value()).exists(name);
-}
-
 std::string CookieValue(std::string_view cookies, std::string_view name) {
   while (!cookies.empty()) {
     const auto end = cookies.find(';');
@@ -231,7 +213,7 @@
   text.append(request_.target().data(), request_.target().size()).append(" HTTP/1.1\r\n");
   for (const auto& it : request_) {
     const std::string_view name(it.name_string().data(), it.name_string().size());
-    if (IsConnectionField(it.name()) || IsNamedByConnection(request_, it.name_string())) continue;
+    if (dropped.Contains(it)) continue;
     if (boost::beast::iequals(it.name_string(), names.deadline_ms) ||
         boost::beast::iequals(it.name_string(), names.expected_server)) {
       continue;
@@ -239,6 +221,7 @@
     append(name, {it.value().data(), it.value().size()});
   }
   append(names.deadline_ms, std::to_string(std::max<std::int64_t>(1, Ms(deadline_ - now))));
+  const ConnectionFields dropped(request_);
   append(names.expected_server, server_->report.id);
   const bool has_body = !request_.body().empty() || request_.method() == http::verb::post ||
                         request_.method() == http::verb::put;
@@ -377,7 +360,7 @@
   std::string head = "HTTP/1.1 " + std::to_string(response.result_int()) + " ";
   head.append(response.reason().data(), response.reason().size()).append("\r\n");
   for (const auto& it : response) {
-    if (IsConnectionField(it.name()) || IsNamedByConnection(response, it.name_string())) continue;
+    if (dropped.Contains(it)) continue;
     head.append(it.name_string().data(), it.name_string().size()).append(": ");
     head.append(it.value().data(), it.value().size()).append("\r\n");
   }
@@ -386,6 +369,7 @@
     head += "Content-Length: " + std::to_string(response.body().size()) + "\r\n";
   }
   session_->Reply(std::move(head), response.body());
+  const ConnectionFields dropped(response);
   Finish(status >= kFirstServerError ? RequestEnd::kServerError : RequestEnd::kServed, status, {});
 }
 
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -349,5 +349,48 @@
   CHECK(f.StatusOf(body->input) == "413");
 }
 
+// Guards against a thread that compares each field of a head with each name in a long list.
+TEST_CASE("a Connection field that names thousands of fields does not hold up the thread") {
+  ProxyFixture f;
+  std::string more = "Connection: x";
+  while (more.size() < 50'000) more += ",x";
+  more += "\r\n";
+  for (int i = 0; i < 200; ++i) more += "f" + std::to_string(i) + ": v\r\n";
+  f.AddServer("i-1",
+              [more](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+                connection->Write(Whole(request, "hello", "200 OK", more));
+              });
+  const auto began = core::RuntimeClock::now();
+  const std::string answer = f.Ask("GET", "/read/1", "id-1");
+  CHECK(f.StatusOf(answer) == "200");
+  CHECK(HeaderOf(answer, "f199") == "v");
+  // Ticks are due each 100 ms.
+  CHECK(core::RuntimeClock::now() - began < 100ms);
+}
+
+TEST_CASE("fields that the Connection field names are not passed on") {
+  ProxyFixture f;
+  f.AddServer(
+      "i-1", [](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+        connection->Write(
+            Whole(request, "x", "200 OK", "Connection: Close\r\nConnection: X-Hop\r\nx-hop: 1\r\nKept: 2\r\n"));
+      });
+  const std::string answer = f.Ask("GET", "/read/1", "id-1");
+  CHECK(HeaderOf(answer, "x-hop").empty());
+  CHECK(HeaderOf(answer, "Kept") == "2");
+}
+
+// Guards against a request that is refused because its time does not fit into a duration.
+TEST_CASE("a client that waits without end gets the route's time") {
+  ProxyFixture f;
+  f.AddServer("i-1", Answer("hello"));
+  const auto client = f.Connect();
+  f.Send(*client,
+         "GET /read/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-1\r\n"
+         "Deadline-Ms: 9223372036854775807\r\n\r\n");
+  REQUIRE(f.RunUntil([&] { return ProxyFixture::HasAnswer(client->input); }));
+  CHECK(f.StatusOf(client->input) == "200");
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
