Compare a client's time limit before it becomes a duration

A client's number of milliseconds was multiplied into nanoseconds first, which overflows a 64-bit integer for limits beyond 292 years; signed overflow is undefined. It is compared with the route's time in milliseconds now. The test "a client that waits without end gets the route's time" passes before and after, because the wrapped value of the tested number is not used by the compiled code.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -105,7 +105,8 @@
   }
   core::Duration allowed = route_->timeout;
   if (const auto ms = ParseCount(FieldOf(request_, context_.names.deadline_ms))) {
-    allowed = std::min<core::Duration>(allowed, milliseconds(*ms));
+    // Compared in milliseconds, because a client's number may not fit into a duration.
+    if (*ms < Ms(allowed)) allowed = milliseconds(*ms);
   }
   deadline_ = received_ + allowed;
   const auto cookies = request_[http::field::cookie];
