--- /dev/null
+++ b/src/vanilladeck/core/byte_budget.cc
@@ -0,0 +1,81 @@
+#include "vanilladeck/core/byte_budget.h"
+
+#include <bit>
+
+namespace vanilladeck::core {
+
+void ByteBudget::MakeRoom(std::size_t bytes, std::size_t limit) {
+  while (used_ + bytes > capacity_ && !evictable_.empty()) {
+    Account* largest = std::prev(evictable_.end())->second;
+    if (largest->bytes_ <= limit) return;
+    largest->Evict();
+  }
+}
+
+ByteBudget::Account::Account(ByteBudgetPtr budget, std::function<void()> on_evicted)
+    : budget_(std::move(budget)), on_evicted_(std::move(on_evicted)) {}
+
+ByteBudget::Account::~Account() {
+  on_evicted_ = nullptr;
+  Clear();
+}
+
+bool ByteBudget::Account::TryResize(std::size_t bytes) {
+  if (evicted_) return false;
+  if (bytes > bytes_) {
+    // An account that grows gives way itself rather than smaller ones.
+    budget_->MakeRoom(bytes - bytes_, bytes);
+    if (evicted_ || budget_->used_ + (bytes - bytes_) > budget_->capacity_) return false;
+  }
+  Set(bytes);
+  return true;
+}
+
+void ByteBudget::Account::Resize(std::size_t bytes) {
+  if (evicted_) return;
+  if (bytes > bytes_) {
+    const bool evictable = std::exchange(evictable_, false);
+    Delist();
+    budget_->MakeRoom(bytes - bytes_, 0);
+    evictable_ = evictable;
+  }
+  Set(bytes);
+}
+
+void ByteBudget::Account::Clear() {
+  evicted_ = false;
+  Set(0);
+}
+
+void ByteBudget::Account::SetEvictable(bool evictable) {
+  evictable_ = evictable;
+  Enlist();
+}
+
+void ByteBudget::Account::Set(std::size_t bytes) {
+  budget_->used_ += bytes - bytes_;
+  bytes_ = bytes;
+  Enlist();
+}
+
+void ByteBudget::Account::Enlist() {
+  const int magnitude = evictable_ ? std::bit_width(bytes_) : 0;
+  if (magnitude == magnitude_) return;
+  Delist();
+  magnitude_ = magnitude;
+  if (magnitude_ > 0) budget_->evictable_.emplace(magnitude_, this);
+}
+
+void ByteBudget::Account::Delist() {
+  if (magnitude_ > 0) budget_->evictable_.erase({magnitude_, this});
+  magnitude_ = 0;
+}
+
+void ByteBudget::Account::Evict() {
+  Set(0);
+  evicted_ = true;
+  ++budget_->evictions_;
+  if (on_evicted_) on_evicted_();
+}
+
+}  // namespace vanilladeck::core
--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -1,5 +1,6 @@
 #include "vanilladeck/gateway/client_session.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "vanilladeck/gateway/socket_options.h"
@@ -13,13 +14,23 @@
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 // The client gets this long to read the last answer before the connection is reset.
 constexpr core::Duration kLingerTime = std::chrono::seconds(1);
+// What a client may send after its last answer before the connection is reset.
+constexpr std::size_t kMaxLingerBytes = 262144;
+// A request body is held twice, as received and as sent to a server.
+constexpr std::size_t kBodyCopies = 2;
+constexpr std::string_view kUnavailable = "503 Service Unavailable";
+// Memory is free again when the largest messages have been cut off or answered.
+constexpr std::string_view kReturnSoon = "Retry-After: 0.2\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
 
 ClientSession::ClientSession(boost::asio::ip::tcp::socket socket,
                              std::shared_ptr<SessionGroup> group)
-    : socket_(std::move(socket)), group_(std::move(group)) {
+    : socket_(std::move(socket)),
+      group_(std::move(group)),
+      account_(group_->budget, [this] { OnEvicted(); }),
+      reader_(account_, kBodyCopies) {
   group_->open.insert(this);
 }
 
@@ -30,7 +41,7 @@
 
 void ClientSession::Start() {
   SetConnectionOptions(socket_);
-  StartParser();
+  StartReader();
   SetDeadline(group_->limits.header_timeout);
   Read();
 }
@@ -40,11 +51,9 @@
   deadline_ = group_->deadlines->Add(core::RuntimeClock::now() + after, [this] { Close(); });
 }
 
-void ClientSession::StartParser() {
-  parser_.emplace();
-  parser_->header_limit(group_->limits.header_bytes);
-  parser_->body_limit(group_->limits.body_bytes);
-  parser_->eager(true);
+void ClientSession::StartReader() {
+  reader_.Start({group_->limits.header_bytes, group_->limits.body_bytes});
+  account_.SetEvictable(true);
   head_timeout_set_ = false;
   body_timeout_set_ = false;
 }
@@ -70,69 +79,108 @@
     return;
   }
   if (lingering_) {
-    Read();
+    lingered_bytes_ += n;
+    if (lingered_bytes_ > kMaxLingerBytes) {
+      Close();
+    } else {
+      Read();
+    }
     return;
   }
-  input_.append(buf_.data(), n);
+  reader_.Append({buf_.data(), n});
   if (serving_ || writing_) {
-    if (input_.size() < kMaxPipelinedBytes) Read();
+    if (reader_.input_size() < kMaxPipelinedBytes && account_.TryResize(account_.bytes() + n)) {
+      Read();
+    }
     return;
   }
   Advance();
 }
 
 void ClientSession::Advance() {
-  if (!input_.empty() && !head_timeout_set_) {
+  if (reader_.input_size() > 0 && !head_timeout_set_) {
     head_timeout_set_ = true;
     request_began_ = core::RuntimeClock::now();
     SetDeadline(group_->limits.header_timeout);
   }
-  while (!input_.empty() && !parser_->is_done()) {
-    boost::system::error_code ec;
-    const std::size_t used = parser_->put(boost::asio::buffer(input_), ec);
-    input_.erase(0, used);
-    if (parser_->is_header_done() && !body_timeout_set_) {
-      body_timeout_set_ = true;
-      SetDeadline(group_->limits.body_timeout);
-      const auto& head = parser_->get();
-      if (!parser_->is_done() && head[http::field::expect] == "100-continue") {
-        boost::system::error_code ignored;  // A failed write shows at the next read.
-        boost::asio::write(socket_, boost::asio::buffer(kContinue), ignored);
-      }
-    }
-    if (ec == http::error::need_more) break;
-    if (ec) {
-      OnParseError(ec);
+  const ReadStatus status = reader_.Parse();
+  if (status != ReadStatus::kComplete && reader_.head_complete() && !body_timeout_set_) {
+    body_timeout_set_ = true;
+    SetDeadline(group_->limits.body_timeout);
+    if (status == ReadStatus::kMore && reader_.message()[http::field::expect] == "100-continue") {
+      WriteContinue();
       return;
     }
-    if (used == 0) break;
   }
-  if (parser_->is_done()) {
-    OnRequest();
-  } else {
-    Read();
+  switch (status) {
+    case ReadStatus::kMore:
+      Read();
+      break;
+    case ReadStatus::kComplete:
+      OnRequest();
+      break;
+    case ReadStatus::kMalformed:
+      RejectUnread("400 Bad Request");
+      break;
+    case ReadStatus::kHeadTooLarge:
+      RejectUnread("431 Request Header Fields Too Large");
+      break;
+    case ReadStatus::kBodyTooLarge:
+      RejectUnread("413 Content Too Large");
+      break;
+    case ReadStatus::kNoMemory:
+      RejectUnread(kUnavailable, kReturnSoon);
+      break;
   }
 }
 
-void ClientSession::OnParseError(boost::system::error_code ec) {
+void ClientSession::WriteContinue() {
+  // A blocking write would stop the thread for a client that does not read.
+  inviting_ = true;
+  boost::asio::async_write(socket_, boost::asio::buffer(kContinue),
+                           [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+                             self->inviting_ = false;
+                             if (self->closed_ || self->serving_ || self->writing_) return;
+                             if (ec) {
+                               self->Close();
+                             } else {
+                               self->Read();
+                             }
+                           });
+}
+
+void ClientSession::RejectUnread(std::string_view status, std::string_view fields) {
   keep_alive_ = false;
   serving_ = true;
-  std::string_view status = "400 Bad Request";
-  if (ec == http::error::header_limit) status = "431 Request Header Fields Too Large";
-  if (ec == http::error::body_limit) status = "413 Content Too Large";
-  Reply("HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n", {});
+  reader_.Reset();
+  account_.Clear();
+  std::string head = "HTTP/1.1 ";
+  head.append(status).append("\r\nContent-Length: 0\r\n").append(fields);
+  Reply(std::move(head), {});
+}
+
+void ClientSession::OnEvicted() {
+  boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->closed_ || !self->account_.evicted()) return;
+    if (self->writing_ || self->inviting_) {
+      self->Close();
+    } else {
+      self->RejectUnread(kUnavailable, kReturnSoon);
+    }
+  });
 }
 
 void ClientSession::OnRequest() {
   group_->deadlines->Remove(deadline_);
-  Request request = parser_->release();
-  parser_.reset();
+  account_.SetEvictable(false);
+  Request request = reader_.Release();
   keep_alive_ = request.keep_alive();
   serving_ = true;
   const auto self = shared_from_this();
   auto pending = group_->handler.OnRequest(self, std::move(request));
   if (serving_) pending_ = std::move(pending);
-  if (serving_ && input_.size() < kMaxPipelinedBytes) Read();
+  if (serving_ && reader_.input_size() < kMaxPipelinedBytes) Read();
 }
 
 void ClientSession::OnGone() {
@@ -163,6 +211,8 @@
 
 void ClientSession::Write(std::string text, bool close_after) {
   output_ = std::move(text);
+  account_.Resize(output_.size() + reader_.input_size());
+  account_.SetEvictable(true);
   writing_ = true;
   SetDeadline(group_->limits.write_timeout);
   boost::asio::async_write(
@@ -172,23 +222,28 @@
         if (self->closed_) return;
         if (ec) {
           self->Close();
-          return;
-        }
-        self->output_ = std::string();
-        if (close_after) {
-          self->Linger();
-          return;
-        }
-        self->StartParser();
-        if (self->input_.empty()) {
-          self->SetDeadline(self->group_->limits.idle_timeout);
-          self->Read();
         } else {
-          self->Advance();
+          self->OnWritten(close_after);
         }
       });
 }
 
+void ClientSession::OnWritten(bool close_after) {
+  output_ = std::string();
+  account_.Clear();
+  if (close_after) {
+    Linger();
+    return;
+  }
+  StartReader();
+  if (reader_.input_size() == 0) {
+    SetDeadline(group_->limits.idle_timeout);
+    Read();
+  } else {
+    Advance();
+  }
+}
+
 void ClientSession::Linger() {
   // Closing with unread bytes resets the connection and may destroy the answer on its way.
   lingering_ = true;
@@ -207,6 +262,8 @@
   if (closed_) return;
   closed_ = true;
   group_->deadlines->Remove(deadline_);
+  account_.Clear();
+  account_.SetEvictable(false);
   boost::system::error_code ignored;  // Closing a socket that failed has nothing left to report.
   socket_.close(ignored);
 }
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -2,8 +2,6 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,11 +9,13 @@
 #include <string_view>
 #include <unordered_set>
 
+#include "vanilladeck/core/byte_budget.h"
 #include "vanilladeck/gateway/deadlines.h"
+#include "vanilladeck/gateway/message_reader.h"
 
 namespace vanilladeck::gateway {
 
-using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Request = MessageReader<true>::Message;
 
 class ClientSession;
 
@@ -47,12 +47,11 @@
   core::Duration write_timeout = std::chrono::seconds(10);
 };
 
-class ClientSession;
-
 /// What the sessions of one listener share.
 struct SessionGroup {
   RequestHandler& handler;
   DeadlinesPtr deadlines;
+  core::ByteBudgetPtr budget;
   SessionLimits limits;
   bool closing = false;  ///< Answers carry `Connection: close`.
   std::unordered_set<ClientSession*> open;
@@ -85,24 +84,27 @@
   [[nodiscard]] core::TimePoint request_began() const noexcept { return request_began_; }
 
  private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void Read();
   void OnRead(boost::system::error_code ec, std::size_t n);
   void Advance();
-  void StartParser();
-  void OnParseError(boost::system::error_code ec);
+  void StartReader();
+  /// Invites the body of a request that expects it.
+  void WriteContinue();
+  /// Answers a request that cannot be read and closes.
+  void RejectUnread(std::string_view status, std::string_view fields = {});
   void OnRequest();
+  void OnEvicted();
   void OnGone();
   void Write(std::string text, bool close_after);
+  void OnWritten(bool close_after);
   void Linger();
   void Close();
   void SetDeadline(core::Duration after);
 
   boost::asio::ip::tcp::socket socket_;
   std::shared_ptr<SessionGroup> group_;
-  std::optional<Parser> parser_;
-  std::string input_;
+  core::ByteBudget::Account account_;
+  MessageReader<true> reader_;
   std::array<char, 4096> buf_{};
   std::string output_;
   Deadlines::Id deadline_ = 0;
@@ -113,7 +115,9 @@
   bool serving_ = false;
   bool writing_ = false;
   bool reading_ = false;
+  bool inviting_ = false;  ///< The invitation of a body is being written.
   bool lingering_ = false;
+  std::size_t lingered_bytes_ = 0;
   bool keep_alive_ = true;
   bool closed_ = false;
 };
--- a/src/vanilladeck/gateway/context.h
+++ b/src/vanilladeck/gateway/context.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <random>
 #include <string>
 #include <unordered_map>
 
+#include "vanilladeck/core/byte_budget.h"
 #include "vanilladeck/gateway/deadlines.h"
 #include "vanilladeck/gateway/gateway_metrics.h"
 #include "vanilladeck/gateway/upstream_pool.h"
@@ -27,18 +29,44 @@
   double cold_slack = 0;      ///< Requests a second on top of it.
 };
 
+/// Limits of this process.
+struct ProcessLimits {
+  std::uint64_t memory_bytes = 256U << 20U;  ///< The platform ends a process that uses more.
+  std::uint32_t descriptors = 4096;
+
+  /// Bytes of messages that all readers and writers hold together. A string that grows by doubling
+  /// takes twice what it holds; with the kernel's buffers and the program itself, a quarter of
+  /// the memory for messages stays within the limit.
+  [[nodiscard]] std::size_t message_bytes() const noexcept { return memory_bytes / 4; }
+  /// Connections to servers.
+  [[nodiscard]] std::size_t server_connections() const noexcept { return sockets() * 2 / 5; }
+  [[nodiscard]] std::size_t client_sessions() const noexcept { return sockets() / 2; }
+  [[nodiscard]] std::size_t lookup_sessions() const noexcept { return sockets() / 20; }
+  /// Sessions of each of the listeners for readiness, metrics and other instances.
+  [[nodiscard]] std::size_t service_sessions() const noexcept { return sockets() / 64; }
+
+ private:
+  /// Files, the event loop and the connections to store and peers take the rest.
+  [[nodiscard]] std::size_t sockets() const noexcept {
+    constexpr std::uint32_t kOther = 216;
+    constexpr std::uint32_t kFewest = 96;
+    return std::max(descriptors, kOther + kFewest) - kOther;
+  }
+};
+
 /// State of the request path, owned by the serving thread.
 struct Context {
-  Context(boost::asio::io_context& io_context, WireNames wire_names, FleetLimits fleet_limits,
-          steering::ServerSet::RegionOf region_of, steering::PickerSettings picker_settings,
-          telemetry::EventStream& event_stream)
+  Context(boost::asio::io_context& io_context, const ProcessLimits& process, WireNames wire_names,
+          FleetLimits fleet_limits, steering::ServerSet::RegionOf region_of,
+          steering::PickerSettings picker_settings, telemetry::EventStream& event_stream)
       : io(io_context),
         deadlines(std::make_shared<Deadlines>(io_context)),
+        messages(std::make_shared<core::ByteBudget>(process.message_bytes())),
         names(std::move(wire_names)),
         limits(fleet_limits),
         servers(std::move(region_of)),
         picker(std::move(picker_settings), servers, fleet),
-        pool(io_context, deadlines),
+        pool(io_context, deadlines, messages, process.server_connections()),
         events(event_stream),
         random(std::random_device{}()) {}
 
@@ -50,6 +78,7 @@
 
   boost::asio::io_context& io;
   DeadlinesPtr deadlines;
+  core::ByteBudgetPtr messages;  ///< Of all readers and writers of HTTP messages.
   WireNames names;
   FleetLimits limits;
   steering::FleetShare fleet;
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -20,9 +20,6 @@
 constexpr core::Duration kTrimInterval = std::chrono::seconds(1);
 // A call between regions takes 0.12 s; a store that is slow takes 0.4 s.
 constexpr core::Duration kStoreTimeout = milliseconds(1200);
-// Sessions of clients; upstream connections and files use the other descriptors.
-constexpr std::size_t kMaxClientSessions = 2500;
-constexpr std::size_t kMaxEntrySessions = 200;
 // The number of instances only shrinks after this time, because shares of fleet-wide limits that
 // grow too early break the sum while a stopped instance still finishes its requests.
 constexpr core::Duration kFleetMemory = std::chrono::seconds(10);
@@ -91,7 +88,7 @@
       codec_(codec),
       events_(events),
       context_(
-          context, settings_.names, settings_.fleet,
+          context, settings_.process, settings_.names, settings_.fleet,
           [domains = settings_.region_of_domain](const std::string& domain) {
             const auto it = domains.find(domain);
             return it == domains.end() ? std::string() : it->second;
@@ -107,21 +104,26 @@
       registration_({}, {settings_.instance, http::EndpointText(settings_.clients),
                          settings_.failure_domain, settings_.region, false,
                          settings_.peers.port() == 0 ? "" : http::EndpointText(settings_.peers)}),
-      feed_(context, context_.deadlines, settings_.store, http::EndpointText(settings_.store),
-            codec),
-      lease_(context, context_.deadlines, settings_.store, http::EndpointText(settings_.store),
-             codec),
+      feed_(context, context_.deadlines, context_.messages, settings_.store,
+            http::EndpointText(settings_.store), codec),
+      lease_(context, context_.deadlines, context_.messages, settings_.store,
+             http::EndpointText(settings_.store), codec),
       log_(settings_.instance + '/' + std::to_string(core::RuntimeClock::WallMs())),
       source_(settings_.instance),
       proxy_(std::make_unique<ProxyHandler>(context_)),
       entry_(std::make_unique<EntryHandler>([this](ClientSession& session, const Request& request) {
         AnswerEntry(session, request);
       })),
-      clients_(context, context_.deadlines, *proxy_, kMaxClientSessions),
-      readiness_(context, context_.deadlines, *entry_, kMaxEntrySessions),
-      lookups_(context, context_.deadlines, *entry_, kMaxEntrySessions),
-      metrics_(context, context_.deadlines, *entry_, kMaxEntrySessions),
-      peers_(context, context_.deadlines, *entry_, kMaxEntrySessions) {}
+      clients_(context, context_.deadlines, context_.messages, *proxy_,
+               settings_.process.client_sessions()),
+      readiness_(context, context_.deadlines, context_.messages, *entry_,
+                 settings_.process.service_sessions()),
+      lookups_(context, context_.deadlines, context_.messages, *entry_,
+               settings_.process.lookup_sessions()),
+      metrics_(context, context_.deadlines, context_.messages, *entry_,
+               settings_.process.service_sessions()),
+      peers_(context, context_.deadlines, context_.messages, *entry_,
+             settings_.process.service_sessions()) {}
 
 Gateway::~Gateway() = default;
 
@@ -136,6 +138,15 @@
   return ec;
 }
 
+void Gateway::LogEvictions() {
+  const std::uint64_t evictions = context_.messages->evictions();
+  if (evictions == logged_evictions_) return;
+  events_.Write(StreamEvent::kMemoryShort, {{"evicted", evictions - logged_evictions_},
+                                            {"message_bytes", context_.messages->used()},
+                                            {"limit", context_.messages->capacity()}});
+  logged_evictions_ = evictions;
+}
+
 void Gateway::Tick() {
   if (stopped_) return;
   const core::TimePoint now = core::RuntimeClock::now();
@@ -143,6 +154,7 @@
   PumpStore();
   context_.picker.UpdateSplits(now);
   LogSplits();
+  LogEvictions();
   if (now.time_since_epoch() % kTrimInterval < kTickInterval) context_.pool.Trim(now);
   AskSeed(now);
   UpdateFleet();
@@ -203,7 +215,8 @@
   }
   if (peer_connection_) peer_connection_->Cancel();
   peer_name_ = peer.name;
-  peer_connection_ = std::make_shared<UpstreamConnection>(io_, context_.deadlines);
+  peer_connection_ =
+      std::make_shared<UpstreamConnection>(io_, context_.deadlines, context_.messages);
   const auto endpoint = http::ParseEndpoint(peer.address);
   if (!endpoint) {
     OnPeerAnswer(peer, {});
@@ -256,7 +269,8 @@
   const auto seed = settings_.seeds[seed_turn_++ % settings_.seeds.size()];
   if (seed == settings_.peers) return;
   if (seed_connection_) seed_connection_->Cancel();
-  seed_connection_ = std::make_shared<UpstreamConnection>(io_, context_.deadlines);
+  seed_connection_ =
+      std::make_shared<UpstreamConnection>(io_, context_.deadlines, context_.messages);
   const std::string name = http::EndpointText(seed);
   const core::TimePoint deadline = now + kSeedInterval;
   seed_connection_->Connect(
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -35,6 +35,7 @@
   boost::asio::ip::tcp::endpoint peers;  ///< Listener for other instances; port 0: none.
   /// Peer listeners of instances that may be up, asked while the store is out of reach at a start.
   std::vector<boost::asio::ip::tcp::endpoint> seeds;
+  ProcessLimits process;
   WireNames names;
   FleetLimits fleet;
   membership::FollowerSettings follower;
@@ -61,6 +62,7 @@
 
  private:
   void Tick();
+  void LogEvictions();
   void PumpStore();
   void AskPeer(const membership::FeedPeer& peer);
   /// Asks a seed for its state while the store has not answered since the start.
@@ -111,6 +113,7 @@
   Listener lookups_;
   Listener metrics_;
   Listener peers_;
+  std::uint64_t logged_evictions_ = 0;
   std::shared_ptr<UpstreamConnection> seed_connection_;
   std::size_t seed_turn_ = 0;
   core::TimePoint seed_due_;  ///< The epoch of the clock before the first tick.
--- a/src/vanilladeck/gateway/gateway_entry.cc
+++ b/src/vanilladeck/gateway/gateway_entry.cc
@@ -1,3 +1,7 @@
+#include <unistd.h>
+
+#include <fstream>
+
 #include "vanilladeck/gateway/gateway.h"
 #include "vanilladeck/gateway/metrics_text.h"
 #include "vanilladeck/gateway/peer_request.h"
@@ -14,6 +18,15 @@
 // Callers use the first 64 addresses of an answer.
 constexpr std::size_t kMaxLookupAddresses = 64;
 
+/// Memory of this process that is in use, 0 if the system does not tell.
+std::uint64_t ResidentBytes() {
+  std::ifstream in("/proc/self/statm");
+  std::uint64_t size_pages = 0;
+  std::uint64_t resident_pages = 0;
+  if (!(in >> size_pages >> resident_pages)) return 0;
+  return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
   std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
@@ -78,6 +91,12 @@
   gauges.servers = context_.servers.size();
   gauges.connections_opened = context_.pool.opened();
   gauges.dropped_lines = events_.dropped();
+  gauges.client_sessions = clients_.group().open.size();
+  gauges.server_connections = context_.pool.open();
+  gauges.message_bytes = context_.messages->used();
+  gauges.message_bytes_limit = context_.messages->capacity();
+  gauges.messages_evicted = context_.messages->evictions();
+  gauges.resident_bytes = ResidentBytes();
   for (const std::string& id : context_.servers.Ids()) {
     const auto server = context_.servers.Find(id);
     if (context_.servers.Usable(*server, now)) {
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -5,14 +5,16 @@
 
 // Clients of a whole region may connect at once when another instance fails.
 constexpr int kBacklog = 1024;
+// Without descriptors each accept fails at once; sessions end at this rate at least.
+constexpr core::Duration kAcceptPause = std::chrono::milliseconds(50);
 
 }  // namespace
 
 Listener::Listener(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                   RequestHandler& handler, std::size_t max_sessions)
+                   core::ByteBudgetPtr budget, RequestHandler& handler, std::size_t max_sessions)
     : acceptor_(context),
       group_(std::make_shared<SessionGroup>(
-          SessionGroup{handler, std::move(deadlines), {}, false, {}})),
+          SessionGroup{handler, std::move(deadlines), std::move(budget), {}, false, {}})),
       max_sessions_(max_sessions) {}
 
 boost::system::error_code Listener::Open(const boost::asio::ip::tcp::endpoint& endpoint) {
@@ -21,26 +23,38 @@
   if (!ec) acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
   if (!ec) acceptor_.bind(endpoint, ec);
   if (!ec) acceptor_.listen(kBacklog, ec);
-  if (!ec) Accept();
+  if (!ec) {
+    Accept();
+  } else {
+    Close();
+  }
   return ec;
 }
 
 void Listener::Accept() {
   acceptor_.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open()) return;
-    if (!ec) {
-      if (group_->open.size() >= max_sessions_) {
-        // Out of descriptors is worse for everybody than one connection that is closed at once.
-        boost::system::error_code ignored;
-        socket.close(ignored);
-      } else {
-        std::make_shared<ClientSession>(std::move(socket), group_)->Start();
-      }
-    }
-    Accept();
+    OnAccept(ec, std::move(socket));
   });
 }
 
+void Listener::OnAccept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+  if (ec) {
+    group_->deadlines->Add(core::RuntimeClock::now() + kAcceptPause, [this] {
+      if (acceptor_.is_open()) Accept();
+    });
+    return;
+  }
+  Accept();
+  if (group_->open.size() >= max_sessions_) {
+    // Out of descriptors is worse for everybody than one connection that is closed at once.
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  } else {
+    std::make_shared<ClientSession>(std::move(socket), group_)->Start();
+  }
+}
+
 void Listener::Close() {
   boost::system::error_code ignored;  // Closing a listener has nothing left to report.
   acceptor_.close(ignored);
--- a/src/vanilladeck/gateway/listener.h
+++ b/src/vanilladeck/gateway/listener.h
@@ -10,16 +10,20 @@
 /// Accepts connections and runs a `ClientSession` on each.
 class Listener {
  public:
-  Listener(boost::asio::io_context& context, DeadlinesPtr deadlines, RequestHandler& handler,
-           std::size_t max_sessions);
+  Listener(boost::asio::io_context& context, DeadlinesPtr deadlines, core::ByteBudgetPtr budget,
+           RequestHandler& handler, std::size_t max_sessions);
 
+  /// May be called again after an error.
   [[nodiscard]] boost::system::error_code Open(const boost::asio::ip::tcp::endpoint& endpoint);
+  [[nodiscard]] bool open() const noexcept { return acceptor_.is_open(); }
   void Close();
 
   [[nodiscard]] SessionGroup& group() noexcept { return *group_; }
+  [[nodiscard]] const SessionGroup& group() const noexcept { return *group_; }
 
  private:
   void Accept();
+  void OnAccept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
   std::shared_ptr<SessionGroup> group_;
--- /dev/null
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -0,0 +1,120 @@
+#include "vanilladeck/gateway/message_reader.h"
+
+#include <algorithm>
+#include <exception>
+
+namespace vanilladeck::gateway {
+namespace {
+
+namespace http = boost::beast::http;
+
+// Chunk headers, chunk extensions and trailers of a body may take this much and as many bytes as
+// the body itself, which suffices for chunks of 6 bytes.
+constexpr std::size_t kMaxFramingBytes = 16384;
+// Common servers accept 100 fields.
+constexpr std::size_t kMaxHeadLines = 256;
+// The parser's record of a field beside its text.
+constexpr std::size_t kFieldBytes = 96;
+
+}  // namespace
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::Start(const MessageLimits& limits, bool has_no_body) {
+  limits_ = limits;
+  parser_.emplace();
+  parser_->header_limit(limits.head_bytes);
+  parser_->body_limit(limits.body_bytes);
+  parser_->skip(has_no_body);
+  head_bytes_ = 0;
+  head_lines_ = 0;
+  after_head_ = 0;
+  error_.clear();
+}
+
+template <bool IsRequest>
+ReadStatus MessageReader<IsRequest>::Parse() {
+  while (!input_.empty() && !parser_->is_done()) {
+    const bool in_head = !parser_->is_header_done();
+    // The head is parsed on its own, so that its bytes can be told from those of the body.
+    parser_->eager(!in_head);
+    boost::system::error_code ec;
+    std::size_t used = 0;
+    try {
+      used = parser_->put(boost::asio::buffer(input_), ec);
+    } catch (const std::exception& error) {
+      // The parser throws for fields of more than 64 KiB and when memory runs out.
+      return Fail(in_head ? ReadStatus::kHeadTooLarge : ReadStatus::kMalformed, error.what());
+    }
+    if (in_head) {
+      head_bytes_ += used;
+      head_lines_ += static_cast<std::size_t>(
+          std::count(input_.begin(), input_.begin() + static_cast<std::ptrdiff_t>(used), '\n'));
+    } else {
+      after_head_ += used;
+    }
+    input_.erase(0, used);
+    if (ec == http::error::header_limit) return Fail(ReadStatus::kHeadTooLarge, ec.message());
+    if (ec == http::error::body_limit) return Fail(ReadStatus::kBodyTooLarge, ec.message());
+    if (ec && ec != http::error::need_more) return Fail(ReadStatus::kMalformed, ec.message());
+    const bool stuck = ec == http::error::need_more || used == 0;
+    if (const auto it = CheckBounds(stuck ? input_.size() : 0); it != ReadStatus::kMore) return it;
+    if (stuck) break;
+  }
+  return parser_->is_done() ? ReadStatus::kComplete : ReadStatus::kMore;
+}
+
+template <bool IsRequest>
+ReadStatus MessageReader<IsRequest>::ParseEnd() {
+  if (!head_complete()) return Fail(ReadStatus::kMalformed, "the stream ended in the head");
+  boost::system::error_code ec;
+  parser_->put_eof(ec);
+  if (ec || !parser_->is_done()) return Fail(ReadStatus::kMalformed, "the stream ended early");
+  return ReadStatus::kComplete;
+}
+
+template <bool IsRequest>
+ReadStatus MessageReader<IsRequest>::CheckBounds(std::size_t pending) {
+  const std::size_t body = parser_->get().body().size();
+  const std::size_t head = head_bytes_ + (head_complete() ? 0 : pending);
+  if (head > limits_.head_bytes || head_lines_ > kMaxHeadLines) {
+    return Fail(ReadStatus::kHeadTooLarge, "head over the limits");
+  }
+  if (head_complete() &&
+      (pending > kMaxFramingBytes || after_head_ + pending > kMaxFramingBytes + 2 * body)) {
+    return Fail(ReadStatus::kMalformed, "more framing than body");
+  }
+  if (!account_.TryResize(held())) return Fail(ReadStatus::kNoMemory, "no memory for messages");
+  return ReadStatus::kMore;
+}
+
+template <bool IsRequest>
+std::size_t MessageReader<IsRequest>::held() const {
+  const std::size_t message = parser_ ? head_bytes_ + head_lines_ * kFieldBytes +
+                                            body_copies_ * parser_->get().body().size()
+                                      : 0;
+  return input_.size() + message;
+}
+
+template <bool IsRequest>
+typename MessageReader<IsRequest>::Message MessageReader<IsRequest>::Release() {
+  Message message = parser_->release();
+  parser_.reset();
+  return message;
+}
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::Reset() {
+  parser_.reset();
+  input_ = std::string();
+}
+
+template <bool IsRequest>
+ReadStatus MessageReader<IsRequest>::Fail(ReadStatus status, std::string error) {
+  error_ = std::move(error);
+  return status;
+}
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+}  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -85,6 +85,12 @@
   value("vanilladeck_servers_cold", static_cast<double>(gauges.cold_servers));
   value("vanilladeck_connections_opened_total", static_cast<double>(gauges.connections_opened));
   value("vanilladeck_log_lines_dropped_total", static_cast<double>(gauges.dropped_lines));
+  value("vanilladeck_client_sessions", static_cast<double>(gauges.client_sessions));
+  value("vanilladeck_server_connections", static_cast<double>(gauges.server_connections));
+  value("vanilladeck_message_bytes", static_cast<double>(gauges.message_bytes));
+  value("vanilladeck_message_bytes_limit", static_cast<double>(gauges.message_bytes_limit));
+  value("vanilladeck_messages_evicted_total", static_cast<double>(gauges.messages_evicted));
+  value("process_resident_memory_bytes", static_cast<double>(gauges.resident_bytes));
   return out.str();
 }
 
--- a/src/vanilladeck/gateway/metrics_text.h
+++ b/src/vanilladeck/gateway/metrics_text.h
@@ -18,6 +18,12 @@
   std::uint64_t cold_servers = 0;
   std::uint64_t connections_opened = 0;
   std::uint64_t dropped_lines = 0;
+  std::uint64_t client_sessions = 0;
+  std::uint64_t server_connections = 0;
+  std::uint64_t message_bytes = 0;  ///< Held by all readers and writers.
+  std::uint64_t message_bytes_limit = 0;
+  std::uint64_t messages_evicted = 0;
+  std::uint64_t resident_bytes = 0;  ///< Of the process; 0: unknown.
 };
 
 /// Prometheus text format, version 0.0.4.
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -149,31 +149,40 @@
   context_.pool.Acquire(
       *server_, route_->kind, std::min(deadline_, now + kConnectTimeout),
       [self = shared_from_this(), server = server_](const UpstreamPool::ConnectionPtr& connection,
-                                                    bool fresh, const std::string& error) {
+                                                    AcquireEnd end, const std::string& detail) {
         if (self->finished_ || self->server_ != server) {
           if (connection) self->context_.pool.Release(*server, connection);
           return;
         }
-        self->OnConnection(connection, fresh, error);
+        self->OnConnection(connection, end, detail);
       });
 }
 
-void ProxiedRequest::OnConnection(const UpstreamPool::ConnectionPtr& connection, bool fresh,
-                                  const std::string& error) {
-  const core::TimePoint now = core::RuntimeClock::now();
+void ProxiedRequest::OnNoConnection(AcquireEnd end, const std::string& detail) {
+  const bool local = end == AcquireEnd::kNoDescriptor;
+  EndAttempt(local ? AttemptEnd::kAbandoned : AttemptEnd::kUnreachable, detail);
+  ++unreachable_;
+  if (!local && unreachable_ < kMaxUnreachable) {
+    TryServer();
+    return;
+  }
+  const std::string_view reason = local ? "no-descriptor" : "unreachable";
+  if (may_have_run_) {
+    Fail(kBadGateway, reason);
+  } else {
+    Refuse(reason);
+  }
+}
+
+void ProxiedRequest::OnConnection(const UpstreamPool::ConnectionPtr& connection, AcquireEnd end,
+                                  const std::string& detail) {
   if (!connection) {
-    EndAttempt(AttemptEnd::kUnreachable, error);
-    ++unreachable_;
-    if (unreachable_ < kMaxUnreachable) {
-      TryServer();
-    } else if (may_have_run_) {
-      Fail(kBadGateway, "unreachable");
-    } else {
-      Refuse("unreachable");
-    }
+    OnNoConnection(end, detail);
     return;
   }
-  if (fresh) context_.metrics.connect_latency.Add(now - sent_);
+  if (end == AcquireEnd::kConnected) {
+    context_.metrics.connect_latency.Add(core::RuntimeClock::now() - sent_);
+  }
   // The server may have begun to drain, or another instance's cold share may have changed, while
   // the connection was being made.
   if (!context_.servers.Assignable(*server_)) {
@@ -182,10 +191,10 @@
     TryServer();
     return;
   }
-  Send(connection, fresh);
+  Send(connection);
 }
 
-void ProxiedRequest::Send(const UpstreamPool::ConnectionPtr& connection, bool /*fresh*/) {
+void ProxiedRequest::Send(const UpstreamPool::ConnectionPtr& connection) {
   connection_ = connection;
   ++arrivals_;
   connection_->Exchange(
@@ -212,6 +221,7 @@
   const auto method = request_.method_string();
   text.append(method.data(), method.size()).append(" ");
   text.append(request_.target().data(), request_.target().size()).append(" HTTP/1.1\r\n");
+  const ConnectionFields dropped(request_);
   for (const auto& it : request_) {
     const std::string_view name(it.name_string().data(), it.name_string().size());
     if (dropped.Contains(it)) continue;
@@ -222,7 +232,6 @@
     append(name, {it.value().data(), it.value().size()});
   }
   append(names.deadline_ms, std::to_string(std::max<std::int64_t>(1, Ms(deadline_ - now))));
-  const ConnectionFields dropped(request_);
   append(names.expected_server, server_->report.id);
   const bool has_body = !request_.body().empty() || request_.method() == http::verb::post ||
                         request_.method() == http::verb::put;
@@ -360,6 +369,7 @@
 void ProxiedRequest::Forward(const Response& response) {
   std::string head = "HTTP/1.1 " + std::to_string(response.result_int()) + " ";
   head.append(response.reason().data(), response.reason().size()).append("\r\n");
+  const ConnectionFields dropped(response);
   for (const auto& it : response) {
     if (dropped.Contains(it)) continue;
     head.append(it.name_string().data(), it.name_string().size()).append(": ");
@@ -370,7 +380,6 @@
     head += "Content-Length: " + std::to_string(response.body().size()) + "\r\n";
   }
   session_->Reply(std::move(head), response.body());
-  const ConnectionFields dropped(response);
   Finish(status >= kFirstServerError ? RequestEnd::kServerError : RequestEnd::kServed, status, {});
 }
 
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -28,9 +28,10 @@
  private:
   [[nodiscard]] bool Begin();
   void TryServer();
-  void OnConnection(const UpstreamPool::ConnectionPtr& connection, bool fresh,
-                    const std::string& error);
-  void Send(const UpstreamPool::ConnectionPtr& connection, bool fresh);
+  void OnConnection(const UpstreamPool::ConnectionPtr& connection, AcquireEnd end,
+                    const std::string& detail);
+  void OnNoConnection(AcquireEnd end, const std::string& detail);
+  void Send(const UpstreamPool::ConnectionPtr& connection);
   void OnOutcome(const ExchangeOutcome& outcome);
   void OnResponse(const Response& response);
   void OnNotRun(const Response& response);
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -18,10 +18,11 @@
 }  // namespace
 
 StoreChannel::StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                           boost::asio::ip::tcp::endpoint store, std::string host,
-                           const store::VersionedCodec& codec)
+                           core::ByteBudgetPtr budget, boost::asio::ip::tcp::endpoint store,
+                           std::string host, const store::VersionedCodec& codec)
     : context_(context),
       deadlines_(std::move(deadlines)),
+      budget_(std::move(budget)),
       store_(std::move(store)),
       host_(std::move(host)),
       codec_(codec) {}
@@ -36,7 +37,7 @@
     return;
   }
   if (connection_) connection_->Cancel();
-  connection_ = std::make_shared<UpstreamConnection>(context_, deadlines_);
+  connection_ = std::make_shared<UpstreamConnection>(context_, deadlines_, budget_);
   connection_->Connect(store_, std::min(deadline, now + kConnectTimeout),
                        [this, call, deadline, done](boost::system::error_code ec) {
                          if (ec) {
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -15,7 +15,7 @@
  public:
   using Done = std::function<void(const store::VersionedResult&)>;
 
-  StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines,
+  StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines, core::ByteBudgetPtr budget,
                boost::asio::ip::tcp::endpoint store, std::string host,
                const store::VersionedCodec& codec);
 
@@ -27,6 +27,7 @@
 
   boost::asio::io_context& context_;
   DeadlinesPtr deadlines_;
+  core::ByteBudgetPtr budget_;
   boost::asio::ip::tcp::endpoint store_;
   std::string host_;
   const store::VersionedCodec& codec_;
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -1,5 +1,6 @@
 #include "vanilladeck/gateway/upstream_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
 #include <charconv>
@@ -13,6 +14,10 @@
 
 constexpr unsigned kInformational = 100;
 constexpr unsigned kSuccess = 200;
+// Interim responses before the final one; a server without end must not keep the thread busy.
+constexpr int kMaxInterimResponses = 8;
+// Responses to earlier requests before the own one; one late response is usual.
+constexpr int kMaxDroppedResponses = 2;
 
 /// Reads "timeout=N" of a Keep-Alive header.
 std::optional<core::Duration> KeepAliveOf(const Response& response) {
@@ -23,17 +28,21 @@
   const auto at = text.find(kKey);
   if (at == std::string_view::npos) return std::nullopt;
   const std::string_view digits = text.substr(at + kKey.size());
-  std::int64_t seconds = 0;
+  std::uint16_t seconds = 0;  // Longer times bring nothing and may overflow a duration.
   const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (ec != std::errc{} || seconds < 0) return std::nullopt;
+  if (ec != std::errc{}) return std::nullopt;
   return std::chrono::seconds(seconds);
 }
 
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                                       const ResponseLimits& limits)
-    : socket_(context), deadlines_(std::move(deadlines)), limits_(limits) {}
+                                       core::ByteBudgetPtr budget, const MessageLimits& limits)
+    : socket_(context),
+      deadlines_(std::move(deadlines)),
+      limits_(limits),
+      account_(std::move(budget), [this] { OnEvicted(); }),
+      reader_(account_) {}
 
 UpstreamConnection::~UpstreamConnection() { deadlines_->Remove(deadline_); }
 
@@ -64,15 +73,18 @@
   accepts_ = std::move(accepts);
   done_ = std::move(done);
   reusable_ = false;
-  dropped_response_ = false;
+  interim_responses_ = 0;
+  dropped_responses_ = 0;
   any_byte_ = false;
   writing_ = true;
-  input_.clear();
-  StartParser();
+  reader_.Reset();
+  reader_.Start(limits_, is_head_);
+  account_.SetEvictable(true);
   deadline_ = deadlines_->Add(deadline, [this] { Finish(ExchangeEnd::kTimeout, "deadline"); });
   boost::asio::async_write(socket_, boost::asio::buffer(request_),
                            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
                              self->writing_ = false;
+                             self->request_ = std::string();
                              // A server may answer before it has read everything; the read decides
                              // about the end.
                              if (ec && self->done_ && !self->reading_) {
@@ -82,14 +94,6 @@
   if (!reading_) Read();
 }
 
-void UpstreamConnection::StartParser() {
-  parser_.emplace();
-  parser_->header_limit(limits_.header_bytes);
-  parser_->body_limit(limits_.body_bytes);
-  parser_->eager(true);
-  parser_->skip(is_head_);
-}
-
 void UpstreamConnection::Read() {
   reading_ = true;
   socket_.async_read_some(boost::asio::buffer(buf_),
@@ -109,75 +113,90 @@
     if (callback) callback();
     return;
   }
-  if (ec) {
-    if (ec == boost::asio::error::eof && parser_->got_some() && parser_->is_header_done()) {
-      boost::system::error_code parse_error;
-      parser_->put_eof(parse_error);
-      if (!parse_error && parser_->is_done()) {
-        OnResponse();
-        return;
-      }
+  if (ec == boost::asio::error::eof && reader_.head_complete()) {
+    const auto status = reader_.ParseEnd();
+    if (status == ReadStatus::kComplete) {
+      OnReadStatus(status);
+    } else {
+      Finish(ExchangeEnd::kClosed, reader_.error());
     }
+    return;
+  }
+  if (ec) {
     Finish(ExchangeEnd::kClosed, ec.message());
     return;
   }
   any_byte_ = true;
-  input_.append(buf_.data(), n);
-  Parse();
+  reader_.Append({buf_.data(), n});
+  OnReadStatus(reader_.Parse());
 }
 
-void UpstreamConnection::Parse() {
-  while (!input_.empty() && !parser_->is_done()) {
-    boost::system::error_code ec;
-    const std::size_t used = parser_->put(boost::asio::buffer(input_), ec);
-    input_.erase(0, used);
-    if (ec == http::error::need_more) break;
-    if (ec) {
-      Finish(ExchangeEnd::kMalformed, ec.message());
-      return;
-    }
-    if (used == 0) break;
+void UpstreamConnection::OnReadStatus(ReadStatus status) {
+  Match match = Match::kOwn;
+  while (status == ReadStatus::kComplete) {
+    match = MatchResponse();
+    if (match != Match::kSkipped) break;
+    reader_.Start(limits_, is_head_);
+    status = reader_.Parse();
   }
-  if (parser_->is_done()) {
-    OnResponse();
-  } else {
-    Read();
+  switch (status) {
+    case ReadStatus::kMore:
+      Read();
+      break;
+    case ReadStatus::kComplete:
+      if (match == Match::kForeign) {
+        Finish(ExchangeEnd::kMalformed, "responses to other requests");
+        break;
+      }
+      reusable_ =
+          !writing_ && dropped_responses_ == 0 && reader_.input_size() == 0 && reader_.keep_alive();
+      keep_alive_ = KeepAliveOf(reader_.message());
+      Finish(ExchangeEnd::kResponse, {});
+      break;
+    case ReadStatus::kNoMemory:
+      Finish(ExchangeEnd::kNoMemory, reader_.error());
+      break;
+    case ReadStatus::kMalformed:
+    case ReadStatus::kHeadTooLarge:
+    case ReadStatus::kBodyTooLarge:
+      Finish(ExchangeEnd::kMalformed, reader_.error());
+      break;
   }
 }
 
-void UpstreamConnection::OnResponse() {
-  const unsigned status = parser_->get().result_int();
-  const bool interim = status >= kInformational && status < kSuccess;
-  if (interim || (accepts_ && !accepts_(parser_->get()))) {
+UpstreamConnection::Match UpstreamConnection::MatchResponse() {
+  const unsigned status = reader_.message().result_int();
+  bool may_skip = false;
+  if (status >= kInformational && status < kSuccess) {
+    may_skip = ++interim_responses_ <= kMaxInterimResponses;
+  } else if (!accepts_ || accepts_(reader_.message())) {
+    return Match::kOwn;
+  } else {
     // A late response to an earlier request may come first; the connection ends afterwards.
-    if (!interim) dropped_response_ = true;
-    const bool can_continue = socket_.is_open() && (interim || parser_->keep_alive());
-    if (!can_continue) {
-      Finish(ExchangeEnd::kMalformed, "response of another request");
-      return;
-    }
-    StartParser();
-    if (input_.empty()) {
-      Read();
-    } else {
-      Parse();
-    }
-    return;
+    may_skip = ++dropped_responses_ <= kMaxDroppedResponses && reader_.keep_alive();
   }
-  reusable_ = !writing_ && !dropped_response_ && input_.empty() && parser_->keep_alive();
-  keep_alive_ = KeepAliveOf(parser_->get());
-  Finish(ExchangeEnd::kResponse, {});
+  return may_skip ? Match::kSkipped : Match::kForeign;
+}
+
+void UpstreamConnection::OnEvicted() {
+  boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->account_.evicted()) {
+      self->Finish(ExchangeEnd::kNoMemory, "evicted as the largest message");
+    }
+  });
 }
 
 void UpstreamConnection::Finish(ExchangeEnd end, std::string detail) {
   if (!done_) return;
+  const auto self = shared_from_this();
   deadlines_->Remove(deadline_);
   ExchangeOutcome outcome;
   outcome.end = end;
   outcome.any_byte = any_byte_;
   outcome.detail = std::move(detail);
-  if (end == ExchangeEnd::kResponse) outcome.response = parser_->release();
-  parser_.reset();
+  if (end == ExchangeEnd::kResponse) outcome.response = reader_.Release();
+  reader_.Reset();
   if (end != ExchangeEnd::kResponse || !reusable_) {
     reusable_ = false;
     Close();
@@ -186,12 +205,14 @@
   const auto callback = std::move(done_);
   done_ = nullptr;
   accepts_ = nullptr;
+  account_.SetEvictable(false);
   callback(std::move(outcome));
+  // The callback may have begun the next exchange.
+  if (!done_) account_.Clear();
 }
 
 void UpstreamConnection::Cancel() {
   if (done_) {
-    const auto self = shared_from_this();
     Finish(ExchangeEnd::kCancelled, "cancelled");
     return;
   }
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -3,30 +3,31 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "vanilladeck/core/byte_budget.h"
 #include "vanilladeck/gateway/deadlines.h"
+#include "vanilladeck/gateway/message_reader.h"
 
 namespace vanilladeck::gateway {
 
-using Response = boost::beast::http::response<boost::beast::http::string_body>;
+using Response = MessageReader<false>::Message;
 
 enum class ExchangeEnd : std::uint8_t {
   kResponse,  ///< A whole response.
   kClosed,    ///< Closed or reset before a whole response.
   kTimeout,
   kMalformed,  ///< The bytes are no response, or the response is over the limits.
+  kNoMemory,   ///< The bytes of all messages together reached the limit.
   kCancelled,
 };
 
-inline constexpr std::array<std::string_view, 5> kExchangeEndNames{"response", "closed", "timeout",
-                                                                   "malformed", "cancelled"};
+inline constexpr std::array<std::string_view, 6> kExchangeEndNames{
+    "response", "closed", "timeout", "malformed", "no-memory", "cancelled"};
 
 struct ExchangeOutcome {
   ExchangeEnd end = ExchangeEnd::kClosed;
@@ -35,16 +36,11 @@
   std::string detail;
 };
 
-/// Responses beyond these are cut off as malformed.
-struct ResponseLimits {
-  std::uint32_t header_bytes = 65536;
-  std::uint64_t body_bytes = 16U << 20U;
-};
-
 /// A client connection for HTTP/1.1 exchanges, one at a time, on one thread.
 ///
 /// While idle it watches for the peer's close and for stray bytes; either ends it. A connection
-/// whose last exchange left any doubt reports that it is not reusable.
+/// whose last exchange left any doubt reports that it is not reusable. Responses over the limits
+/// end the exchange as malformed.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
  public:
   using ConnectDone = std::function<void(boost::system::error_code)>;
@@ -53,7 +49,7 @@
   using Accepts = std::function<bool(const Response&)>;
 
   UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                     const ResponseLimits& limits = {});
+                     core::ByteBudgetPtr budget, const MessageLimits& limits = {});
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -80,29 +76,31 @@
   [[nodiscard]] std::optional<core::Duration> keep_alive() const noexcept { return keep_alive_; }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
-  void StartParser();
   void Read();
   void OnRead(boost::system::error_code ec, std::size_t n);
   void Parse();
-  void OnResponse();
+  void OnReadStatus(ReadStatus status);
+  enum class Match : std::uint8_t { kOwn, kSkipped, kForeign };
+  /// Whether the response ends the exchange, or the next one is awaited.
+  [[nodiscard]] Match MatchResponse();
+  void OnEvicted();
   void Finish(ExchangeEnd end, std::string detail);
   void Close();
 
   boost::asio::ip::tcp::socket socket_;
   DeadlinesPtr deadlines_;
-  ResponseLimits limits_;
+  MessageLimits limits_;
   Deadlines::Id deadline_ = 0;
   std::string request_;
   bool writing_ = false;
   bool reading_ = false;
   bool is_head_ = false;
   bool reusable_ = false;
-  bool dropped_response_ = false;
   bool any_byte_ = false;
-  std::optional<Parser> parser_;
-  std::string input_;
+  int interim_responses_ = 0;
+  int dropped_responses_ = 0;
+  core::ByteBudget::Account account_;
+  MessageReader<false> reader_;
   std::array<char, 8192> buf_{};
   Accepts accepts_;
   ExchangeDone done_;
--- a/src/vanilladeck/gateway/upstream_pool.cc
+++ b/src/vanilladeck/gateway/upstream_pool.cc
@@ -44,27 +44,61 @@
   return nullptr;
 }
 
+UpstreamPool::ConnectionPtr UpstreamPool::NewConnection() {
+  ++opened_;
+  ++*open_;
+  return {new UpstreamConnection(context_, deadlines_, budget_),
+          [open = open_](UpstreamConnection* it) {
+            --*open;
+            delete it;
+          }};
+}
+
+bool UpstreamPool::CloseLongestIdle() {
+  std::vector<ConnectionPtr>* longest = nullptr;
+  for (auto& [key, list] : idle_) {
+    // The front of a list has been idle longer than the others.
+    if (list.empty()) continue;
+    if (longest == nullptr || list.front()->idle_since() < longest->front()->idle_since()) {
+      longest = &list;
+    }
+  }
+  if (longest == nullptr) return false;
+  longest->front()->Cancel();
+  longest->erase(longest->begin());
+  return true;
+}
+
 void UpstreamPool::Acquire(const steering::Server& server, config::RequestKind kind,
                            core::TimePoint deadline, AcquireDone done) {
   if (const ConnectionPtr idle = TakeIdle(KeyOf(server), kind, core::RuntimeClock::now())) {
-    done(idle, false, {});
+    done(idle, AcquireEnd::kReused, {});
     return;
   }
+  const auto fail = [this, &done](AcquireEnd end, const char* detail) {
+    boost::asio::post(context_,
+                      [done = std::move(done), end, detail] { done(nullptr, end, detail); });
+  };
   const auto endpoint = http::ParseEndpoint(server.report.address);
   if (!endpoint) {
-    boost::asio::post(context_, [done = std::move(done)] { done(nullptr, true, "address"); });
+    fail(AcquireEnd::kUnreachable, "address");
     return;
   }
-  ++opened_;
-  auto connection = std::make_shared<UpstreamConnection>(context_, deadlines_);
-  connection->Connect(*endpoint, deadline,
-                      [connection, done = std::move(done)](boost::system::error_code ec) {
-                        if (ec) {
-                          done(nullptr, true, ec.message());
-                        } else {
-                          done(connection, true, {});
-                        }
-                      });
+  if (*open_ >= max_open_ && !CloseLongestIdle()) {
+    fail(AcquireEnd::kNoDescriptor, "all connections are in use");
+    return;
+  }
+  const ConnectionPtr connection = NewConnection();
+  connection->Connect(
+      *endpoint, deadline, [connection, done = std::move(done)](boost::system::error_code ec) {
+        if (!ec) {
+          done(connection, AcquireEnd::kConnected, {});
+          return;
+        }
+        const bool local = ec == boost::asio::error::no_descriptors ||
+                           ec == boost::system::errc::too_many_files_open_in_system;
+        done(nullptr, local ? AcquireEnd::kNoDescriptor : AcquireEnd::kUnreachable, ec.message());
+      });
 }
 
 void UpstreamPool::Release(const steering::Server& server, const ConnectionPtr& connection) {
--- /dev/null
+++ b/tests/gateway/descriptor_limit_test.cc
@@ -0,0 +1,105 @@
+#include <sys/resource.h>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/proxy_fixture.h"
+
+namespace vanilladeck::gateway {
+namespace {
+
+using testing::ProxyFixture;
+using testing::ScriptedServer;
+using testing::Whole;
+using namespace std::chrono_literals;
+
+ProcessLimits FewDescriptors() {
+  ProcessLimits process;
+  process.descriptors = 316;  // 100 sockets, of which 40 are connections to servers.
+  return process;
+}
+
+// Guards against descriptors that run out because each of many servers keeps idle connections.
+TEST_CASE("idle connections to servers give way at the limit") {
+  ProxyFixture f(FewDescriptors());
+  constexpr std::size_t kServers = 60;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    f.AddServer("i-" + std::to_string(i),
+                [](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+                  connection->Write(Whole(request, "x"));
+                });
+  }
+  for (int i = 0; i < 90; ++i) {
+    REQUIRE(f.StatusOf(f.Ask("GET", "/read/" + std::to_string(i), "id-1")) == "200");
+    REQUIRE(f.context.pool.open() <= 40);
+  }
+  CHECK(f.context.pool.opened() > 40);
+}
+
+// Guards against servers that count as unreachable because this instance has no descriptor left.
+TEST_CASE("requests beyond the connections to servers are refused and no server is blamed") {
+  ProxyFixture f(FewDescriptors());
+  for (int i = 0; i < 10; ++i) {
+    f.AddServer("i-" + std::to_string(i),
+                [](const ScriptedServer::ConnectionPtr&, const std::string&) {});
+  }
+  std::vector<std::shared_ptr<ProxyFixture::Client>> clients;
+  for (int i = 0; i < 45; ++i) {
+    clients.push_back(f.Connect());
+    f.Send(*clients.back(), f.RequestText("POST", "/write/1", "id-" + std::to_string(i), "x"));
+  }
+  const auto refused = [&] {
+    return std::count_if(clients.begin(), clients.end(), [&](const auto& it) {
+      return ProxyFixture::HasAnswer(it->input) && f.StatusOf(it->input) == "503";
+    });
+  };
+  CHECK(f.RunUntil([&] { return refused() == 5; }, 1s));
+  CHECK(f.context.pool.open() == 40);
+  const auto unreachable = static_cast<std::size_t>(steering::AttemptEnd::kUnreachable);
+  CHECK(f.context.metrics.attempts[unreachable] == 0);
+}
+
+/// Lets the process open no further descriptor for the scope's duration.
+class NoMoreDescriptors {
+ public:
+  NoMoreDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest_free = open("/dev/null", O_RDONLY);
+    close(lowest_free);
+    const rlimit none{static_cast<rlim_t>(lowest_free), before_.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoMoreDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoMoreDescriptors(const NoMoreDescriptors&) = delete;
+  NoMoreDescriptors& operator=(const NoMoreDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Guards against a thread that spins on a listener whose connections it cannot accept.
+TEST_CASE("a listener without descriptors waits and accepts when there are some again") {
+  ProxyFixture f;
+  f.AddServer("i-1", [](const ScriptedServer::ConnectionPtr& connection,
+                        const std::string& request) { connection->Write(Whole(request, "x")); });
+  auto client = std::make_shared<ProxyFixture::Client>(f.io);
+  client->socket.open(testing::tcp::v4());
+  std::size_t handlers = 0;
+  {
+    const NoMoreDescriptors none;
+    client->socket.connect(f.endpoint());
+    const auto end = core::RuntimeClock::now() + 500ms;
+    while (core::RuntimeClock::now() < end) handlers += f.io.run_one_for(10ms);
+  }
+  CHECK(handlers < 50);
+  f.Send(*client, f.RequestText("GET", "/read/1", "id-1"));
+  f.RunFor(200ms);
+  std::array<char, 512> buf{};
+  boost::system::error_code ec;
+  client->socket.non_blocking(true);
+  (void)f.RunUntil([&] { return client->socket.available() > 0; }, 1s);
+  const std::size_t n = client->socket.read_some(boost::asio::buffer(buf), ec);
+  CHECK(std::string(buf.data(), n).rfind("HTTP/1.1 200", 0) == 0);
+}
+
+}  // namespace
+}  // namespace vanilladeck::gateway
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -128,12 +128,12 @@
 /// The request path of one instance on loopback, with one route per kind of request.
 class ProxyFixture : public RequestHandler {
  public:
-  ProxyFixture()
+  explicit ProxyFixture(const ProcessLimits& process = {})
       : events_(open("/dev/null", O_WRONLY), "edge-1"),
         context(
-            io, Names(), Limits(), [](const std::string&) { return std::string("east"); }, Picker(),
-            events_),
-        listener_(io, context.deadlines, *this, 100) {
+            io, process, Names(), Limits(), [](const std::string&) { return std::string("east"); },
+            Picker(), events_),
+        listener_(io, context.deadlines, context.messages, *this, 100) {
     config::RoutingPolicy policy;
     policy.version = 1;
     config::Route route;
@@ -239,6 +239,7 @@
     return answer.substr(answer.find("\r\n\r\n") + 4);
   }
 
+  [[nodiscard]] const tcp::endpoint& endpoint() const noexcept { return endpoint_; }
   SessionGroup& group() { return listener_.group(); }
   Listener& listener() { return listener_; }
 
