Let a handler that throws end its own connection instead of the process

What operators saw: processes that ended by themselves (FAULT). What callers saw: every connection of the instance closed without an answer.

Cause: main caught exceptions around the event loop as a whole, so one handler's exception ended all requests of the process. One way in was found: the parser throws std::length_error for a field of more than 64 KiB, which arrives when the configuration allows heads of that size. The class of fault is one connection's error that is everybody's.

A session whose handler throws is closed. A deadline that throws does not keep the later ones from running.

Ruled out by reading: strict UTF-8 checks of the JSON writer, number conversions and variant accesses on what others send; none of them can throw today.

--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -178,7 +178,14 @@
   keep_alive_ = request.keep_alive();
   serving_ = true;
   const auto self = shared_from_this();
-  auto pending = group_->handler.OnRequest(self, std::move(request));
+  std::shared_ptr<PendingRequest> pending;
+  try {
+    pending = group_->handler.OnRequest(self, std::move(request));
+  } catch (...) {
+    // Nobody is left to answer; the client learns it from the close.
+    Abort();
+    throw;
+  }
   if (serving_) pending_ = std::move(pending);
   if (serving_ && reader_.input_size() < kMaxPipelinedBytes) Read();
 }
--- a/src/vanilladeck/gateway/deadlines.cc
+++ b/src/vanilladeck/gateway/deadlines.cc
@@ -33,6 +33,11 @@
 
 void Deadlines::Run() {
   armed_ = core::TimePoint::max();
+  // An action that throws must not keep the later ones from running.
+  struct Rearm {
+    Deadlines& deadlines;
+    ~Rearm() { deadlines.Arm(); }
+  } const rearm{*this};
   const core::TimePoint now = core::RuntimeClock::now();
   while (!queue_.empty() && queue_.begin()->first.first <= now) {
     const auto first = queue_.begin();
@@ -41,7 +46,6 @@
     queue_.erase(first);
     action();
   }
-  Arm();
 }
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -17,6 +17,7 @@
   kStop,
   kDrain,
   kReload,
+  kHandlerFailed,
   kMemoryShort,
   kReady,
   kPolicy,
@@ -41,32 +42,14 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 26> kStreamEventNames{"start",
-                                                                    "stop",
-                                                                    "drain",
-                                                                    "reload",
-                                                                    "memory-short",
-                                                                    "ready",
-                                                                    "policy",
-                                                                    "policy-rejected",
-                                                                    "store-lost",
-                                                                    "store-regained",
-                                                                    "store-call-failed",
-                                                                    "peer-failed",
-                                                                    "seed-state",
-                                                                    "entry-rejected",
-                                                                    "server-added",
-                                                                    "server-draining",
-                                                                    "server-removed",
-                                                                    "server-ejected",
-                                                                    "evacuation",
-                                                                    "fleet",
-                                                                    "region-split",
-                                                                    "request",
-                                                                    "refused",
-                                                                    "failed",
-                                                                    "attempt",
-                                                                    "dropped"};
+inline constexpr std::array<std::string_view, 27> kStreamEventNames{
+    "start",           "stop",           "drain",          "reload",
+    "handler-failed",  "memory-short",   "ready",          "policy",
+    "policy-rejected", "store-lost",     "store-regained", "store-call-failed",
+    "peer-failed",     "seed-state",     "entry-rejected", "server-added",
+    "server-draining", "server-removed", "server-ejected", "evacuation",
+    "fleet",           "region-split",   "request",        "refused",
+    "failed",          "attempt",        "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< Lines that do not fit are dropped and counted.
