--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -20,6 +20,8 @@
 constexpr core::Duration kTrimInterval = std::chrono::seconds(1);
 // A call between regions takes 0.12 s; a store that is slow takes 0.4 s.
 constexpr core::Duration kStoreTimeout = milliseconds(1200);
+// A port may be in use until the previous process on this instance has ended.
+constexpr core::Duration kOpenInterval = milliseconds(500);
 // The number of instances only shrinks after this time, because shares of fleet-wide limits that
 // grow too early break the sum while a stopped instance still finishes its requests.
 constexpr core::Duration kFleetMemory = std::chrono::seconds(10);
@@ -123,19 +125,31 @@
       metrics_(context, context_.deadlines, context_.messages, *entry_,
                settings_.process.service_sessions()),
       peers_(context, context_.deadlines, context_.messages, *entry_,
-             settings_.process.service_sessions()) {}
+             settings_.process.service_sessions()),
+      entrances_{{clients_, settings_.clients, "clients", true},
+                 {readiness_, settings_.readiness, "readiness", true},
+                 {lookups_, settings_.lookups, "lookups", true},
+                 {peers_, settings_.peers, "peers", false},
+                 {metrics_, settings_.metrics, "metrics", false}} {}
 
 Gateway::~Gateway() = default;
 
-boost::system::error_code Gateway::Start() {
-  boost::system::error_code ec = clients_.Open(settings_.clients);
-  if (!ec) ec = readiness_.Open(settings_.readiness);
-  if (!ec) ec = lookups_.Open(settings_.lookups);
-  if (!ec && settings_.metrics.port() != 0) ec = metrics_.Open(settings_.metrics);
-  if (!ec && settings_.peers.port() != 0) ec = peers_.Open(settings_.peers);
-  if (ec) return ec;
-  Tick();
-  return ec;
+void Gateway::Start() { Tick(); }
+
+void Gateway::OpenEntrances() {
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (draining_ || now < entrances_due_) return;
+  entrances_due_ = now + kOpenInterval;
+  for (Entrance& it : entrances_) {
+    if (it.listener.open() || it.endpoint.port() == 0) continue;
+    const auto ec = it.listener.Open(it.endpoint);
+    if (ec && !it.failed) {
+      events_.Write(StreamEvent::kListenerFailed, {{"listener", it.name},
+                                                   {"address", http::EndpointText(it.endpoint)},
+                                                   {"error", ec.message()}});
+    }
+    it.failed = static_cast<bool>(ec);
+  }
 }
 
 void Gateway::LogEvictions() {
@@ -150,6 +164,9 @@
 void Gateway::Tick() {
   if (stopped_) return;
   const core::TimePoint now = core::RuntimeClock::now();
+  // First, so that the ticks go on if one of them fails.
+  context_.deadlines->Add(now + kTickInterval, [this] { Tick(); });
+  OpenEntrances();
   follower_.Tick(now);
   PumpStore();
   context_.picker.UpdateSplits(now);
@@ -161,7 +178,6 @@
   UpdateReadiness();
   if (draining_) DrainTick();
   events_.Flush();
-  context_.deadlines->Add(now + kTickInterval, [this] { Tick(); });
 }
 
 void Gateway::PumpStore() {
@@ -471,7 +487,10 @@
 }
 
 bool Gateway::Ready() const noexcept {
-  return !draining_ && context_.routes != nullptr && follower_.synced() &&
+  const bool open = std::all_of(entrances_.begin(), entrances_.end(), [](const Entrance& it) {
+    return !it.needed || it.listener.open();
+  });
+  return open && !draining_ && context_.routes != nullptr && follower_.synced() &&
          context_.servers.size() > 0;
 }
 
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -52,8 +52,8 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// Opens the listeners; the error of the first that fails.
-  [[nodiscard]] boost::system::error_code Start();
+  /// Begins to serve. Listeners that cannot be opened yet are tried again until they can.
+  void Start();
 
   /// Graceful stop: out of lookups and readiness at once, requests finish, then `stopped` runs.
   void BeginDrain(std::function<void()> stopped);
@@ -61,7 +61,16 @@
   [[nodiscard]] bool Ready() const noexcept;
 
  private:
+  struct Entrance {
+    Listener& listener;
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::string_view name;
+    bool needed;  ///< The instance is not ready without it.
+    bool failed = false;
+  };
+
   void Tick();
+  void OpenEntrances();
   void LogEvictions();
   void PumpStore();
   void AskPeer(const membership::FeedPeer& peer);
@@ -113,6 +122,8 @@
   Listener lookups_;
   Listener metrics_;
   Listener peers_;
+  std::vector<Entrance> entrances_;
+  core::TimePoint entrances_due_;
   std::uint64_t logged_evictions_ = 0;
   std::shared_ptr<UpstreamConnection> seed_connection_;
   std::size_t seed_turn_ = 0;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -17,6 +17,7 @@
   kStop,
   kDrain,
   kReload,
+  kListenerFailed,
   kHandlerFailed,
   kMemoryShort,
   kReady,
@@ -42,14 +43,34 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 27> kStreamEventNames{
-    "start",           "stop",           "drain",          "reload",
-    "handler-failed",  "memory-short",   "ready",          "policy",
-    "policy-rejected", "store-lost",     "store-regained", "store-call-failed",
-    "peer-failed",     "seed-state",     "entry-rejected", "server-added",
-    "server-draining", "server-removed", "server-ejected", "evacuation",
-    "fleet",           "region-split",   "request",        "refused",
-    "failed",          "attempt",        "dropped"};
+inline constexpr std::array<std::string_view, 28> kStreamEventNames{"start",
+                                                                    "stop",
+                                                                    "drain",
+                                                                    "reload",
+                                                                    "listener-failed",
+                                                                    "handler-failed",
+                                                                    "memory-short",
+                                                                    "ready",
+                                                                    "policy",
+                                                                    "policy-rejected",
+                                                                    "store-lost",
+                                                                    "store-regained",
+                                                                    "store-call-failed",
+                                                                    "peer-failed",
+                                                                    "seed-state",
+                                                                    "entry-rejected",
+                                                                    "server-added",
+                                                                    "server-draining",
+                                                                    "server-removed",
+                                                                    "server-ejected",
+                                                                    "evacuation",
+                                                                    "fleet",
+                                                                    "region-split",
+                                                                    "request",
+                                                                    "refused",
+                                                                    "failed",
+                                                                    "attempt",
+                                                                    "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< Lines that do not fit are dropped and counted.
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -41,6 +41,40 @@
   CHECK(settings.value().peers.port() == 7660);
 }
 
+// Guards against readers and listeners that take more than the platform allows the process.
+TEST_CASE("memory and descriptors of the process come from the settings") {
+  SettingsMap map = Complete();
+  map["limits.memoryMb"] = "160";
+  map["limits.maxFds"] = "1024";
+  const auto settings = GatewaySettingsOf(map);
+  REQUIRE(settings.has_value());
+  const gateway::ProcessLimits& limits = settings.value().process;
+  CHECK(limits.memory_bytes == 160U << 20U);
+  CHECK(limits.message_bytes() == 40U << 20U);
+  // 200 descriptors are the files'; lookups have one listener, three others are alike.
+  CHECK(limits.client_sessions() + limits.server_connections() + limits.lookup_sessions() +
+            3 * limits.service_sessions() + 200 <
+        1024);
+  CHECK(limits.client_sessions() > 300);
+  CHECK(limits.server_connections() > 250);
+}
+
+// Guards against a process that does not start because of a figure that others leave out or only
+// switch on and off, or a port that it does not need.
+TEST_CASE("optional values that state nothing do not prevent a start") {
+  SettingsMap map = Complete();
+  map["bounds.graceS"] = "false";
+  map["bounds.coldSlack"] = "true";
+  map["limits.memoryMb"] = "0";
+  map["limits.maxFds"] = "";
+  map.erase("internalPorts");
+  const auto settings = GatewaySettingsOf(map);
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().stop_grace == std::chrono::seconds(6));
+  CHECK(settings.value().process.memory_bytes == gateway::ProcessLimits{}.memory_bytes);
+  CHECK(settings.value().process.descriptors == gateway::ProcessLimits{}.descriptors);
+}
+
 // Guards against a process that starts with half of its settings.
 TEST_CASE("a missing or malformed value is named") {
   for (const std::string key : {"node", "zone", "region", "listen.front", "provider.address"}) {
