Bound the unparsed bytes of the daemon's readers

Cause: vanilladeckd reads callers, servers, its store and operators into buffers without a limit. The parser bounds heads and bodies; chunk sizes, chunk extensions and trailers wait in the buffer until their end arrives.

Sums over many connections of this daemon are bounded by their number only.

--- a/src/vanilladeck/ctl/operator_client.cc
+++ b/src/vanilladeck/ctl/operator_client.cc
@@ -51,7 +51,9 @@
     outcome = Failed(CallFailure::kLost, "send", write_ec);
     co_return;
   }
-  beast::flat_buffer buffer;
+  // Bytes of the answer that wait to be parsed.
+  constexpr std::size_t kMaxUnparsedBytes = 65536;
+  beast::flat_buffer buffer(kMaxUnparsedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
   auto [read_ec, read] = co_await http::async_read(stream, buffer, parser, kNoThrow);
--- a/src/vanilladeck/daemon/operators_listener.cc
+++ b/src/vanilladeck/daemon/operators_listener.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "vanilladeck/http/message.h"
+
 namespace vanilladeck::daemon {
 namespace {
 
@@ -64,7 +66,7 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<OperatorsListener::Handler> handler_;
-  beast::flat_buffer buf_;
+  beast::flat_buffer buf_{vanilladeck::http::kMaxUnparsedBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> response_;
 };
--- a/src/vanilladeck/http/backend_connection.cc
+++ b/src/vanilladeck/http/backend_connection.cc
@@ -24,7 +24,10 @@
 
 BackendConnection::BackendConnection(const boost::asio::any_io_executor& executor,
                                      const BackendLimits& limits)
-    : socket_(executor), deadline_(executor), limits_(limits) {}
+    : socket_(executor),
+      deadline_(executor),
+      buffer_(limits.max_header_bytes + kMaxUnparsedBytes),
+      limits_(limits) {}
 
 boost::asio::awaitable<std::optional<Problem>> BackendConnection::Connect(
     boost::asio::ip::tcp::endpoint endpoint, core::TimePoint deadline) {
--- a/src/vanilladeck/http/impl/caller_session.cc
+++ b/src/vanilladeck/http/impl/caller_session.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/http/write.hpp>
 #include <vector>
 
+#include "vanilladeck/http/message.h"
+
 namespace vanilladeck::http::impl {
 namespace {
 
@@ -53,7 +55,10 @@
 
 CallerSession::CallerSession(boost::asio::ip::tcp::socket socket, Sessions& sessions,
                              std::shared_ptr<void> owner)
-    : stream_(std::move(socket)), sessions_(sessions), owner_(std::move(owner)) {
+    : stream_(std::move(socket)),
+      buffer_(sessions.limits.max_header_bytes + kMaxUnparsedBytes),
+      sessions_(sessions),
+      owner_(std::move(owner)) {
   over_limit_ = sessions_.open.size() >= sessions_.limits.max_connections;
   sessions_.open.insert(this);
   boost::system::error_code ec;
--- a/src/vanilladeck/store/impl/pool.h
+++ b/src/vanilladeck/store/impl/pool.h
@@ -44,7 +44,9 @@
   using Tcp = boost::asio::ip::tcp;
   struct Connection {
     Tcp::socket socket;
-    boost::beast::flat_buffer buf;
+    /// Bytes of an answer that wait to be parsed.
+    static constexpr std::size_t kMaxUnparsedBytes = 65536;
+    boost::beast::flat_buffer buf{kMaxUnparsedBytes};
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
   struct Pending {
