Let idle client sessions give way at the limit of descriptors

What callers saw: connections that were closed at once, for as long as others kept connections that they did not use (up to the idle timeout of the configuration).

Cause: a listener at its limit turned every new connection away, idle sessions or not.

Change: the session that has been idle longest is closed for a new one.

Test: "idle client sessions give way at the limit, busy ones do not"; not run on the old code, whose listener has no such step.

--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -56,6 +56,7 @@
   account_.SetEvictable(true);
   head_timeout_set_ = false;
   body_timeout_set_ = false;
+  idle_since_ = core::RuntimeClock::now();
 }
 
 void ClientSession::Read() {
@@ -261,8 +262,7 @@
 }
 
 void ClientSession::CloseIfIdle() {
-  if (serving_ || writing_ || lingering_ || closed_ || head_timeout_set_) return;
-  Linger();
+  if (idle()) Linger();
 }
 
 void ClientSession::Close() {
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -79,6 +79,14 @@
   /// Closes the connection if no request has begun to arrive.
   void CloseIfIdle();
 
+  /// Frees the descriptor of an idle session at once.
+  void GiveWay() { Close(); }
+
+  /// No request has begun to arrive, and no answer is on its way.
+  [[nodiscard]] bool idle() const noexcept {
+    return !serving_ && !writing_ && !lingering_ && !closed_ && !head_timeout_set_;
+  }
+  [[nodiscard]] core::TimePoint idle_since() const noexcept { return idle_since_; }
   [[nodiscard]] bool busy() const noexcept { return serving_ || writing_; }
   /// When the first byte of the request under way arrived.
   [[nodiscard]] core::TimePoint request_began() const noexcept { return request_began_; }
@@ -110,6 +118,7 @@
   Deadlines::Id deadline_ = 0;
   std::shared_ptr<PendingRequest> pending_;
   core::TimePoint request_began_;
+  core::TimePoint idle_since_;
   bool head_timeout_set_ = false;
   bool body_timeout_set_ = false;
   bool serving_ = false;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -46,7 +46,7 @@
     return;
   }
   Accept();
-  if (group_->open.size() >= max_sessions_) {
+  if (group_->open.size() >= max_sessions_ && !CloseLongestIdle()) {
     // Out of descriptors is worse for everybody than one connection that is closed at once.
     boost::system::error_code ignored;
     socket.close(ignored);
@@ -55,6 +55,16 @@
   }
 }
 
+bool Listener::CloseLongestIdle() {
+  ClientSession* longest = nullptr;
+  for (ClientSession* it : group_->open) {
+    if (!it->idle()) continue;
+    if (longest == nullptr || it->idle_since() < longest->idle_since()) longest = it;
+  }
+  if (longest != nullptr) longest->GiveWay();
+  return longest != nullptr;
+}
+
 void Listener::Close() {
   boost::system::error_code ignored;  // Closing a listener has nothing left to report.
   acceptor_.close(ignored);
--- a/src/vanilladeck/gateway/listener.h
+++ b/src/vanilladeck/gateway/listener.h
@@ -23,6 +23,8 @@
 
  private:
   void Accept();
+  /// Closes the session that has been idle longest; false if none is idle.
+  bool CloseLongestIdle();
   void OnAccept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/gateway/descriptor_limit_test.cc
+++ b/tests/gateway/descriptor_limit_test.cc
@@ -58,6 +58,31 @@
   CHECK(f.context.metrics.attempts[unreachable] == 0);
 }
 
+// Guards against clients that are turned away because others keep connections that they do not use.
+TEST_CASE("idle client sessions give way at the limit, busy ones do not") {
+  ProxyFixture f;  // Its listener takes 100 sessions.
+  f.AddServer("i-1", [](const ScriptedServer::ConnectionPtr& connection,
+                        const std::string& request) { connection->Write(Whole(request, "x")); });
+  std::vector<std::shared_ptr<ProxyFixture::Client>> clients;
+  for (int i = 0; i < 150; ++i) {
+    clients.push_back(f.Connect());
+    f.Send(*clients.back(), f.RequestText("GET", "/read/1", "id-" + std::to_string(i)));
+    REQUIRE(f.RunUntil([&] { return ProxyFixture::HasAnswer(clients.back()->input); }, 1s));
+    CHECK(f.StatusOf(clients.back()->input) == "200");
+  }
+  CHECK(f.group().open.size() <= 101);
+  CHECK(f.RunUntil([&] { return clients.front()->closed; }, 1s));
+  CHECK_FALSE(clients.back()->closed);
+  // Requests that have begun to arrive keep their sessions.
+  for (int i = 0; i < 120; ++i) {
+    clients.push_back(f.Connect());
+    f.Send(*clients.back(), "GET /read/1 HTTP/1.1\r\n");
+    f.RunFor(1ms);
+  }
+  CHECK(f.RunUntil([&] { return clients.back()->closed; }, 1s));
+  CHECK_FALSE(clients[150 + 50]->closed);
+}
+
 /// Lets the process open no further descriptor for the scope's duration.
 class NoMoreDescriptors {
  public:
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -370,11 +370,11 @@
 
 TEST_CASE("fields that the Connection field names are not passed on") {
   ProxyFixture f;
-  f.AddServer(
-      "i-1", [](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
-        connection->Write(
-            Whole(request, "x", "200 OK", "Connection: Close\r\nConnection: X-Hop\r\nx-hop: 1\r\nKept: 2\r\n"));
-      });
+  f.AddServer("i-1", [](const ScriptedServer::ConnectionPtr& connection,
+                        const std::string& request) {
+    connection->Write(Whole(request, "x", "200 OK",
+                            "Connection: Close\r\nConnection: X-Hop\r\nx-hop: 1\r\nKept: 2\r\n"));
+  });
   const std::string answer = f.Ask("GET", "/read/1", "id-1");
   CHECK(HeaderOf(answer, "x-hop").empty());
   CHECK(HeaderOf(answer, "Kept") == "2");
