Let the store's answers take the room of client and server messages

Found in the review of the bounded readers: the budget evicts the largest message, and under a flood of small request bodies that would be the store's listing, so an instance would lose configuration and servers while callers press.

Change: connections to the store and to other instances are never evicted, and smaller messages give way to theirs. Core test "a preferred account takes the room of smaller ones" covers the decision; no test drives a flood against a listing.

--- a/src/vanilladeck/core/byte_budget.cc
+++ b/src/vanilladeck/core/byte_budget.cc
@@ -24,7 +24,7 @@
   if (evicted_) return false;
   if (bytes > bytes_) {
     // An account that grows gives way itself rather than smaller ones.
-    budget_->MakeRoom(bytes - bytes_, bytes);
+    budget_->MakeRoom(bytes - bytes_, preferred_ ? 0 : bytes);
     if (evicted_ || budget_->used_ + (bytes - bytes_) > budget_->capacity_) return false;
   }
   Set(bytes);
--- a/src/vanilladeck/core/byte_budget.h
+++ b/src/vanilladeck/core/byte_budget.h
@@ -61,6 +61,9 @@
   /// Whether the account may be evicted; initially not.
   void SetEvictable(bool evictable);
 
+  /// Smaller accounts give way to this one as well.
+  void SetPreferred() noexcept { preferred_ = true; }
+
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   [[nodiscard]] bool evicted() const noexcept { return evicted_; }
 
@@ -77,6 +80,7 @@
   std::size_t bytes_ = 0;
   int magnitude_ = 0;  ///< Of the entry in `evictable_`; 0: none.
   bool evictable_ = false;
+  bool preferred_ = false;
   bool evicted_ = false;
 };
 
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -80,7 +80,7 @@
   void CloseIfIdle();
 
   /// Frees the descriptor of an idle session at once.
-  void GiveWay() { Close(); }
+  void CloseNow() { Close(); }
 
   /// No request has begun to arrive, and no answer is on its way.
   [[nodiscard]] bool idle() const noexcept {
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -126,21 +126,21 @@
                settings_.process.service_sessions()),
       peers_(context, context_.deadlines, context_.messages, *entry_,
              settings_.process.service_sessions()),
-      entrances_{{clients_, settings_.clients, "clients", true},
-                 {readiness_, settings_.readiness, "readiness", true},
-                 {lookups_, settings_.lookups, "lookups", true},
-                 {peers_, settings_.peers, "peers", false},
-                 {metrics_, settings_.metrics, "metrics", false}} {}
+      bindings_{{clients_, settings_.clients, "clients", true},
+                {readiness_, settings_.readiness, "readiness", true},
+                {lookups_, settings_.lookups, "lookups", true},
+                {peers_, settings_.peers, "peers", false},
+                {metrics_, settings_.metrics, "metrics", false}} {}
 
 Gateway::~Gateway() = default;
 
 void Gateway::Start() { Tick(); }
 
-void Gateway::OpenEntrances() {
+void Gateway::OpenListeners() {
   const core::TimePoint now = core::RuntimeClock::now();
-  if (draining_ || now < entrances_due_) return;
-  entrances_due_ = now + kOpenInterval;
-  for (Entrance& it : entrances_) {
+  if (draining_ || now < listeners_due_) return;
+  listeners_due_ = now + kOpenInterval;
+  for (Binding& it : bindings_) {
     if (it.listener.open() || it.endpoint.port() == 0) continue;
     const auto ec = it.listener.Open(it.endpoint);
     if (ec && !it.failed) {
@@ -166,7 +166,7 @@
   const core::TimePoint now = core::RuntimeClock::now();
   // First, so that the ticks go on if one of them fails.
   context_.deadlines->Add(now + kTickInterval, [this] { Tick(); });
-  OpenEntrances();
+  OpenListeners();
   follower_.Tick(now);
   PumpStore();
   context_.picker.UpdateSplits(now);
@@ -231,8 +231,8 @@
   }
   if (peer_connection_) peer_connection_->Cancel();
   peer_name_ = peer.name;
-  peer_connection_ =
-      std::make_shared<UpstreamConnection>(io_, context_.deadlines, context_.messages);
+  peer_connection_ = std::make_shared<UpstreamConnection>(
+      io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
   const auto endpoint = http::ParseEndpoint(peer.address);
   if (!endpoint) {
     OnPeerAnswer(peer, {});
@@ -285,8 +285,8 @@
   const auto seed = settings_.seeds[seed_turn_++ % settings_.seeds.size()];
   if (seed == settings_.peers) return;
   if (seed_connection_) seed_connection_->Cancel();
-  seed_connection_ =
-      std::make_shared<UpstreamConnection>(io_, context_.deadlines, context_.messages);
+  seed_connection_ = std::make_shared<UpstreamConnection>(
+      io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
   const std::string name = http::EndpointText(seed);
   const core::TimePoint deadline = now + kSeedInterval;
   seed_connection_->Connect(
@@ -487,9 +487,8 @@
 }
 
 bool Gateway::Ready() const noexcept {
-  const bool open = std::all_of(entrances_.begin(), entrances_.end(), [](const Entrance& it) {
-    return !it.needed || it.listener.open();
-  });
+  const bool open = std::all_of(bindings_.begin(), bindings_.end(),
+                                [](const Binding& it) { return !it.needed || it.listener.open(); });
   return open && !draining_ && context_.routes != nullptr && follower_.synced() &&
          context_.servers.size() > 0;
 }
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -61,7 +61,8 @@
   [[nodiscard]] bool Ready() const noexcept;
 
  private:
-  struct Entrance {
+  /// A listener and where it listens.
+  struct Binding {
     Listener& listener;
     boost::asio::ip::tcp::endpoint endpoint;
     std::string_view name;
@@ -70,7 +71,7 @@
   };
 
   void Tick();
-  void OpenEntrances();
+  void OpenListeners();
   void LogEvictions();
   void PumpStore();
   void AskPeer(const membership::FeedPeer& peer);
@@ -122,8 +123,8 @@
   Listener lookups_;
   Listener metrics_;
   Listener peers_;
-  std::vector<Entrance> entrances_;
-  core::TimePoint entrances_due_;
+  std::vector<Binding> bindings_;
+  core::TimePoint listeners_due_;
   std::uint64_t logged_evictions_ = 0;
   std::shared_ptr<UpstreamConnection> seed_connection_;
   std::size_t seed_turn_ = 0;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -61,7 +61,7 @@
     if (!it->idle()) continue;
     if (longest == nullptr || it->idle_since() < longest->idle_since()) longest = it;
   }
-  if (longest != nullptr) longest->GiveWay();
+  if (longest != nullptr) longest->CloseNow();
   return longest != nullptr;
 }
 
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -37,12 +37,14 @@
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                                       core::ByteBudgetPtr budget, const MessageLimits& limits)
+                                       core::ByteBudgetPtr budget, UpstreamRole role)
     : socket_(context),
       deadlines_(std::move(deadlines)),
-      limits_(limits),
+      role_(role),
       account_(std::move(budget), [this] { OnEvicted(); }),
-      reader_(account_) {}
+      reader_(account_) {
+  if (role_ == UpstreamRole::kControl) account_.SetPreferred();
+}
 
 UpstreamConnection::~UpstreamConnection() { deadlines_->Remove(deadline_); }
 
@@ -79,7 +81,7 @@
   writing_ = true;
   reader_.Reset();
   reader_.Start(limits_, is_head_);
-  account_.SetEvictable(true);
+  account_.SetEvictable(role_ == UpstreamRole::kServer);
   deadline_ = deadlines_->Add(deadline, [this] { Finish(ExchangeEnd::kTimeout, "deadline"); });
   boost::asio::async_write(socket_, boost::asio::buffer(request_),
                            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -29,6 +29,12 @@
 inline constexpr std::array<std::string_view, 6> kExchangeEndNames{
     "response", "closed", "timeout", "malformed", "no-memory", "cancelled"};
 
+/// What the other end of a connection is to this process.
+enum class UpstreamRole : std::uint8_t {
+  kServer,
+  kControl,  ///< The store or another instance; messages of clients and servers give way to its.
+};
+
 struct ExchangeOutcome {
   ExchangeEnd end = ExchangeEnd::kClosed;
   Response response;      ///< Set for `kResponse`.
@@ -49,7 +55,7 @@
   using Accepts = std::function<bool(const Response&)>;
 
   UpstreamConnection(boost::asio::io_context& context, DeadlinesPtr deadlines,
-                     core::ByteBudgetPtr budget, const MessageLimits& limits = {});
+                     core::ByteBudgetPtr budget, UpstreamRole role);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -89,6 +95,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   DeadlinesPtr deadlines_;
+  UpstreamRole role_;
   MessageLimits limits_;
   Deadlines::Id deadline_ = 0;
   std::string request_;
--- a/src/vanilladeck/gateway/upstream_pool.cc
+++ b/src/vanilladeck/gateway/upstream_pool.cc
@@ -47,7 +47,7 @@
 UpstreamPool::ConnectionPtr UpstreamPool::NewConnection() {
   ++opened_;
   ++*open_;
-  return {new UpstreamConnection(context_, deadlines_, budget_),
+  return {new UpstreamConnection(context_, deadlines_, budget_, UpstreamRole::kServer),
           [open = open_](UpstreamConnection* it) {
             --*open;
             delete it;
--- a/tests/core/byte_budget_test.cc
+++ b/tests/core/byte_budget_test.cc
@@ -1,6 +1,7 @@
 #include "vanilladeck/core/byte_budget.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 namespace vanilladeck::core {
 namespace {
@@ -50,6 +51,19 @@
   CHECK(budget->used() == 1100);
 }
 
+// Guards against a flood of small requests that keeps the store's answers out.
+TEST_CASE("a preferred account takes the room of smaller ones") {
+  const auto budget = std::make_shared<ByteBudget>(1000);
+  std::deque<Holder> small;
+  for (int i = 0; i < 10; ++i) REQUIRE(small.emplace_back(budget).account.TryResize(100));
+  Holder preferred(budget);
+  preferred.account.SetEvictable(false);
+  CHECK_FALSE(preferred.account.TryResize(300));
+  preferred.account.SetPreferred();
+  CHECK(preferred.account.TryResize(300));
+  CHECK(budget->used() <= 1000);
+}
+
 // Guards against bytes of an evicted message that are counted twice or never released.
 TEST_CASE("an evicted account holds nothing until it is cleared") {
   const auto budget = std::make_shared<ByteBudget>(1000);
