Mend the linter's findings in the byte budget and the deadlines

A destructor that arms the timer could throw while an exception passes, which ends the process: the deadlines are armed by a handler of the exception instead. std::bit_width returns the type of its argument in this compiler's library; it is converted.

--- a/src/vanilladeck/core/byte_budget.cc
+++ b/src/vanilladeck/core/byte_budget.cc
@@ -59,7 +59,7 @@
 }
 
 void ByteBudget::Account::Enlist() {
-  const int magnitude = evictable_ ? std::bit_width(bytes_) : 0;
+  const int magnitude = evictable_ ? static_cast<int>(std::bit_width(bytes_)) : 0;
   if (magnitude == magnitude_) return;
   Delist();
   magnitude_ = magnitude;
--- a/src/vanilladeck/gateway/deadlines.cc
+++ b/src/vanilladeck/gateway/deadlines.cc
@@ -33,19 +33,21 @@
 
 void Deadlines::Run() {
   armed_ = core::TimePoint::max();
-  // An action that throws must not keep the later ones from running.
-  struct Rearm {
-    Deadlines& deadlines;
-    ~Rearm() { deadlines.Arm(); }
-  } const rearm{*this};
   const core::TimePoint now = core::RuntimeClock::now();
   while (!queue_.empty() && queue_.begin()->first.first <= now) {
     const auto first = queue_.begin();
     const std::function<void()> action = std::move(first->second);
     when_.erase(first->first.second);
     queue_.erase(first);
-    action();
+    try {
+      action();
+    } catch (...) {
+      // The later ones still run.
+      Arm();
+      throw;
+    }
   }
+  Arm();
 }
 
 }  // namespace vanilladeck::gateway
