--- a/tests/gateway/endless_bytes_test.cc
+++ b/tests/gateway/endless_bytes_test.cc
@@ -57,7 +57,7 @@
   std::string endless;
 };
 
-const std::string kChunked = "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kChunked = "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 std::vector<EndlessResponse> EndlessResponses() {
   return {
@@ -74,9 +74,9 @@
       {"chunks", kChunked, "400\r\n" + std::string(1024, 'x') + "\r\n"},
       {"chunks of one byte", kChunked, "1\r\nx\r\n"},
       {"chunk size", kChunked, "0"},
-      {"chunk extension", kChunked + "5;a=", "b"},
+      {"chunk extension", std::string(kChunked) + "5;a=", "b"},
       {"chunk extensions of short chunks", kChunked, "1;" + std::string(200, 'a') + "\r\nx\r\n"},
-      {"trailer", kChunked + "0\r\n", "a: b\r\n"}};
+      {"trailer", std::string(kChunked) + "0\r\n", "a: b\r\n"}};
 }
 
 // Guards against a server in trouble that makes an instance exceed its memory or keeps its thread
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -20,9 +21,9 @@
 namespace {
 
 constexpr milliseconds kStartLimit{5000};
-constexpr unsigned short kMetricsPort = 9464;  // deploy/system.toml
+constexpr std::uint16_t kMetricsPort = 9464;  // deploy/system.toml
 
-tcp::endpoint Local(unsigned short port) {
+tcp::endpoint Local(std::uint16_t port) {
   return {boost::asio::ip::make_address("127.0.0.1"), port};
 }
 
@@ -31,7 +32,7 @@
  public:
   GatewayProcess() : folder_(std::filesystem::temp_directory_path() / Name()) {
     std::filesystem::create_directory(folder_);
-    for (unsigned short& it : ports_) {
+    for (std::uint16_t& it : ports_) {
       const tcp::acceptor probe(io_, Local(0));
       it = probe.local_endpoint().port();
     }
@@ -59,7 +60,7 @@
         folder_ / "out");
   }
   Child& program() { return *program_; }
-  [[nodiscard]] unsigned short clients_port() const { return ports_[0]; }
+  [[nodiscard]] std::uint16_t clients_port() const { return ports_[0]; }
 
   /// True once the listener of clients takes connections.
   bool Serves() {
@@ -80,7 +81,7 @@
 
   boost::asio::io_context io_;
   std::filesystem::path folder_;
-  std::array<unsigned short, 5> ports_{};
+  std::array<std::uint16_t, 5> ports_{};
   std::optional<Child> program_;
 };
 
