--- a/tests/gateway/descriptor_limit_test.cc
+++ b/tests/gateway/descriptor_limit_test.cc
@@ -56,6 +56,8 @@
   CHECK(f.context.pool.open() == 40);
   const auto unreachable = static_cast<std::size_t>(steering::AttemptEnd::kUnreachable);
   CHECK(f.context.metrics.attempts[unreachable] == 0);
+  // The others end with the route's time, and with them their connections.
+  CHECK(f.RunUntil([&] { return f.context.pool.open() == 0; }));
 }
 
 // Guards against clients that are turned away because others keep connections that they do not use.
--- a/tests/gateway/endless_bytes_test.cc
+++ b/tests/gateway/endless_bytes_test.cc
@@ -147,6 +147,8 @@
   if (!kSanitized) CHECK(most < before + process.memory_bytes);
   CHECK(f.context.messages->used() <= f.context.messages->capacity());
   CHECK(f.context.messages->evictions() > 0);
+  // All requests end with the route's time and release what they hold.
+  CHECK(f.RunUntil([&] { return f.context.messages->used() == 0; }));
 }
 
 /// What a client sends without end, and the status that it gets.
