Count messages that cannot grow, and read the change once more

Found by reading the whole change: a message that reaches the limit of all bytes as the largest one is cut off itself, which counted as no eviction. memory-short and vanilladeck_messages_evicted_total stayed silent in the case that an operator is most likely to look for. The core test "the largest account does not grow at the cost of smaller ones" now requires the count; it failed before with 0 == 1.

--- a/src/vanilladeck/core/byte_budget.cc
+++ b/src/vanilladeck/core/byte_budget.cc
@@ -25,7 +25,11 @@
   if (bytes > bytes_) {
     // An account that grows gives way itself rather than smaller ones.
     budget_->MakeRoom(bytes - bytes_, preferred_ ? 0 : bytes);
-    if (evicted_ || budget_->used_ + (bytes - bytes_) > budget_->capacity_) return false;
+    if (evicted_) return false;
+    if (budget_->used_ + (bytes - bytes_) > budget_->capacity_) {
+      ++budget_->evictions_;
+      return false;
+    }
   }
   Set(bytes);
   return true;
--- a/src/vanilladeck/core/byte_budget.h
+++ b/src/vanilladeck/core/byte_budget.h
@@ -23,7 +23,7 @@
 
   [[nodiscard]] std::size_t capacity() const noexcept { return capacity_; }
   [[nodiscard]] std::size_t used() const noexcept { return used_; }
-  /// Accounts that had to give way so far.
+  /// How often an account had to give way or could not grow.
   [[nodiscard]] std::uint64_t evictions() const noexcept { return evictions_; }
 
  private:
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/gateway/proxied_request.h"
 #include "vanilladeck/http/endpoint.h"
 
@@ -36,11 +35,6 @@
 // A record that the store lost is written again after this time without it.
 constexpr core::Duration kRecordMissingTime = milliseconds(2500);
 
-// A listing takes less at a start unless the store is out of reach.
-constexpr core::Duration kSeedDelay = milliseconds(1500);
-// One seed after the other; a whole state may take a second on a slow link.
-constexpr core::Duration kSeedInterval = milliseconds(1000);
-
 std::int64_t Ms(core::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -214,129 +208,6 @@
                  {"detail", result.error().detail}});
 }
 
-void Gateway::AskPeer(const membership::FeedPeer& peer) {
-  const core::TimePoint deadline =
-      core::RuntimeClock::now() + membership::FeedSource::kAnswerTimeout;
-  const auto ask = [this, peer, deadline] {
-    membership::PeerPosition& known = peer_positions_[peer.name];
-    known.revision = follower_.revision();
-    peer_connection_->Exchange(
-        EncodePeerRequest(known), false, deadline, nullptr,
-        [this, peer](const ExchangeOutcome& outcome) { OnPeerAnswer(peer, outcome); });
-  };
-  if (peer_connection_ && peer_name_ == peer.name && peer_connection_->reusable() &&
-      peer_connection_->QuietNow()) {
-    ask();
-    return;
-  }
-  if (peer_connection_) peer_connection_->Cancel();
-  peer_name_ = peer.name;
-  peer_connection_ = std::make_shared<UpstreamConnection>(
-      io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
-  const auto endpoint = http::ParseEndpoint(peer.address);
-  if (!endpoint) {
-    OnPeerAnswer(peer, {});
-    return;
-  }
-  peer_connection_->Connect(*endpoint, deadline, [this, peer, ask](boost::system::error_code ec) {
-    if (ec) {
-      ExchangeOutcome outcome;
-      outcome.detail = ec.message();
-      OnPeerAnswer(peer, outcome);
-    } else {
-      ask();
-    }
-  });
-}
-
-void Gateway::OnPeerAnswer(const membership::FeedPeer& peer, const ExchangeOutcome& outcome) {
-  const core::TimePoint now = core::RuntimeClock::now();
-  if (outcome.end == ExchangeEnd::kResponse && peer_connection_->reusable()) {
-    peer_connection_->WatchIdle(nullptr);
-  }
-  std::optional<membership::PeerChanges> changes;
-  std::string reason = outcome.detail;
-  if (outcome.end == ExchangeEnd::kResponse && outcome.response.result_int() == 200) {
-    changes = membership::DecodePeerChanges(outcome.response.body());
-    if (!changes) reason = "malformed";
-  }
-  if (changes && membership::FeedSource::Current(changes->age, settings_.follower.poll_interval)) {
-    peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
-    follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
-    return;
-  }
-  if (changes) reason = "behind the store";
-  source_.OnFailure(peer.name, now);
-  events_.Write(
-      StreamEvent::kPeerFailed,
-      {{"peer", peer.name}, {"reason", reason}, {"age_ms", changes ? Ms(changes->age) : 0}});
-  follower_.OnPeerFailed(now);
-  PumpStore();
-}
-
-void Gateway::AskSeed(core::TimePoint now) {
-  if (follower_.listed()) {
-    seed_connection_ = nullptr;
-    return;
-  }
-  if (seed_due_ == core::TimePoint{}) seed_due_ = now + kSeedDelay;
-  if (now < seed_due_ || settings_.seeds.empty()) return;
-  seed_due_ = now + kSeedInterval;
-  const auto seed = settings_.seeds[seed_turn_++ % settings_.seeds.size()];
-  if (seed == settings_.peers) return;
-  if (seed_connection_) seed_connection_->Cancel();
-  seed_connection_ = std::make_shared<UpstreamConnection>(
-      io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
-  const std::string name = http::EndpointText(seed);
-  const core::TimePoint deadline = now + kSeedInterval;
-  seed_connection_->Connect(
-      seed, deadline,
-      [this, connection = seed_connection_, name, deadline](boost::system::error_code ec) {
-        if (connection != seed_connection_) return;
-        if (ec) {
-          ExchangeOutcome outcome;
-          outcome.detail = ec.message();
-          OnSeedAnswer(name, outcome);
-          return;
-        }
-        connection->Exchange(EncodePeerRequest({}), false, deadline, nullptr,
-                             [this, connection, name](const ExchangeOutcome& outcome) {
-                               if (connection == seed_connection_) OnSeedAnswer(name, outcome);
-                             });
-      });
-}
-
-void Gateway::OnSeedAnswer(const std::string& seed, const ExchangeOutcome& outcome) {
-  std::string reason = outcome.detail;
-  if (outcome.end == ExchangeEnd::kResponse) {
-    reason = "status " + std::to_string(outcome.response.result_int());
-    if (outcome.response.result_int() == 200) {
-      if (const auto changes = membership::DecodePeerChanges(outcome.response.body())) {
-        events_.Write(StreamEvent::kSeedState, {{"seed", seed},
-                                                {"revision", changes->revision},
-                                                {"age_ms", Ms(changes->age)},
-                                                {"items", changes->changes.size()}});
-        follower_.OnSeedState(*changes, core::RuntimeClock::now());
-        return;
-      }
-      reason = "malformed";
-    }
-  }
-  events_.Write(StreamEvent::kPeerFailed, {{"peer", seed}, {"reason", reason}, {"age_ms", 0}});
-}
-
-void Gateway::UpdateFeedPeers() {
-  std::vector<membership::FeedPeer> peers;
-  for (const auto& [name, record] : instances_) {
-    if (record.region != settings_.region || !record.ready || record.peer_address.empty()) continue;
-    peers.push_back({name, record.peer_address});
-  }
-  for (auto it = peer_positions_.begin(); it != peer_positions_.end();) {
-    it = instances_.count(it->first) == 0 ? peer_positions_.erase(it) : std::next(it);
-  }
-  source_.SetPeers(std::move(peers));
-}
-
 void Gateway::OnItem(const store::Item& item) {
   DecodedItem decoded = codec_.DecodeItem(item);
   bool matters = true;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -5,7 +5,8 @@
 
 // Clients of a whole region may connect at once when another instance fails.
 constexpr int kBacklog = 1024;
-// Without descriptors each accept fails at once; sessions end at this rate at least.
+// Without descriptors each accept fails at once; a loop would take the time of the sessions whose
+// end frees some.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(50);
 
 }  // namespace
--- a/tests/core/byte_budget_test.cc
+++ b/tests/core/byte_budget_test.cc
@@ -35,6 +35,8 @@
   REQUIRE(large.account.TryResize(600));
   CHECK_FALSE(large.account.TryResize(800));
   CHECK(large.account.bytes() == 600);
+  // The log and the metrics would otherwise hide the message that is cut off.
+  CHECK(budget->evictions() == 1);
   CHECK(small.evicted == 0);
 }
 
--- a/tests/core/json_test.cc
+++ b/tests/core/json_test.cc
@@ -5,7 +5,7 @@
 namespace vanilladeck::core {
 namespace {
 
-// Guards against a text of some megabytes that takes a hundred times as much memory once parsed.
+// Guards against a text of some megabytes that takes many times as much memory once parsed.
 TEST_CASE("a text of more values than allowed is not parsed") {
   CHECK(ParseJson(std::string(kMaxJsonValues + 1, '[')).is_discarded());
   std::string list = "[0";
