--- a/src/vanilladeck/config/route.h
+++ b/src/vanilladeck/config/route.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -33,6 +34,12 @@
   bool session_affinity = false;           ///< Servers respond faster for recently handled objects.
   std::vector<WeightedService> services;   ///< At least one; the sum of weights is above 0.
   std::vector<std::string> allowed_regions;  ///< Empty: all regions.
+
+  /// True if requests of this route may be sent to servers in `region`.
+  [[nodiscard]] bool AllowsRegion(std::string_view region) const noexcept {
+    return allowed_regions.empty() || std::find(allowed_regions.begin(), allowed_regions.end(),
+                                                region) != allowed_regions.end();
+  }
 };
 
 /// Health check and load limits for the backend servers of a service.
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -269,6 +269,15 @@
 bool Gateway::ApplyServerReport(const steering::ServerReport& report) {
   const auto old = context_.servers.Find(report.id);
   const bool was_cold = old && old->report.cold_left > core::Duration::zero();
+  if (old && old->report.failure_domain != report.failure_domain) {
+    events_.Write(StreamEvent::kServerMoved, {{"server", report.id},
+                                              {"born", report.born_ms},
+                                              {"known_born", old->report.born_ms},
+                                              {"sequence", report.sequence},
+                                              {"known_sequence", old->report.sequence},
+                                              {"from", old->report.failure_domain},
+                                              {"to", report.failure_domain}});
+  }
   const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
   using Change = steering::ServerSet::Change;
   if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
@@ -283,9 +292,25 @@
        {"sequence", report.sequence},
        {"cold_ms", Ms(report.cold_left)},
        {"draining", report.state == steering::ServerState::kDraining}});
+  if (change == Change::kAdded) LogSharedAddress(report.id);
   return true;
 }
 
+void Gateway::LogSharedAddress(const std::string& id) {
+  const auto server = context_.servers.Find(id);
+  const auto other = context_.servers.FindSharingAddress(*server);
+  if (!other) return;
+  events_.Write(StreamEvent::kAddressShared, {{"server", id},
+                                              {"region", server->region},
+                                              {"other", other->report.id},
+                                              {"other_region", other->region},
+                                              {"address", server->report.address}});
+}
+
+std::string_view Gateway::SourceName() const noexcept {
+  return membership::kItemSourceNames[static_cast<std::size_t>(follower_.source())];
+}
+
 void Gateway::RemoveServer(const std::string& id, std::string_view reason) {
   const auto server = context_.servers.Find(id);
   if (!context_.servers.OnRemoved(id)) return;
@@ -298,6 +323,7 @@
     if (policy.version < context_.routes->version()) {
       events_.Write(StreamEvent::kPolicyRejected, {{"version", policy.version},
                                                    {"in_force", context_.routes->version()},
+                                                   {"source", SourceName()},
                                                    {"reason", "older version"}});
     }
     return;
@@ -309,6 +335,7 @@
   limits.idle_timeout = policy.limits.idle_timeout;
   events_.Write(StreamEvent::kPolicy, {{"version", policy.version},
                                        {"revision", revision},
+                                       {"source", SourceName()},
                                        {"routes", policy.routes.size()},
                                        {"services", policy.services.size()}});
   context_.routes = std::make_shared<const steering::RouteTable>(std::move(policy));
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -89,6 +89,10 @@
   /// True if the change must be passed on to other instances.
   bool ApplyServerReport(const steering::ServerReport& report);
   void RemoveServer(const std::string& id, std::string_view reason);
+  /// Logs if another listed server has the address of the server `id`.
+  void LogSharedAddress(const std::string& id);
+  /// Name of the source of the item that is being applied.
+  [[nodiscard]] std::string_view SourceName() const noexcept;
   void ApplyEvacuations();
   void UpdateFleet();
   void LogSplits();
@@ -96,7 +100,7 @@
   void DrainTick();
   void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
   void ServeLocalRequest(ClientSession& session, const Request& request);
-  [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query) const;
+  [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
   [[nodiscard]] std::string MetricsText() const;
 
   boost::asio::io_context& io_;
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -1,6 +1,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/gateway.h"
 #include "vanilladeck/gateway/metrics_text.h"
@@ -27,6 +28,10 @@
   return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::int64_t Ms(core::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 void ReplyWith(ClientSession& session, const std::string& type, const std::string& body) {
   std::string head = "HTTP/1.1 200 OK\r\nContent-Type: " + type +
                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
@@ -35,12 +40,25 @@
 
 }  // namespace
 
-std::vector<std::string> Gateway::LookupAddresses(const LookupQuery& query) const {
-  auto addresses =
+std::vector<std::string> Gateway::LookupAddresses(const LookupQuery& query) {
+  auto choice =
       membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain},
                                        draining_ ? settings_.instance : "", kMaxLookupAddresses);
-  if (addresses.empty() && Ready()) addresses.push_back(http::EndpointText(settings_.clients));
-  return addresses;
+  if (choice.addresses.empty() && Ready()) {
+    choice.addresses.push_back(http::EndpointText(settings_.clients));
+    choice.remote = query.region != settings_.region;
+  }
+  if (choice.remote) {
+    ++context_.metrics.remote_lookups;
+    events_.Write(telemetry::StreamEvent::kRemoteLookup,
+                  {{"host", query.host},
+                   {"region", query.region},
+                   {"named", choice.addresses.size()},
+                   {"instances", instances_.size()},
+                   {"synced", follower_.synced()},
+                   {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
+  }
+  return std::move(choice.addresses);
 }
 
 void Gateway::ServeLocalRequest(ClientSession& session, const Request& request) {
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -198,6 +198,7 @@
 void ProxiedRequest::Send(const UpstreamPool::ConnectionPtr& connection) {
   connection_ = connection;
   ++attempts_sent_;
+  NoteRegionViolation();
   connection_->Exchange(
       UpstreamRequestText(core::RuntimeClock::now()), request_.method() == http::verb::head,
       deadline_ + kConnectTimeout,
@@ -212,6 +213,23 @@
       });
 }
 
+void ProxiedRequest::NoteRegionViolation() {
+  const auto host = request_[http::field::host];
+  const std::string_view target(request_.target().data(), request_.target().size());
+  const config::Route* in_force = context_.routes->Match({host.data(), host.size()}, target);
+  if (in_force == nullptr || in_force->AllowsRegion(server_->region)) return;
+  ++context_.metrics.region_violations;
+  context_.events.Write(StreamEvent::kRegionViolation,
+                        {{"id", id_},
+                         {"server", server_->report.id},
+                         {"region", server_->region},
+                         {"policy", routes_->version()},
+                         {"in_force", context_.routes->version()},
+                         {"allowed", in_force->allowed_regions},
+                         {"attempt", attempts_sent_},
+                         {"ms", Ms(core::RuntimeClock::now() - received_at_)}});
+}
+
 std::string ProxiedRequest::UpstreamRequestText(core::TimePoint now) const {
   const auto& names = context_.names;
   std::string text;
@@ -282,6 +300,9 @@
     context_.events.Write(StreamEvent::kAttempt,
                           {{"id", id_},
                            {"server", server_->report.id},
+                           {"address", server_->report.address},
+                           {"region", server_->region},
+                           {"policy", routes_->version()},
                            {"end", steering::kAttemptEndNames[static_cast<std::size_t>(end)]},
                            {"detail", detail},
                            {"ms", Ms(latency)},
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -32,6 +32,8 @@
                     const std::string& detail);
   void OnConnectFailure(AcquireStatus status, const std::string& detail);
   void Send(const UpstreamPool::ConnectionPtr& connection);
+  /// Logs and counts an attempt in a region that the policy in force forbids.
+  void NoteRegionViolation();
   void OnOutcome(const ExchangeOutcome& outcome);
   void OnResponse(const Response& response);
   void OnNotRun(const Response& response);
--- a/src/vanilladeck/membership/entry_choice.cc
+++ b/src/vanilladeck/membership/entry_choice.cc
@@ -6,15 +6,17 @@
 
 namespace vanilladeck::membership {
 
-std::vector<std::string> ChooseEntryAddresses(
-    const std::map<std::string, InstanceRecord>& instances, const EntryQuery& query,
-    std::string_view excluded, std::size_t limit) {
+EntryChoice ChooseEntryAddresses(const std::map<std::string, InstanceRecord>& instances,
+                                 const EntryQuery& query, std::string_view excluded,
+                                 std::size_t limit) {
+  EntryChoice choice;
   std::vector<const InstanceRecord*> chosen;
   for (const bool own_region : {true, false}) {
     for (const auto& [name, record] : instances) {
       if (name == excluded || !record.ready) continue;
       if ((record.region == query.region) == own_region) chosen.push_back(&record);
     }
+    choice.remote = !own_region && !chosen.empty();
     if (!chosen.empty()) break;
   }
   if (chosen.size() > limit) {
@@ -25,10 +27,9 @@
               });
     chosen.resize(limit);
   }
-  std::vector<std::string> addresses;
-  addresses.reserve(chosen.size());
-  for (const InstanceRecord* it : chosen) addresses.push_back(it->address);
-  return addresses;
+  choice.addresses.reserve(chosen.size());
+  for (const InstanceRecord* it : chosen) choice.addresses.push_back(it->address);
+  return choice;
 }
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/entry_choice.h
+++ b/src/vanilladeck/membership/entry_choice.h
@@ -16,6 +16,12 @@
   std::string failure_domain;
 };
 
+/// Addresses for a lookup response.
+struct EntryChoice {
+  std::vector<std::string> addresses;
+  bool remote = false;  ///< No instance of the caller's region is ready; other regions are named.
+};
+
 /// Returns the addresses of the entry instances for a lookup response, at most `limit`.
 ///
 /// Selects ready instances of the caller's region, or of the other regions if it has none. With
@@ -23,7 +29,7 @@
 /// close connections to instances missing from a new response, so the subset must not change
 /// between responses, and the subsets of all domains together must cover every instance.
 /// `excluded` is the name of an instance to omit; empty for none.
-[[nodiscard]] std::vector<std::string> ChooseEntryAddresses(
+[[nodiscard]] EntryChoice ChooseEntryAddresses(
     const std::map<std::string, InstanceRecord>& instances, const EntryQuery& query,
     std::string_view excluded, std::size_t limit);
 
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -71,6 +71,7 @@
 }
 
 void StoreFollower::OnPage(const store::RangePage& page, core::TimePoint now) {
+  source_ = ItemSource::kListing;
   if (page_after_.empty()) listing_revision_ = page.revision;
   for (const store::Item& it : page.items) {
     listed_keys_.insert(it.key);
@@ -107,6 +108,7 @@
 void StoreFollower::OnPeerChanges(const PeerChanges& changes, core::Duration pause,
                                   core::TimePoint now) {
   in_flight_ = false;
+  source_ = ItemSource::kPeer;
   const core::TimePoint answered = now - changes.age;
   if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
   ApplyPeerState(changes, now);
@@ -117,6 +119,7 @@
 
 void StoreFollower::OnSeedState(const PeerChanges& changes, core::TimePoint now) {
   if (listed_once_ || !changes.full) return;
+  source_ = ItemSource::kSeed;
   ApplyPeerState(changes, now);
   synced_once_ = true;
 }
@@ -148,6 +151,7 @@
 }
 
 void StoreFollower::OnCheck(const store::RangePage& page, core::TimePoint now) {
+  source_ = ItemSource::kCheck;
   std::set<std::string> present;
   for (const store::Item& it : page.items) {
     present.insert(it.key);
@@ -165,6 +169,7 @@
 }
 
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
+  source_ = ItemSource::kWatch;
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
       const auto known = known_revisions_.find(it.item.key);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "vanilladeck/core/runtime_clock.h"
 #include "vanilladeck/membership/change_log.h"
@@ -36,6 +38,12 @@
   core::Duration outage_timeout = std::chrono::milliseconds(2500);
 };
 
+/// Where an item was read.
+enum class ItemSource : std::uint8_t { kListing, kWatch, kCheck, kPeer, kSeed };
+
+inline constexpr std::array<std::string_view, 5> kItemSourceNames{"listing", "watch", "check",
+                                                                  "peer", "seed"};
+
 /// Keeps up with all items of the store: a full listing, then watches for changes.
 ///
 /// State machine without I/O: `Next` returns the call to make, `OnAnswer` takes its result.
@@ -79,6 +87,8 @@
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
   [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
+  /// Source of the item or removal that the sink is called with.
+  [[nodiscard]] ItemSource source() const noexcept { return source_; }
 
  private:
   void OnPage(const store::RangePage& page, core::TimePoint now);
@@ -100,6 +110,7 @@
   bool synced_once_ = false;
   bool reachable_ = true;
   bool started_ = false;
+  ItemSource source_ = ItemSource::kListing;
   std::string page_after_;
   store::Revision listing_revision_ = 0;  ///< Of the first page; watches continue from it.
   std::set<std::string> listed_keys_;
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -147,17 +147,13 @@
                                                                    bool in_region,
                                                                    core::TimePoint now) {
   std::vector<Candidate> order;
-  const auto& allowed = query.route->allowed_regions;
   const std::uint64_t object = query.object.empty()
                                    ? query.spread
                                    : core::Hash64(query.object, core::Hash64(query.route->name));
   for (const ServerPtr& it : servers_.OfService(query.service->name)) {
     if (!servers_.Usable(*it, now)) continue;
     if ((it->region == region) != in_region) continue;
-    if (!allowed.empty() &&
-        std::find(allowed.begin(), allowed.end(), it->region) == allowed.end()) {
-      continue;
-    }
+    if (!query.route->AllowsRegion(it->region)) continue;
     if (query.tried != nullptr &&
         std::find(query.tried->begin(), query.tried->end(), it->report.id) != query.tried->end()) {
       continue;
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -167,6 +167,13 @@
   return it == by_id_.end() ? nullptr : it->second;
 }
 
+ServerPtr ServerSet::FindSharingAddress(const Server& server) const {
+  const auto it = std::find_if(by_id_.begin(), by_id_.end(), [&server](const auto& entry) {
+    return entry.second.get() != &server && entry.second->report.address == server.report.address;
+  });
+  return it == by_id_.end() ? nullptr : it->second;
+}
+
 bool ServerSet::Assignable(const Server& server) const noexcept {
   return !server.gone && !server.draining && evacuated_.count(server.report.failure_domain) == 0;
 }
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -67,6 +67,8 @@
 
   [[nodiscard]] const std::vector<ServerPtr>& OfService(const std::string& service) const;
   [[nodiscard]] ServerPtr Find(const std::string& id) const;
+  /// Another listed server with the address of `server`, or null.
+  [[nodiscard]] ServerPtr FindSharingAddress(const Server& server) const;
 
   /// Listed, not draining and not evacuated.
   [[nodiscard]] bool Assignable(const Server& server) const noexcept;
--- a/tests/membership/entry_choice_test.cc
+++ b/tests/membership/entry_choice_test.cc
@@ -23,15 +23,18 @@
 TEST_CASE("a lookup returns the ready instances of the caller's region") {
   auto fleet = Fleet(3);
   fleet["east1"].ready = false;
-  const auto addresses = ChooseEntryAddresses(fleet, {"east", "east-a"}, "east2", kLimit);
-  CHECK(addresses == std::vector<std::string>{"east0:80"});
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a"}, "east2", kLimit);
+  CHECK_FALSE(choice.remote);
+  CHECK(choice.addresses == std::vector<std::string>{"east0:80"});
 }
 
 // Guards against rejecting callers while instances in other regions could serve them.
 TEST_CASE("callers of a region without a ready instance are sent to other regions") {
   auto fleet = Fleet(3);
   for (int i = 0; i < 3; ++i) fleet["east" + std::to_string(i)].ready = false;
-  CHECK(ChooseEntryAddresses(fleet, {"east", "east-a"}, "", kLimit).size() == 3);
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a"}, "", kLimit);
+  CHECK(choice.remote);
+  CHECK(choice.addresses.size() == 3);
 }
 
 // Guards against a large region in which only the first 64 instances by name receive callers.
@@ -40,7 +43,7 @@
   std::set<std::string> reached;
   for (const char domain : std::string("abcdefgh")) {
     const auto addresses =
-        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain}, "", kLimit);
+        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain}, "", kLimit).addresses;
     CHECK(addresses.size() == kLimit);
     reached.insert(addresses.begin(), addresses.end());
   }
@@ -52,11 +55,11 @@
 TEST_CASE("the subset of a failure domain is stable, and a lost instance changes one address") {
   auto fleet = Fleet(100);
   const EntryQuery query{"east", "east-a"};
-  const auto before = ChooseEntryAddresses(fleet, query, "", kLimit);
-  CHECK(ChooseEntryAddresses(fleet, query, "", kLimit) == before);
+  const auto before = ChooseEntryAddresses(fleet, query, "", kLimit).addresses;
+  CHECK(ChooseEntryAddresses(fleet, query, "", kLimit).addresses == before);
   const std::string lost = before[10].substr(0, before[10].find(':'));
   fleet.erase(lost);
-  const auto after = ChooseEntryAddresses(fleet, query, "", kLimit);
+  const auto after = ChooseEntryAddresses(fleet, query, "", kLimit).addresses;
   const auto kept = std::count_if(after.begin(), after.end(), [&before](const std::string& it) {
     return std::find(before.begin(), before.end(), it) != before.end();
   });
