Send each attempt by the policy in force, not by the one it was read with

Callers saw requests run outside the allowed regions of their route. A request kept the route table that was in force when it was read, through waiting for a connection and through retries, so an attempt made after a version had moved the route still went to the region, and the service, of the older version.

Change: before an attempt is chosen, and again when its connection is there, the request is matched in the policy in force. A server chosen before must still serve the route's service in an allowed region. A policy that drops the route, or forbids another attempt, ends the request: 503 if it can't have run, 502 otherwise. The deadline stays the one that the request began with.

Ruled out: keeping the older version and intersecting both region lists, since a route that swaps its region would lose every retry.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -92,9 +92,7 @@
     Refuse("no-policy");
     return false;
   }
-  const auto host = request_[http::field::host];
-  const std::string_view target(request_.target().data(), request_.target().size());
-  route_ = routes_->Match({host.data(), host.size()}, target);
+  route_ = MatchRoute(*routes_);
   if (route_ == nullptr) {
     Answer(404, RequestEnd::kNoRoute, "no-route");
     return false;
@@ -121,7 +119,45 @@
   return true;
 }
 
+const config::Route* ProxiedRequest::MatchRoute(const steering::RouteTable& routes) const {
+  const auto host = request_[http::field::host];
+  const std::string_view target(request_.target().data(), request_.target().size());
+  return routes.Match({host.data(), host.size()}, target);
+}
+
+bool ProxiedRequest::AdoptPolicyInForce() {
+  if (routes_ == context_.routes) return true;
+  const config::Route* route = MatchRoute(*context_.routes);
+  if (route == nullptr || attempts_sent_ >= route->attempts) return false;
+  if (may_have_run_ && route->kind != config::RequestKind::kIdempotent) return false;
+  routes_ = context_.routes;
+  route_ = route;
+  const bool keeps_service =
+      std::any_of(route->services.begin(), route->services.end(),
+                  [this](const auto& it) { return it.service == service_name_; });
+  if (!keeps_service) {
+    service_name_ = steering::ChooseService(
+        *route, std::uniform_real_distribution<double>(0, 1)(context_.random));
+  }
+  service_ = routes_->Service(service_name_);
+  return true;
+}
+
+bool ProxiedRequest::AssignmentStands() {
+  return context_.servers.Assignable(*server_) && AdoptPolicyInForce() &&
+         server_->report.service == service_name_ && route_->AllowsRegion(server_->region);
+}
+
 void ProxiedRequest::StartAttempt() {
+  if (!AdoptPolicyInForce()) {
+    constexpr std::string_view kReason = "policy-changed";
+    if (may_have_run_) {
+      Fail(kBadGateway, kReason);
+    } else {
+      Refuse(kReason);
+    }
+    return;
+  }
   const core::TimePoint now = core::RuntimeClock::now();
   const steering::PickQuery query{route_,  service_,        affinity_key_,
                                   spread_, deadline_ - now, &tried_};
@@ -184,9 +220,9 @@
   if (status == AcquireStatus::kConnected) {
     context_.metrics.connect_latency.Add(core::RuntimeClock::now() - sent_at_);
   }
-  // While the connection was being made, the server may have started draining or another instance's
-  // cold share may have changed.
-  if (!context_.servers.Assignable(*server_)) {
+  // While the connection was being made, the server may have started draining, or another policy
+  // may have come into force.
+  if (!AssignmentStands()) {
     context_.pool.Release(*server_, connection);
     EndAttempt(AttemptEnd::kAbandoned, "server became unassignable while connecting");
     StartAttempt();
@@ -214,9 +250,7 @@
 }
 
 void ProxiedRequest::NoteRegionViolation() {
-  const auto host = request_[http::field::host];
-  const std::string_view target(request_.target().data(), request_.target().size());
-  const config::Route* in_force = context_.routes->Match({host.data(), host.size()}, target);
+  const config::Route* in_force = MatchRoute(*context_.routes);
   if (in_force == nullptr || in_force->AllowsRegion(server_->region)) return;
   ++context_.metrics.region_violations;
   context_.events.Write(StreamEvent::kRegionViolation,
@@ -375,7 +409,7 @@
 
 bool ProxiedRequest::Retry(bool reached_server) {
   const core::TimePoint now = core::RuntimeClock::now();
-  if (attempts_sent_ >= route_->attempts) return false;
+  if (!AdoptPolicyInForce() || attempts_sent_ >= route_->attempts) return false;
   if (deadline_ - now < core::Duration(route_->objective) / kMinRemainingDivisor) return false;
   if (reached_server) {
     const double allowance =
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -14,7 +14,8 @@
 ///
 /// A non-idempotent request is sent to a second server only if the first one cannot have run it:
 /// the connection failed, or the server stated that it did not run it. A 503 response is sent only
-/// for a request that no server has run or will run.
+/// for a request that no server has run or will run. Each attempt obeys the policy in force when it
+/// is sent, which may be newer than the one in force when the request was received.
 class ProxiedRequest : public PendingRequest, public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Context& context, std::shared_ptr<ClientSession> session, Request request);
@@ -27,6 +28,12 @@
 
  private:
   [[nodiscard]] bool Begin();
+  [[nodiscard]] const config::Route* MatchRoute(const steering::RouteTable& routes) const;
+  /// Makes the policy in force the one of this request; false, without effect, if it doesn't allow
+  /// the request to be sent (again). The deadline stays as it was.
+  [[nodiscard]] bool AdoptPolicyInForce();
+  /// True if the request may still be sent to `server_`, chosen earlier.
+  [[nodiscard]] bool AssignmentStands();
   void StartAttempt();
   void OnConnection(const UpstreamPool::ConnectionPtr& connection, AcquireStatus status,
                     const std::string& detail);
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -132,8 +132,9 @@
   explicit ProxyFixture(const ProcessLimits& process = {})
       : events_(open("/dev/null", O_WRONLY), "edge-1"),
         context(
-            io, process, Names(), Limits(), [](const std::string&) { return std::string("east"); },
-            Picker(), events_),
+            io, process, Names(), Limits(),
+            [](const std::string& domain) { return domain.substr(0, domain.find('-')); }, Picker(),
+            events_),
         listener_(io, context.deadlines, context.messages, *this, 100) {
     config::RoutingPolicy policy;
     policy.version = 1;
@@ -162,17 +163,29 @@
 
   std::shared_ptr<PendingRequest> OnRequest(const std::shared_ptr<ClientSession>& session,
                                             Request request) override {
-    return ProxiedRequest::Start(context, session, std::move(request));
+    auto pending = ProxiedRequest::Start(context, session, std::move(request));
+    if (after_start) after_start();
+    return pending;
   }
 
-  ScriptedServer& AddServer(const std::string& id, ScriptedServer::Script script) {
+  /// Brings the next version into force after `change` was applied to every route.
+  void ChangePolicy(const std::function<void(config::Route&)>& change) {
+    config::RoutingPolicy policy = context.routes->policy();
+    ++policy.version;
+    for (config::Route& it : policy.routes) change(it);
+    context.routes = std::make_shared<const steering::RouteTable>(std::move(policy));
+  }
+
+  ScriptedServer& AddServer(const std::string& id, ScriptedServer::Script script,
+                            const std::string& failure_domain = "east-a",
+                            const std::string& service = "s") {
     servers_.emplace_back(io, std::move(script));
     steering::ServerReport report;
     report.id = id;
     report.born_ms = 1;
-    report.service = "s";
+    report.service = service;
     report.address = servers_.back().Address();
-    report.failure_domain = "east-a";
+    report.failure_domain = failure_domain;
     report.slots = 9;
     report.sequence = 1;
     (void)context.servers.OnReport(report, core::RuntimeClock::now());
@@ -245,6 +258,8 @@
   SessionGroup& group() { return listener_.group(); }
   Listener& listener() { return listener_; }
 
+  /// Called after a request was read and its first server chosen, before it is sent.
+  std::function<void()> after_start;
   boost::asio::io_context io;
 
  private:
