--- a/tests/daemon/operations_test.cc
+++ b/tests/daemon/operations_test.cc
@@ -7,7 +7,7 @@
 using namespace vanilladeck::test;
 using namespace std::chrono_literals;
 
-// The ids of properties and rules below are listed in docs/PROOFS.md.
+// The ids of the properties below are listed in docs/PROOFS.md.
 
 namespace {
 
--- a/tests/daemon/serving_test.cc
+++ b/tests/daemon/serving_test.cc
@@ -8,7 +8,7 @@
 using namespace vanilladeck::test;
 using namespace std::chrono_literals;
 
-// The ids of properties and rules below are listed in docs/PROOFS.md.
+// The ids of the properties below are listed in docs/PROOFS.md.
 
 namespace {
 
@@ -217,7 +217,7 @@
   CHECK(first.requests().size() <= 1);
 }
 
-// Property P1 and rule 1: with expired seats nothing may be sent to the failure domain's servers.
+// Property P2: with expired seats nothing may be sent to the failure domain's servers.
 TEST_CASE("expired seats stop dispatch", "[serving]") {
   FakeBackend backend([](const http::Request&) { return Ok("x"); });
   ServingFixture fixture({backend.address()});
