Ignore an older report with another address or service

A delayed report of the same incarnation (a lower or equal sequence) was ignored only if its address and service were those that are known. Otherwise it replaced the server, and requests went to an address or a service that the server had left.

Cause: ServerSet::OnReport compared the sequence after it had decided that the report names the same place.

Evidence: the new test "an older report of the same incarnation does not move the server" failed before:

CHECK( f.servers.OnReport(older, f.now) == Change::kNone ) 1 == 0 CHECK( f.servers.Find("s1")->report.address == report.address ) "127.0.0.2:1" == "127.0.0.1:1" CHECK( f.servers.Find("s1")->report.service == report.service ) "orders" == "catalogue"

The sequence orders all reports of an incarnation, whatever they name. Entries without a start time stay accepted: there another address or service is the only sign of a restart, which starts the sequence anew (test "without a start time another place is a new incarnation", which passed before and after).

--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -36,6 +36,11 @@
                       server.report.service == report.service &&
                       server.report.address == report.address;
     if (report.born_ms < server.report.born_ms) return Change::kNone;
+    // Without a start time only another service or address shows that the sequence began anew.
+    if (!same && report.born_ms != 0 && report.born_ms == server.report.born_ms &&
+        report.sequence <= server.report.sequence) {
+      return Change::kNone;
+    }
     if (same) {
       const bool was_gone = server.gone;
       if (!was_gone && report.sequence <= server.report.sequence) return Change::kNone;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -65,6 +65,37 @@
   CHECK(f.servers.Assignable(*f.servers.Find("s1")));
 }
 
+// Guards against a delayed report that returns a server to an address, service or failure domain
+// that it has left.
+TEST_CASE("an older report of the same incarnation does not move the server") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.sequence = 5;
+  (void)f.servers.OnReport(report, f.now);
+  ServerReport older = report;
+  older.sequence = 4;
+  SECTION("address") { older.address = "127.0.0.2:1"; }
+  SECTION("service") { older.service = "orders"; }
+  SECTION("failure domain") { older.failure_domain = "west-a"; }
+  CHECK(f.servers.OnReport(older, f.now) == Change::kNone);
+  CHECK(f.servers.Find("s1")->report.address == report.address);
+  CHECK(f.servers.Find("s1")->report.service == report.service);
+  CHECK(f.servers.Find("s1")->region == "east");
+}
+
+// Guards against ignoring the restart of a server whose entry does not state when it started.
+TEST_CASE("without a start time another place is a new incarnation") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.born_ms = 0;
+  report.sequence = 5;
+  (void)f.servers.OnReport(report, f.now);
+  report.address = "127.0.0.2:1";
+  report.sequence = 1;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kAdded);
+  CHECK(f.servers.Find("s1")->report.address == report.address);
+}
+
 TEST_CASE("servers of an evacuated failure domain get no requests and return cold") {
   PickerFixture f;
   f.Add("east-a", 1);
