Move a server whose report names another failure domain

Requests of routes with allowed regions could run on a server whose own report places it in another region.

Cause: a report of the same incarnation replaced the known report but kept the region of the first one. Such a report counted as a heartbeat, so it was not relayed to other instances either.

Evidence: three tests failed before. "a report with another failure domain moves the server to that domain's region":

CHECK( f.servers.Find("s1")->region == "west" ) "east" == "west" CHECK( f.ChosenId("1").empty() ) false

"a server chosen before it moved is not assignable afterwards":

CHECK_FALSE( f.servers.Assignable(*chosen) ) !true

"a request is not sent to a server that moves to another region while it connects":

CHECK( f.StatusOf(client->input) == "503" ) "200" == "503" CHECK( server.requests.empty() ) false

Another failure domain is now another place, as another service or address already was: a new Server replaces the known one. Updating the region of the known one was ruled out, because a request that chose it for its old region holds a reference to it and checks only, once it is connected, that the server is still assignable. The process is the same, so its draining state and its recent cold sends are kept (test "a server that moved stays draining and keeps its recent cold sends").

--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -32,10 +32,10 @@
   std::uint32_t slots = 0;
 };
 
-/// One incarnation of a backend server as this instance sees it.
+/// One incarnation of a backend server in one place, as this instance sees it.
 struct Server {
-  ServerReport report;
-  std::string region;
+  ServerReport report;          ///< Service, address and failure domain never change.
+  std::string region;           ///< Of the failure domain.
   core::TimePoint reported_at;  ///< Arrival of the newest report.
   bool draining = false;        ///< Never cleared within an incarnation.
   bool gone = false;            ///< Not listed, or another server answers at the address.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -26,36 +26,32 @@
   return old_value + weight * (sample - old_value);
 }
 
+bool IsSamePlace(const ServerReport& a, const ServerReport& b) {
+  return a.service == b.service && a.address == b.address && a.failure_domain == b.failure_domain;
+}
+
 }  // namespace
 
 ServerSet::Change ServerSet::OnReport(const ServerReport& report, core::TimePoint now) {
-  const auto known = by_id_.find(report.id);
-  if (known != by_id_.end()) {
-    Server& server = *known->second;
-    const bool same = server.report.born_ms == report.born_ms &&
-                      server.report.service == report.service &&
-                      server.report.address == report.address;
-    if (report.born_ms < server.report.born_ms) return Change::kNone;
-    // Without a start time only another service or address shows that the sequence began anew.
-    if (!same && report.born_ms != 0 && report.born_ms == server.report.born_ms &&
-        report.sequence <= server.report.sequence) {
-      return Change::kNone;
-    }
-    if (same) {
-      const bool was_gone = server.gone;
-      if (!was_gone && report.sequence <= server.report.sequence) return Change::kNone;
-      const bool starts_drain = report.state == ServerState::kDraining && !server.draining;
-      server.report = report;
-      server.reported_at = now;
-      server.gone = false;
-      server.draining = server.draining || report.state == ServerState::kDraining;
-      server.cold_until = now + report.cold_left;
-      if (starts_drain) return Change::kDraining;
-      return was_gone ? Change::kReturned : Change::kNone;
-    }
-    known->second->gone = true;
-    Unindex(*known->second);
-    by_id_.erase(known);
+  const ServerPtr known = Find(report.id);
+  if (known && report.born_ms < known->report.born_ms) return Change::kNone;
+  const bool same_place = known && IsSamePlace(report, known->report);
+  // Without a start time only another place shows that a server restarted.
+  const bool same_incarnation =
+      known && report.born_ms == known->report.born_ms && (same_place || report.born_ms != 0);
+  const bool same = same_incarnation && same_place;
+  const bool newer = !same_incarnation || report.sequence > known->report.sequence;
+  if (!newer && !(same && known->gone)) return Change::kNone;
+  if (same) {
+    const bool was_gone = known->gone;
+    const bool starts_drain = report.state == ServerState::kDraining && !known->draining;
+    known->report = report;
+    known->reported_at = now;
+    known->gone = false;
+    known->draining = known->draining || report.state == ServerState::kDraining;
+    known->cold_until = now + report.cold_left;
+    if (starts_drain) return Change::kDraining;
+    return was_gone ? Change::kReturned : Change::kNone;
   }
   auto server = std::make_shared<Server>();
   server->report = report;
@@ -63,20 +59,29 @@
   server->reported_at = now;
   server->draining = report.state == ServerState::kDraining;
   server->cold_until = now + report.cold_left;
+  if (same_incarnation) {
+    server->draining = server->draining || known->draining;
+    server->cold_sends = known->cold_sends;
+  }
+  if (known) Remove(*known);
   by_id_.emplace(report.id, server);
   Index(server);
   return Change::kAdded;
 }
 
 bool ServerSet::OnRemoved(const std::string& id) {
-  const auto it = by_id_.find(id);
-  if (it == by_id_.end()) return false;
-  it->second->gone = true;
-  Unindex(*it->second);
-  by_id_.erase(it);
+  const ServerPtr server = Find(id);
+  if (!server) return false;
+  Remove(*server);
   return true;
 }
 
+void ServerSet::Remove(Server& server) {
+  server.gone = true;
+  Unindex(server);
+  by_id_.erase(server.report.id);
+}
+
 void ServerSet::OnMisdirected(Server& server) noexcept { server.gone = true; }
 
 void ServerSet::OnSent(Server& server, core::TimePoint now) {
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -32,7 +32,9 @@
 /// Backend servers from the platform's list, with statistics of this instance's requests to them.
 ///
 /// A report with a new `born_ms` starts a new incarnation with empty statistics. Draining is sticky
-/// within an incarnation, and older reports are ignored.
+/// within an incarnation, and older reports are ignored. A report of the same incarnation with
+/// another service, address or failure domain makes a new `Server` that replaces the known one, so
+/// that requests that chose the known one do not reach the new place.
 class ServerSet {
  public:
   using RegionOf = std::function<std::string(const std::string& failure_domain)>;
@@ -79,6 +81,8 @@
   [[nodiscard]] std::vector<std::string> Ids() const;
 
  private:
+  /// The caller holds a reference to `server`.
+  void Remove(Server& server);
   void Index(const ServerPtr& server);
   void Unindex(const Server& server);
 
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -20,6 +20,11 @@
   };
 }
 
+/// Allows only `region` for the requests of `route`.
+std::function<void(config::Route&)> OnlyIn(const std::string& region) {
+  return [region](config::Route& route) { route.allowed_regions = {region}; };
+}
+
 /// CPU time of this thread.
 std::chrono::nanoseconds ThreadTime() {
   timespec time{};
@@ -253,6 +258,23 @@
   CHECK(right.requests.size() == 20);
 }
 
+// Guards against running a request outside its route's allowed regions.
+TEST_CASE("a request is not sent to a server that moves to another region while it connects") {
+  ProxyFixture f;
+  auto& server = f.AddServer("i-1", Answer("x"));
+  f.ChangePolicy(OnlyIn("east"));
+  auto client = f.Connect();
+  f.Send(*client, f.RequestText("GET", "/read/1", "id-1"));
+  REQUIRE(f.RunUntil([&] { return f.context.servers.Find("i-1")->in_flight == 1; }));
+  auto report = f.Report("i-1", server.Address());
+  report.failure_domain = "west-a";
+  report.sequence = 2;
+  f.Apply(report);
+  REQUIRE(f.RunUntil([&] { return ProxyFixture::HasAnswer(client->input); }));
+  CHECK(f.StatusOf(client->input) == "503");
+  CHECK(server.requests.empty());
+}
+
 TEST_CASE("retries stop when the retry budget is exhausted") {
   ProxyFixture f;
   f.context.limits.retry_allowance = 4;
@@ -403,11 +425,6 @@
   CHECK(f.StatusOf(client->input) == "200");
 }
 
-/// Allows only `region` for the requests of `route`.
-std::function<void(config::Route&)> OnlyIn(const std::string& region) {
-  return [region](config::Route& route) { route.allowed_regions = {region}; };
-}
-
 // Guards against running a request outside its allowed regions: a retry by the version with which
 // the request was read, after another one moved the route.
 TEST_CASE("a retry is sent to an allowed region of the policy in force") {
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -180,16 +180,27 @@
                             const std::string& failure_domain = "east-a",
                             const std::string& service = "s") {
     servers_.emplace_back(io, std::move(script));
+    auto report = Report(id, servers_.back().Address());
+    report.failure_domain = failure_domain;
+    report.service = service;
+    Apply(report);
+    return servers_.back();
+  }
+
+  static steering::ServerReport Report(const std::string& id, const std::string& address) {
     steering::ServerReport report;
     report.id = id;
     report.born_ms = 1;
-    report.service = service;
-    report.address = servers_.back().Address();
-    report.failure_domain = failure_domain;
+    report.service = "s";
+    report.address = address;
+    report.failure_domain = "east-a";
     report.slots = 9;
     report.sequence = 1;
+    return report;
+  }
+
+  void Apply(const steering::ServerReport& report) {
     (void)context.servers.OnReport(report, core::RuntimeClock::now());
-    return servers_.back();
   }
 
   /// A client connection.
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -65,6 +65,53 @@
   CHECK(f.servers.Assignable(*f.servers.Find("s1")));
 }
 
+// Guards against requests outside their allowed regions: the failure domain of a server was that of
+// its newest report, its region that of its first one.
+TEST_CASE("a report with another failure domain moves the server to that domain's region") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  (void)f.servers.OnReport(report, f.now);
+  f.route.allowed_regions = {"east"};
+  REQUIRE(f.ChosenId("1") == "s1");
+  report.failure_domain = "west-a";
+  report.sequence = 2;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kAdded);
+  CHECK(f.servers.Find("s1")->region == "west");
+  CHECK(f.ChosenId("1").empty());
+}
+
+// Guards against sending a request to the new place of a server that was chosen for its old one.
+TEST_CASE("a server chosen before it moved is not assignable afterwards") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  (void)f.servers.OnReport(report, f.now);
+  const ServerPtr chosen = f.servers.Find("s1");
+  report.failure_domain = "west-a";
+  report.sequence = 2;
+  (void)f.servers.OnReport(report, f.now);
+  CHECK_FALSE(f.servers.Assignable(*chosen));
+  CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+}
+
+// Guards against requests to a process that drains, or too many to a cold one, after it has moved.
+TEST_CASE("a server that moved stays draining and keeps its recent cold sends") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.cold_left = 3s;
+  (void)f.servers.OnReport(report, f.now);
+  f.servers.OnSent(*f.servers.Find("s1"), f.now);
+  report.failure_domain = "east-b";
+  report.state = ServerState::kDraining;
+  report.sequence = 2;
+  (void)f.servers.OnReport(report, f.now);
+  report.failure_domain = "west-a";
+  report.state = ServerState::kReady;
+  report.sequence = 3;
+  (void)f.servers.OnReport(report, f.now);
+  CHECK(f.servers.Find("s1")->draining);
+  CHECK(f.servers.Find("s1")->cold_sends.size() == 1);
+}
+
 // Guards against a delayed report that returns a server to an address, service or failure domain
 // that it has left.
 TEST_CASE("an older report of the same incarnation does not move the server") {
