Keep a misdirected server unusable until a newer report

After a 421 a server was usable again as soon as its known report was applied once more, which shows nothing of the server: the entry of one that crashed stays listed for some heartbeats, and for longer while the store is away. docs/platform.md states "until a newer report".

Cause: OnReport did not compare the sequence for a server marked gone.

Evidence: the replaced test failed before:

CHECK( f.servers.OnReport(report, f.now) == Change::kNone ) 4 == 0 CHECK_FALSE( f.servers.Assignable(*f.servers.Find("s1")) ) !true

The old test "after a misdirected response a server is unusable until it reports again" applied the report that was already known and required that it returns the server, which is not what its name says. The new one requires that the known report changes nothing and that the next one returns the server.

Reach, from reading: StoreFollower passes an item of a known revision on only if its removal was deferred, so this needs an outage of the store. A server that is alive returns with its next heartbeat as before.

--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -39,10 +39,8 @@
   // Without a start time only another place shows that a server restarted.
   const bool same_incarnation =
       known && report.born_ms == known->report.born_ms && (same_place || report.born_ms != 0);
-  const bool same = same_incarnation && same_place;
-  const bool newer = !same_incarnation || report.sequence > known->report.sequence;
-  if (!newer && !(same && known->gone)) return Change::kNone;
-  if (same) {
+  if (same_incarnation && report.sequence <= known->report.sequence) return Change::kNone;
+  if (same_incarnation && same_place) {
     const bool was_gone = known->gone;
     const bool starts_drain = report.state == ServerState::kDraining && !known->draining;
     known->report = report;
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -49,7 +49,7 @@
   /// Removes a server that is no longer listed; false if it was not known.
   bool OnRemoved(const std::string& id);
 
-  /// Another server answers at the address: unusable until the next report of this id.
+  /// Another server answers at the address: unusable until a newer report of this id.
   void OnMisdirected(Server& server) noexcept;
 
   void OnSent(Server& server, core::TimePoint now);
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -54,13 +54,17 @@
   CHECK(f.servers.Find("s1") == fresh);
 }
 
-// Guards against requests that run on a server of another service.
+// Guards against requests that reach a server of another service or region each time the entry of a
+// server that crashed is read again.
 TEST_CASE("after a misdirected response a server is unusable until it reports again") {
   PickerFixture f;
   ServerReport report = f.Report("s1", "east-a");
   (void)f.servers.OnReport(report, f.now);
   f.servers.OnMisdirected(*f.servers.Find("s1"));
   CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.OnReport(report, f.now) == Change::kNone);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  report.sequence = 2;
   CHECK(f.servers.OnReport(report, f.now) == Change::kReturned);
   CHECK(f.servers.Assignable(*f.servers.Find("s1")));
 }
