Repeat the latest changes to an instance that switches readers

What callers saw: nothing that was traced to this; the test shows how an instance stays on an older policy while its readers answer. Cause: an instance that reads the log of another reader asks by the store's revision. The revision is wrong if the watch of the former reader stated one beyond a change that it left out: the next reader holds the change at a lower revision and never passes it on. The check of op/ finds a policy unless the store refuses this instance; nothing found a server's entry until the server wrote again. Change: a delta by revision also holds the changes that the log got in the last 25 s, longer than a reader goes without a listing. Evidence: "a change that one reader has missed is read from the next one" failed before in both sections: change_log_test.cc:279: FAILED: CHECK( f.items.at("op/config") == "new" ) with expansion: "old" == "new" membership, gateway and platform tests pass. Not measured: the bytes that this adds to switches while many servers change.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -234,7 +234,7 @@
     events_.Write(StreamEvent::kEntryRejected,
                   {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
   }
-  change_log_.Put(item, matters);
+  change_log_.Put(item, matters, core::RuntimeClock::now());
 }
 
 void Gateway::OnRemoved(const std::string& key) {
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -86,9 +86,10 @@
       session.Reply(std::string(kEmpty503), {});
       return;
     }
-    membership::PeerChanges changes = change_log_.Since(*known);
+    const core::TimePoint now = core::RuntimeClock::now();
+    membership::PeerChanges changes = change_log_.Since(*known, now);
     changes.revision = follower_.revision();
-    changes.age = core::RuntimeClock::now() - follower_.last_success();
+    changes.age = now - follower_.last_success();
     ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
     return;
   }
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -9,6 +9,9 @@
 
 // Instances poll several times a second; one that was absent for longer gets a full snapshot.
 constexpr core::Duration kTombstoneRetention = std::chrono::seconds(30);
+// A watch may state a revision beyond changes that it left out, and so may the log of a reader
+// until its next listing (`FollowerSettings::relist_interval`), which takes up to some seconds.
+constexpr core::Duration kRepeatTime = std::chrono::seconds(25);
 
 }  // namespace
 
@@ -71,7 +74,7 @@
   return changes;
 }
 
-void ChangeLog::Put(const store::Item& item, bool relay) {
+void ChangeLog::Put(const store::Item& item, bool relay, core::TimePoint now) {
   const auto [it, added] = entries_.try_emplace(item.key);
   Entry& entry = it->second;
   const bool was_removed = entry.removed;
@@ -80,6 +83,8 @@
   if (!added && !was_removed && !relay) return;
   entry.position = ++position_;
   entry.revision = item.revision;
+  // The items of the first listing are not changes.
+  if (complete_since_) entry.repeat_until = now + kRepeatTime;
 }
 
 void ChangeLog::OnListed(store::Revision revision) noexcept {
@@ -110,7 +115,7 @@
   }
 }
 
-PeerChanges ChangeLog::Since(const PeerPosition& known) const {
+PeerChanges ChangeLog::Since(const PeerPosition& known, core::TimePoint now) const {
   PeerChanges changes;
   changes.epoch = epoch_;
   changes.position = position_;
@@ -125,7 +130,9 @@
     if (by_position && entry.position <= known.position) continue;
     // All removals are sent: they are few, and a deferred one may have a revision that the
     // requesting instance has already passed.
-    if (by_revision && !entry.removed && entry.revision <= known.revision) continue;
+    const bool needed =
+        entry.removed || entry.revision > known.revision || now < entry.repeat_until;
+    if (by_revision && !needed) continue;
     changes.changes.push_back({entry.item, entry.removed});
   }
   return changes;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -41,15 +41,16 @@
   explicit ChangeLog(std::string epoch) : epoch_(std::move(epoch)) {}
 
   /// `relay` is false for a change that other instances do not need.
-  void Put(const store::Item& item, bool relay);
+  void Put(const store::Item& item, bool relay, core::TimePoint now);
   /// `revision` is the store revision at which the removal was applied here.
   void Remove(const std::string& key, store::Revision revision, core::TimePoint now);
   /// Records that the log is complete as of store revision `revision`; later calls are ignored.
   void OnListed(store::Revision revision) noexcept;
 
   /// Returns the changes after `known`: a delta by log position, a delta by store revision if the
-  /// instance read another log before, or a full snapshot if neither can be served.
-  [[nodiscard]] PeerChanges Since(const PeerPosition& known) const;
+  /// instance read another log before, or a full snapshot if neither can be served. A delta by
+  /// revision repeats the latest changes, since the other log may have missed them.
+  [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
   struct Entry {
@@ -57,6 +58,8 @@
     std::uint64_t position = 0;
     /// Store revision of the last relayed change; the item may have been renewed since.
     store::Revision revision = 0;
+    core::TimePoint
+        repeat_until;  ///< Until then the last change is part of all deltas by revision.
     bool removed = false;
     core::TimePoint removed_at;
   };
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -17,16 +17,16 @@
 
 TEST_CASE("a delta contains relayed writes and removals, but no mere renewals") {
   ChangeLog log("a/1");
-  log.Put({"servers/x", "v1", 5}, true);
-  log.Put({"servers/y", "v1", 6}, true);
-  const PeerChanges first = log.Since({});
+  log.Put({"servers/x", "v1", 5}, true, At(0s));
+  log.Put({"servers/y", "v1", 6}, true, At(0s));
+  const PeerChanges first = log.Since({}, At(0s));
   CHECK(first.full);
   CHECK(first.changes.size() == 2);
-  log.Put({"servers/x", "v2", 7}, false);
-  CHECK(log.Since({"a/1", first.position, 0}).changes.empty());
-  log.Put({"servers/x", "v3", 8}, true);
+  log.Put({"servers/x", "v2", 7}, false, At(0s));
+  CHECK(log.Since({"a/1", first.position, 0}, At(0s)).changes.empty());
+  log.Put({"servers/x", "v3", 8}, true, At(0s));
   log.Remove("servers/y", 8, At(0s));
-  const PeerChanges second = log.Since({"a/1", first.position, 0});
+  const PeerChanges second = log.Since({"a/1", first.position, 0}, At(0s));
   CHECK_FALSE(second.full);
   REQUIRE(second.changes.size() == 2);
   CHECK(second.changes[0].item.value == "v3");
@@ -36,15 +36,15 @@
 // Guards against accepting positions of a reader's log from before its restart.
 TEST_CASE("a position of another log or a pruned position yields a full snapshot") {
   ChangeLog log("a/2");
-  log.Put({"servers/x", "v1", 5}, true);
-  CHECK(log.Since({"a/1", 2, 0}).full);
-  CHECK(log.Since({"a/2", 99, 0}).full);
-  const std::uint64_t position = log.Since({}).position;
+  log.Put({"servers/x", "v1", 5}, true, At(0s));
+  CHECK(log.Since({"a/1", 2, 0}, At(0s)).full);
+  CHECK(log.Since({"a/2", 99, 0}, At(0s)).full);
+  const std::uint64_t position = log.Since({}, At(0s)).position;
   log.Remove("servers/x", 6, At(0s));
-  log.Put({"servers/y", "v1", 6}, true);
-  CHECK_FALSE(log.Since({"a/2", position, 0}).full);
+  log.Put({"servers/y", "v1", 6}, true, At(0s));
+  CHECK_FALSE(log.Since({"a/2", position, 0}, At(0s)).full);
   log.Remove("servers/y", 7, At(60s));
-  CHECK(log.Since({"a/2", position, 0}).full);
+  CHECK(log.Since({"a/2", position, 0}, At(0s)).full);
 }
 
 // Guards against readers that send a full snapshot (121 KB on trempelog-grown) to every instance
@@ -52,59 +52,61 @@
 // instances switched to the other reader and then to the store, several times a minute.
 TEST_CASE("an instance that switches readers gets the changes since its revision") {
   ChangeLog log("b/1");
-  for (int i = 0; i < 400; ++i) log.Put({"servers/" + std::to_string(i), "v", 100 + i}, true);
+  for (int i = 0; i < 400; ++i)
+    log.Put({"servers/" + std::to_string(i), "v", 100 + i}, true, At(0s));
   log.OnListed(600);
-  for (int i = 0; i < 400; ++i) log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false);
-  log.Put({"servers/7", "draining", 1200}, true);
+  for (int i = 0; i < 400; ++i)
+    log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false, At(0s));
+  log.Put({"servers/7", "draining", 1200}, true, At(0s));
   log.Remove("servers/8", 1201, At(0s));
-  const PeerChanges changes = log.Since({"a/1", 55, 1100});
+  const PeerChanges changes = log.Since({"a/1", 55, 1100}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 2);
   CHECK(changes.changes[0].item.value == "draining");
   CHECK(changes.changes[1].removed);
   // Removals before the first listing are unknown to this log.
-  CHECK(log.Since({"a/1", 55, 599}).full);
+  CHECK(log.Since({"a/1", 55, 599}, At(0s)).full);
   ChangeLog unlisted("c/1");
-  unlisted.Put({"servers/x", "v", 5}, true);
-  CHECK(unlisted.Since({"a/1", 55, 4}).full);
+  unlisted.Put({"servers/x", "v", 5}, true, At(0s));
+  CHECK(unlisted.Since({"a/1", 55, 4}, At(0s)).full);
 }
 
 // Guards against losing a removal that the reader deferred while the store recovered, so that it
 // was applied only after the instance's revision had passed it.
 TEST_CASE("a deferred removal reaches an instance that switches readers") {
   ChangeLog log("b/1");
-  log.Put({"servers/x", "v", 5}, true);
+  log.Put({"servers/x", "v", 5}, true, At(0s));
   log.OnListed(10);
   log.Remove("servers/x", 20, At(0s));
-  const PeerChanges changes = log.Since({"a/1", 3, 25});
+  const PeerChanges changes = log.Since({"a/1", 3, 25}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 1);
   CHECK(changes.changes[0].removed);
   // Once the removal is pruned, an instance that is that far behind needs a full snapshot.
-  log.Put({"servers/y", "v", 30}, true);
+  log.Put({"servers/y", "v", 30}, true, At(0s));
   log.Remove("servers/y", 40, At(60s));
-  CHECK(log.Since({"a/1", 3, 19}).full);
-  CHECK_FALSE(log.Since({"a/1", 3, 25}).full);
+  CHECK(log.Since({"a/1", 3, 19}, At(0s)).full);
+  CHECK_FALSE(log.Since({"a/1", 3, 25}, At(0s)).full);
 }
 
 // Guards against a full snapshot for an instance that has already received the pruned removal.
 TEST_CASE("pruning a removal does not affect instances past its position") {
   ChangeLog log("b/1");
-  log.Put({"servers/x", "v", 5}, true);
-  log.Put({"servers/y", "v", 6}, true);
+  log.Put({"servers/x", "v", 5}, true, At(0s));
+  log.Put({"servers/y", "v", 6}, true, At(0s));
   log.Remove("servers/x", 7, At(0s));
-  const std::uint64_t position = log.Since({}).position;
+  const std::uint64_t position = log.Since({}, At(0s)).position;
   log.Remove("servers/y", 8, At(60s));
-  const PeerChanges changes = log.Since({"b/1", position, 7});
+  const PeerChanges changes = log.Since({"b/1", position, 7}, At(0s));
   CHECK_FALSE(changes.full);
   CHECK(changes.changes.size() == 1);
 }
 
 TEST_CASE("peer changes round-trip any value, and malformed messages are rejected") {
   ChangeLog log("a/1");
-  log.Put({"op/config", "{\"version\":\"0000000c\"}", 5}, true);
-  log.Put({"servers/x", std::string("\xff\x00\"\n", 4), 6}, true);
-  PeerChanges sent = log.Since({});
+  log.Put({"op/config", "{\"version\":\"0000000c\"}", 5}, true, At(0s));
+  log.Put({"servers/x", std::string("\xff\x00\"\n", 4), 6}, true, At(0s));
+  PeerChanges sent = log.Since({}, At(0s));
   sent.revision = 9;
   sent.age = 250ms;
   const std::string text = EncodePeerChanges(sent);
@@ -216,6 +218,70 @@
   CHECK_FALSE(f.follower.reachable());
 }
 
+/// An instance that reads the store and relays what it reads.
+struct Reader {
+  Reader()
+      : follower({}, {[this](const store::Item& item) { log.Put(item, true, now); },
+                      [this](const std::string& key) { log.Remove(key, follower.revision(), now); },
+                      [this] { log.OnListed(follower.revision()); },
+                      {}}),
+        now(At(0s)) {
+    List({{"op/config", "old", 3}, {"servers/x", "v", 4}}, 10);
+  }
+  void List(std::vector<store::Item> items, store::Revision revision) {
+    now += 20s;
+    const auto call = follower.Next(now);
+    REQUIRE(call.has_value());
+    REQUIRE(std::holds_alternative<store::ReadRange>(*call));
+    Answer(store::RangePage{std::move(items), false, revision});
+  }
+  void Watch(std::vector<store::Change> changes, store::Revision revision) {
+    now += 1s;
+    const auto call = follower.Next(now);
+    REQUIRE(call.has_value());
+    REQUIRE(std::holds_alternative<store::WatchChanges>(*call));
+    Answer(store::Changes{std::move(changes), revision});
+  }
+  void Answer(store::VersionedAnswer answer) {
+    follower.OnAnswer(store::VersionedResult(std::move(answer)), now);
+  }
+  /// Changes for an instance that has read another log up to `revision`.
+  [[nodiscard]] PeerChanges SinceRevision(store::Revision revision) const {
+    PeerChanges changes = log.Since({"a/1", 7, revision}, now);
+    changes.revision = follower.revision();
+    return changes;
+  }
+
+  ChangeLog log{"b/1"};
+  StoreFollower follower;
+  core::TimePoint now;
+};
+
+// Guards against an instance that stays on an old policy: the watch of its reader stated a revision
+// beyond a change that it left out, and the next reader, which has the change, passed on only
+// changes after that revision.
+TEST_CASE("a change that one reader has missed is read from the next one") {
+  Reader reader;
+  Follower f;
+  PeerChanges missed;
+  missed.epoch = "a/1";
+  missed.position = 7;
+  missed.revision = 65;
+  f.follower.OnPeerChanges(missed, 400ms, At(1s));
+  SECTION("which got it by its watch") { reader.Watch({{{"op/config", "new", 50}, false}}, 60); }
+  SECTION("which missed it as well and found it by a listing") {
+    reader.Watch({}, 60);
+    reader.List({{"op/config", "new", 50}, {"servers/x", "v", 4}}, 61);
+  }
+  const PeerChanges changes = reader.SinceRevision(f.follower.revision());
+  CHECK_FALSE(changes.full);
+  f.follower.OnPeerChanges(changes, 400ms, At(2s));
+  CHECK(f.items.at("op/config") == "new");
+  // By then the listing of a reader has found what its watch missed.
+  reader.now += 25s;
+  CHECK(reader.SinceRevision(65).changes.empty());
+}
+
 std::vector<FeedPeer> Peers(int n) {
   std::vector<FeedPeer> peers;
   peers.reserve(static_cast<std::size_t>(n));
