Refuse lookups until the store has been listed in full

Callers of a region whose instances are all sound were sent to other regions by an instance that had just started. A listing comes in pages by key, and the policy sorts before the instances' records, so after the first page the instance had routes, but possibly none of the records of the caller's region, and named those of other regions.

Evidence: the new test "an instance that has listed a part of the store answers no lookup" failed before: tests/platform/lookup_test.cc: CHECK( early.status == "503" ) with expansion: "200" == "503" The only address named was that of another region.

A lookup is now answered with 503 until the follower is synced, as requests of peers are. A caller then asks the next instance, and keeps its former response. An instance that started from a seed's state is synced and answers; a second new test checks it (it passed before as well).

Ruled out: waiting until the instance is ready. Readiness also needs a listed server and open listeners, which lookups don't, and the response names other instances.

A refused lookup left no trace. The event `lookup-refused` and vanilladeck_lookups_refused_total state it. `remote-lookup` was also written for a lookup that got 503 because there was no policy; now only for responses that were sent. Its member `synced` could only be true and is dropped.

--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -100,6 +100,7 @@
   void DrainTick();
   void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
   void ServeLocalRequest(ClientSession& session, const Request& request);
+  /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
   [[nodiscard]] std::string MetricsText() const;
 
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -41,6 +41,17 @@
 }  // namespace
 
 std::vector<std::string> Gateway::LookupAddresses(const LookupQuery& query) {
+  const auto refuse = [&](std::string_view reason) {
+    ++context_.metrics.lookups_refused;
+    events_.Write(telemetry::StreamEvent::kLookupRefused, {{"host", query.host},
+                                                           {"region", query.region},
+                                                           {"reason", reason},
+                                                           {"instances", instances_.size()}});
+    return std::vector<std::string>();
+  };
+  // Part of a listing may lack all instances of the caller's region.
+  if (!follower_.synced()) return refuse("not synced");
+  if (context_.routes == nullptr) return refuse("no policy");
   auto choice =
       membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain},
                                        draining_ ? settings_.instance : "", kMaxLookupAddresses);
@@ -48,6 +59,7 @@
     choice.addresses.push_back(http::EndpointText(settings_.clients));
     choice.remote = query.region != settings_.region;
   }
+  if (choice.addresses.empty()) return refuse("no instance");
   if (choice.remote) {
     ++context_.metrics.remote_lookups;
     events_.Write(telemetry::StreamEvent::kRemoteLookup,
@@ -55,7 +67,6 @@
                    {"region", query.region},
                    {"named", choice.addresses.size()},
                    {"instances", instances_.size()},
-                   {"synced", follower_.synced()},
                    {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
   }
   return std::move(choice.addresses);
@@ -73,7 +84,7 @@
   if (const auto query = codec_.DecodeLookup(target)) {
     ++context_.metrics.lookups;
     const auto addresses = LookupAddresses(*query);
-    if (addresses.empty() || context_.routes == nullptr) {
+    if (addresses.empty()) {
       session.Reply(std::string(kEmpty503), {});
       return;
     }
--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -53,6 +53,7 @@
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t lookups = 0;
+  std::uint64_t lookups_refused = 0;
   std::uint64_t remote_lookups = 0;     ///< Lookups that named instances of other regions only.
   std::uint64_t region_violations = 0;  ///< Attempts in a region that the policy in force forbids.
   LatencyHistogram server_latency;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -44,10 +44,11 @@
   kAttempt,
   kRegionViolation,
   kRemoteLookup,
+  kLookupRefused,
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 32> kStreamEventNames{"start",
+inline constexpr std::array<std::string_view, 33> kStreamEventNames{"start",
                                                                     "stop",
                                                                     "drain",
                                                                     "reload",
@@ -78,6 +79,7 @@
                                                                     "attempt",
                                                                     "region-violation",
                                                                     "remote-lookup",
+                                                                    "lookup-refused",
                                                                     "dropped"};
 
 struct StreamLimits {
--- /dev/null
+++ b/tests/platform/lookup_test.cc
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include "platform/instance_fixture.h"
+#include "vanilladeck/membership/registration.h"
+
+namespace vanilladeck::platform {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+nlohmann::json StoreItem(const std::string& key, const std::string& value) {
+  const auto put = nlohmann::json::parse(Codec({}).Encode(store::PutItem{key, value, 0}).body);
+  return {{"key", key}, {"value", put["setKeys"][0]["value"]}, {"rev", 10}};
+}
+
+nlohmann::json InstanceItem(const std::string& name, const std::string& region) {
+  const membership::InstanceRecord record{name, name + ":80", region + "-a", region, true, ""};
+  return StoreItem("vanilladeck/instances/" + name, membership::EncodeInstance(record));
+}
+
+/// Instance edge-1 in region east whose store lists `pages`, refuses leases and has no changes.
+///
+/// The response to a request for the second page is held back until `ReleasePage`.
+struct Fixture {
+  explicit Fixture(std::vector<std::vector<nlohmann::json>> listing)
+      : pages(std::move(listing)),
+        store(io, [this](const ScriptedServer::ConnectionPtr& connection,
+                         const std::string& request) { ServeStore(connection, request); }),
+        events(open("/dev/null", O_WRONLY), "edge-1"),
+        codec({"east-a"}),
+        settings(MakeSettings()),
+        instance(io, settings, codec, events) {
+    instance.Start();
+  }
+
+  [[nodiscard]] gateway::GatewaySettings MakeSettings() const {
+    gateway::GatewaySettings made = InstanceSettings();
+    made.store = *vanilladeck::http::ParseEndpoint(store.Address());
+    return made;
+  }
+
+  void ServeStore(const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+    if (request.find("/-/kv-watch") != std::string::npos) return;
+    if (request.find("/-/kv-range") == std::string::npos) {
+      connection->Write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    } else if (request.find("&after=") != std::string::npos) {
+      waiting_for_page = connection;
+    } else {
+      WritePage(*connection, 0);
+    }
+  }
+
+  void WritePage(ScriptedServer::Connection& connection, std::size_t i) const {
+    const std::string body = nlohmann::json{
+        {"items", pages[i]},
+        {"hasMore", i + 1 < pages.size()},
+        {"currentRev", 20}}.dump();
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body);
+  }
+
+  void ReleasePage() { WritePage(*waiting_for_page, 1); }
+
+  template <class Predicate>
+  bool RunUntil(Predicate predicate) {
+    const auto end = std::chrono::steady_clock::now() + 3s;
+    while (!predicate() && std::chrono::steady_clock::now() < end) io.run_one_for(10ms);
+    return predicate();
+  }
+
+  LookupAnswer Find(const std::string& host, const std::string& region) {
+    return Lookup(io, settings.lookups, host, region);
+  }
+
+  boost::asio::io_context io;
+  std::vector<std::vector<nlohmann::json>> pages;
+  ScriptedServer::ConnectionPtr waiting_for_page;
+  ScriptedServer store;
+  telemetry::EventStream events;
+  Codec codec;
+  gateway::GatewaySettings settings;
+  gateway::Gateway instance;
+};
+
+// Guards against an instance that names those of other regions because it has read the policy but
+// not yet all instances.
+TEST_CASE("an instance that has listed a part of the store answers no lookup") {
+  Fixture f({{StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
+              StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")},
+             {InstanceItem("edge-3", "east")}});
+  REQUIRE(f.RunUntil([&] { return f.waiting_for_page != nullptr; }));
+  const auto early = f.Find("a.example", "east");
+  CHECK(early.status == "503");
+  CHECK(early.addresses.empty());
+  f.ReleasePage();
+  REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
+  CHECK(f.Find("a.example", "east").addresses == std::vector<std::string>{"edge-3:80"});
+}
+
+}  // namespace
+}  // namespace vanilladeck::platform
--- a/tests/platform/seed_start_test.cc
+++ b/tests/platform/seed_start_test.cc
@@ -1,27 +1,12 @@
-#include <fcntl.h>
-
 #include <catch2/catch.hpp>
-#include <nlohmann/json.hpp>
 
-#include "codec.h"
-#include "gateway/proxy_fixture.h"
-#include "names.h"
-#include "vanilladeck/gateway/gateway.h"
-#include "vanilladeck/http/endpoint.h"
+#include "platform/instance_fixture.h"
 #include "vanilladeck/membership/change_log.h"
 
 namespace vanilladeck::platform {
 namespace {
 
-using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
-using gateway::testing::ScriptedServer;
-
-tcp::endpoint FreeEndpoint() {
-  boost::asio::io_context io;
-  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint();
-}
+using namespace testing;  // NOLINT(google-build-using-namespace)
 
 std::string PeerStateBody() {
   membership::PeerChanges state;
@@ -29,38 +14,11 @@
   state.position = 3;
   state.full = true;
   state.revision = 40;
-  const nlohmann::json policy{
-      {"version", "0000000c"},
-      {"resources",
-       {{{"type", "routes"},
-         {"metadata", {{"name", "r1"}}},
-         {"spec",
-          {{"host", "a.example"},
-           {"prefix", "/x/"},
-           {"kind", "idempotent"},
-           {"timeoutS", 2.5},
-           {"sloS", 0.6},
-           {"priority", 1},
-           {"attempts", 2},
-           {"backend", "s1"}}}},
-        {{"type", "backends"},
-         {"metadata", {{"name", "s1"}}},
-         {"spec",
-          {{"healthPath", "/healthz"}, {"maxConns", 330}, {"coldS", 3.0}, {"coldPerS", 8.8}}}},
-        {{"type", "limits"},
-         {"metadata", {{"name", "limits"}}},
-         {"spec",
-          {{"maxHeaderBytes", 9000},
-           {"maxBodyBytes", 70000},
-           {"headerTimeoutS", 3},
-           {"idleTimeoutS", 15}}}}}}};
-  const nlohmann::json server{
-      {"address", "127.0.0.1:1"},
-      {"born", 1700000000000},
-      {"info", {{"backend", "s1"}, {"version", "v1"}, {"zone", "east-a"}, {"slots", 9}}},
-      {"status", {{"state", "ready"}, {"seq", 4}, {"coldLeftS", 0}}}};
-  state.changes = {{{"op/config", policy.dump(), 30}, false},
-                   {{"servers/i-1", server.dump(), 31}, false}};
+  const membership::InstanceRecord instance{"edge-2", "127.0.0.1:2", "east-a", "east", true, ""};
+  state.changes = {
+      {{"op/config", PolicyText({RouteResource("a.example", "/x/", {})}), 30}, false},
+      {{"servers/i-1", ServerText(), 31}, false},
+      {{"vanilladeck/instances/edge-2", membership::EncodeInstance(instance), 32}, false}};
   return membership::EncodePeerChanges(state);
 }
 
@@ -75,24 +33,15 @@
              }),
         events(open("/dev/null", O_WRONLY), "edge-1"),
         codec({"east-a"}),
-        instance(io, Settings(), codec, events) {
+        settings(MakeSettings()),
+        instance(io, settings, codec, events) {
     instance.Start();
   }
 
-  gateway::GatewaySettings Settings() const {
-    gateway::GatewaySettings settings;
-    settings.instance = "edge-1";
-    settings.failure_domain = "east-a";
-    settings.region = "east";
-    settings.region_of_domain["east-a"] = "east";
-    settings.clients = FreeEndpoint();
-    settings.readiness = FreeEndpoint();
-    settings.lookups = FreeEndpoint();
-    settings.store = FreeEndpoint();
-    settings.peers = FreeEndpoint();
-    settings.seeds = {*vanilladeck::http::ParseEndpoint(seed.Address())};
-    settings.names = Names();
-    return settings;
+  [[nodiscard]] gateway::GatewaySettings MakeSettings() const {
+    gateway::GatewaySettings made = InstanceSettings();
+    made.seeds = {*vanilladeck::http::ParseEndpoint(seed.Address())};
+    return made;
   }
 
   bool ReadyWithin(core::Duration time) {
@@ -105,6 +54,7 @@
   ScriptedServer seed;
   telemetry::EventStream events;
   Codec codec;
+  gateway::GatewaySettings settings;
   gateway::Gateway instance;
 };
 
@@ -116,6 +66,16 @@
   CHECK_FALSE(f.seed.requests.empty());
 }
 
+// Guards against an instance that answers no lookup as long as the store is unreachable, though it
+// has another instance's state.
+TEST_CASE("an instance with a seed's state answers lookups") {
+  Fixture f("200 OK");
+  REQUIRE(f.ReadyWithin(8s));
+  const auto answer = Lookup(f.io, f.settings.lookups, "a.example", "east");
+  CHECK(answer.status == "200");
+  CHECK(answer.addresses == std::vector<std::string>{"127.0.0.1:2"});
+}
+
 // Guards against instances that start at the same time and accept each other's empty state.
 TEST_CASE("a seed without a state does not make an instance ready") {
   Fixture f("503 Service Unavailable");
