Ask another instance for changes while the store refuses this one

Cause: only an instance that is no reader asks another one for changes, and only in place of a watch. A reader, thus every instance of a region of up to four, kept its policy until the store answered it again; so did an instance with a listing due. One that had started from a seed asked only the seeds, at most three, which may be old themselves. Change: an instance that has missed one of its reads asks any other known instance, of any region, each second and for changes only, those that failed or lag last. Before the first listing seeds and known instances take turns. The age of a seed's state counts as the age of one's own, which was stated as that of the start. Evidence, failed before: refused_instance_test.cc:164: FAILED: CHECK( f.PolicyWithin(13, 5s) ) "an instance that the store refuses gets a new policy from another instance", with expansion: false refused_instance_test.cc:179: FAILED: the same check of "an instance that starts with an old state of a seed gets a newer one elsewhere" store_follower_test.cc:317: FAILED: CHECK( f.now - f.follower.last_success() == 60s ) with expansion: 0ns == 60s membership, gateway and platform tests pass. Ruled out, by tests that pass on the parent as well: an instance that asks a peer does check the operators' items itself; a newer state replaces that of the first seed; a change between the pages of a listing is read by the watch after it.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -171,7 +171,7 @@
   LogSplits();
   LogEvictions();
   if (now.time_since_epoch() % kExpiryInterval < kTickInterval) context_.pool.CloseExpired(now);
-  QuerySeed(now);
+  QueryFallback(now);
   UpdateFleet();
   UpdateReadiness();
   if (draining_) DrainTick();
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -77,9 +77,12 @@
   void LogEvictions();
   void SendStoreCalls();
   void QueryPeer(const membership::FeedPeer& peer);
-  /// Queries a seed for its state as long as the store has not answered since startup.
-  void QuerySeed(core::TimePoint now);
-  void OnSeedResponse(const std::string& seed, const ExchangeOutcome& outcome);
+  /// Queries another instance while the store does not answer this one: a seed for its state before
+  /// the first listing, a known instance for changes.
+  void QueryFallback(core::TimePoint now);
+  void OnFallbackResponse(const std::string& name, const ExchangeOutcome& outcome);
+  /// Instances of all regions that can relay changes.
+  [[nodiscard]] std::vector<membership::FeedPeer> KnownPeers() const;
   void OnPeerResponse(const membership::FeedPeer& peer, const ExchangeOutcome& outcome);
   void UpdateFeedPeers();
   void OnItem(const store::Item& item);
@@ -133,9 +136,10 @@
   std::vector<Binding> bindings_;
   core::TimePoint next_listener_attempt_;
   std::uint64_t logged_evictions_ = 0;
-  std::shared_ptr<UpstreamConnection> seed_connection_;
+  std::shared_ptr<UpstreamConnection> fallback_connection_;
   std::size_t next_seed_ = 0;
-  core::TimePoint next_seed_query_;  ///< The clock's epoch until the first tick.
+  bool seed_asked_last_ = false;
+  core::TimePoint next_fallback_query_;  ///< The clock's epoch until the first tick.
   core::TimePoint policy_applied_at_;
   core::TimePoint drain_began_;
   core::TimePoint record_missing_since_;
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -4,7 +4,7 @@
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/http/endpoint.h"
 
-/// Queries other instances for changes and, at startup, for their whole state.
+/// Queries other instances for changes and, if the store does not answer, for their whole state.
 namespace vanilladeck::gateway {
 namespace {
 
@@ -13,8 +13,8 @@
 
 // Listing the store at startup takes less than this unless the store is unreachable.
 constexpr core::Duration kSeedStartDelay = milliseconds(1500);
-// Seeds are queried one after another; a whole state may take a second on a slow link.
-constexpr core::Duration kSeedInterval = milliseconds(1000);
+// Instances are queried one after another; a whole state may take a second on a slow link.
+constexpr core::Duration kFallbackInterval = milliseconds(1000);
 
 std::int64_t Ms(core::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -83,55 +83,98 @@
   SendStoreCalls();
 }
 
-void Gateway::QuerySeed(core::TimePoint now) {
-  if (follower_.listed()) {
-    seed_connection_ = nullptr;
+void Gateway::QueryFallback(core::TimePoint now) {
+  const bool current = membership::FeedSource::IsCurrent(now - follower_.last_success(),
+                                                         settings_.follower.poll_interval);
+  if (follower_.listed() && current) {
+    fallback_connection_ = nullptr;
     return;
   }
-  if (next_seed_query_ == core::TimePoint{}) next_seed_query_ = now + kSeedStartDelay;
-  if (now < next_seed_query_ || settings_.seeds.empty()) return;
-  next_seed_query_ = now + kSeedInterval;
-  const auto seed = settings_.seeds[next_seed_++ % settings_.seeds.size()];
-  if (seed == settings_.peers) return;
-  if (seed_connection_) seed_connection_->Cancel();
-  seed_connection_ = std::make_shared<UpstreamConnection>(
+  if (next_fallback_query_ == core::TimePoint{}) next_fallback_query_ = now + kSeedStartDelay;
+  if (now < next_fallback_query_) return;
+  next_fallback_query_ = now + kFallbackInterval;
+  std::string name;
+  std::optional<boost::asio::ip::tcp::endpoint> endpoint;
+  membership::PeerPosition known;
+  // The state of a seed may be old and name instances that have stopped, so seeds and known
+  // instances take turns until the store has been listed.
+  if (follower_.listed() || (follower_.synced() && seed_asked_last_)) {
+    seed_asked_last_ = false;
+    const auto others = KnownPeers();
+    const membership::FeedPeer* peer = feed_source_.ChooseWithoutStore(others, now);
+    if (peer == nullptr) return;
+    name = peer->name;
+    endpoint = http::ParseEndpoint(peer->address);
+    known = peer_positions_[name];
+    known.revision = follower_.revision();
+  } else if (!settings_.seeds.empty()) {
+    seed_asked_last_ = true;
+    endpoint = settings_.seeds[next_seed_++ % settings_.seeds.size()];
+    if (endpoint == settings_.peers) return;
+    name = http::EndpointText(*endpoint);
+  }
+  if (!endpoint) return;
+  if (fallback_connection_) fallback_connection_->Cancel();
+  fallback_connection_ = std::make_shared<UpstreamConnection>(
       io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
-  const std::string name = http::EndpointText(seed);
-  const core::TimePoint deadline = now + kSeedInterval;
-  seed_connection_->Connect(
-      seed, deadline,
-      [this, connection = seed_connection_, name, deadline](boost::system::error_code ec) {
-        if (connection != seed_connection_) return;
-        if (ec) {
-          ExchangeOutcome outcome;
-          outcome.detail = ec.message();
-          OnSeedResponse(name, outcome);
-          return;
-        }
-        connection->Exchange(EncodePeerRequest({}), false, deadline, nullptr,
-                             [this, connection, name](const ExchangeOutcome& outcome) {
-                               if (connection == seed_connection_) OnSeedResponse(name, outcome);
-                             });
-      });
+  const core::TimePoint deadline = now + kFallbackInterval;
+  fallback_connection_->Connect(*endpoint, deadline,
+                                [this, connection = fallback_connection_, name, known,
+                                 deadline](boost::system::error_code ec) {
+                                  if (connection != fallback_connection_) return;
+                                  if (ec) {
+                                    ExchangeOutcome outcome;
+                                    outcome.detail = ec.message();
+                                    OnFallbackResponse(name, outcome);
+                                    return;
+                                  }
+                                  connection->Exchange(
+                                      EncodePeerRequest(known), false, deadline, nullptr,
+                                      [this, connection, name](const ExchangeOutcome& outcome) {
+                                        if (connection == fallback_connection_) {
+                                          OnFallbackResponse(name, outcome);
+                                        }
+                                      });
+                                });
 }
 
-void Gateway::OnSeedResponse(const std::string& seed, const ExchangeOutcome& outcome) {
+void Gateway::OnFallbackResponse(const std::string& name, const ExchangeOutcome& outcome) {
+  const core::TimePoint now = core::RuntimeClock::now();
+  std::optional<membership::PeerChanges> changes;
   std::string reason = outcome.detail;
   if (outcome.status == ExchangeStatus::kResponse) {
     reason = "status " + std::to_string(outcome.response.result_int());
     if (outcome.response.result_int() == 200) {
-      if (const auto changes = membership::DecodePeerChanges(outcome.response.body())) {
-        events_.Write(StreamEvent::kSeedState, {{"seed", seed},
-                                                {"revision", changes->revision},
-                                                {"age_ms", Ms(changes->age)},
-                                                {"items", changes->changes.size()}});
-        follower_.OnSeedState(*changes, core::RuntimeClock::now());
-        return;
-      }
+      changes = membership::DecodePeerChanges(outcome.response.body());
       reason = "malformed";
     }
   }
-  events_.Write(StreamEvent::kPeerFailed, {{"peer", seed}, {"reason", reason}, {"age_ms", 0}});
+  if (!changes) {
+    feed_source_.OnFailure(name, now);
+    events_.Write(StreamEvent::kPeerFailed, {{"peer", name}, {"reason", reason}, {"age_ms", 0}});
+    return;
+  }
+  if (!membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
+    feed_source_.OnFailure(name, now);
+  }
+  if (changes->full) {
+    events_.Write(StreamEvent::kSeedState, {{"seed", name},
+                                            {"revision", changes->revision},
+                                            {"age_ms", Ms(changes->age)},
+                                            {"items", changes->changes.size()}});
+  }
+  if (instances_.count(name) > 0) {
+    peer_positions_[name] = {changes->epoch, changes->position, changes->revision};
+  }
+  follower_.OnFallbackChanges(*changes, now);
+}
+
+std::vector<membership::FeedPeer> Gateway::KnownPeers() const {
+  std::vector<membership::FeedPeer> peers;
+  for (const auto& [name, record] : instances_) {
+    if (!record.peer_address.empty()) peers.push_back({name, record.peer_address});
+  }
+  return peers;
 }
 
 void Gateway::UpdateFeedPeers() {
--- a/src/vanilladeck/membership/feed_source.cc
+++ b/src/vanilladeck/membership/feed_source.cc
@@ -42,12 +42,30 @@
 const FeedPeer* FeedSource::Choose(core::TimePoint now) const {
   if (is_reader_) return nullptr;
   for (const FeedPeer& it : readers_) {
-    const auto backoff = backoff_until_.find(it.name);
-    if (backoff == backoff_until_.end() || now >= backoff->second) return &it;
+    if (BackoffEnd(it.name, now) == core::TimePoint{}) return &it;
   }
   return nullptr;
 }
 
+const FeedPeer* FeedSource::ChooseWithoutStore(const std::vector<FeedPeer>& others,
+                                               core::TimePoint now) const {
+  const std::uint64_t own = core::Hash64(own_name_);
+  const FeedPeer* chosen = nullptr;
+  std::pair<core::TimePoint, std::uint64_t> least;
+  for (const FeedPeer& it : others) {
+    const std::pair rank(BackoffEnd(it.name, now), core::Hash64(it.name, own));
+    if (it.name == own_name_ || (chosen != nullptr && rank >= least)) continue;
+    chosen = &it;
+    least = rank;
+  }
+  return chosen;
+}
+
+core::TimePoint FeedSource::BackoffEnd(const std::string& name, core::TimePoint now) const {
+  const auto it = backoff_until_.find(name);
+  return it != backoff_until_.end() && now < it->second ? it->second : core::TimePoint{};
+}
+
 void FeedSource::OnFailure(const std::string& name, core::TimePoint now) {
   backoff_until_[name] = now + kReaderBackoff;
 }
--- a/src/vanilladeck/membership/feed_source.h
+++ b/src/vanilladeck/membership/feed_source.h
@@ -19,7 +19,8 @@
 /// Only the readers of a region read the store; they are the first few instances by the hash of
 /// their names, so that all instances agree on them without coordination and the number of store
 /// calls grows more slowly than the number of instances. A reader that fails or lags is skipped for
-/// a back-off period; an instance without a usable reader reads the store itself.
+/// a back-off period; an instance without a usable reader reads the store itself. An instance that
+/// the store does not answer asks any other one as well.
 class FeedSource {
  public:
   explicit FeedSource(std::string own_name) : own_name_(std::move(own_name)) {}
@@ -30,6 +31,12 @@
   /// Returns the peer to poll, or null to read the store.
   [[nodiscard]] const FeedPeer* Choose(core::TimePoint now) const;
 
+  /// Returns the instance to ask while the store does not answer this one, or null if there is
+  /// none. `others` are the known instances of all regions; each instance prefers a different one.
+  /// All of them may lag, so those in a back-off period come last.
+  [[nodiscard]] const FeedPeer* ChooseWithoutStore(const std::vector<FeedPeer>& others,
+                                                   core::TimePoint now) const;
+
   void OnFailure(const std::string& name, core::TimePoint now);
 
   /// Returns false if a reader whose last store answer is `age` old has missed one of its reads,
@@ -56,6 +63,9 @@
   static constexpr std::size_t kMaxRegionWithoutReaders = 4;
 
  private:
+  /// End of the back-off period, or the clock's epoch if there is none.
+  [[nodiscard]] core::TimePoint BackoffEnd(const std::string& name, core::TimePoint now) const;
+
   std::string own_name_;
   std::vector<FeedPeer> readers_;
   bool is_reader_ = true;
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -117,9 +117,13 @@
   due_ = now + pause;
 }
 
-void StoreFollower::OnSeedState(const PeerChanges& changes, core::TimePoint now) {
-  if (listed_once_ || !changes.full) return;
-  source_ = ItemSource::kSeed;
+void StoreFollower::OnFallbackChanges(const PeerChanges& changes, core::TimePoint now) {
+  if (!synced_once_ && !changes.full) return;
+  source_ = listed_once_ ? ItemSource::kPeer : ItemSource::kSeed;
+  const core::TimePoint answered = now - changes.age;
+  // Before the first state, the time of the start stands in for that of an answer.
+  if (!synced_once_) last_success_ = std::min(last_success_, answered);
+  if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
   ApplyPeerState(changes, now);
   synced_once_ = true;
 }
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -69,9 +69,9 @@
   }
   /// Applies changes relayed by a peer, in place of `OnAnswer`; the next call is due `pause` later.
   void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
-  /// Applies the snapshot of another instance while the store has not been listed since the start.
-  /// The listing stays due.
-  void OnSeedState(const PeerChanges& changes, core::TimePoint now);
+  /// Applies the state or changes of another instance that was asked because the store does not
+  /// answer this one. The call to the store stays due.
+  void OnFallbackChanges(const PeerChanges& changes, core::TimePoint now);
   /// The peer did not answer or lags; the call is due again at once.
   void OnPeerFailed(core::TimePoint now);
 
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <map>
+#include <set>
 
 #include "vanilladeck/membership/feed_source.h"
 #include "vanilladeck/membership/store_follower.h"
@@ -348,5 +349,32 @@
   CHECK(source.Choose(At(10s)) != nullptr);
 }
 
+// Guards against an instance that asks no other one while the store refuses it because it is a
+// reader itself or because those that it asked before lag.
+TEST_CASE("without the store an instance asks any other one, those that lag last") {
+  for (const int n : {2, 3, 20}) {
+    FeedSource source("edge-0");
+    source.SetPeers(Peers(n));
+    std::set<std::string> asked;
+    for (int i = 1; i < n; ++i) {
+      const auto peers = Peers(n);
+      const FeedPeer* peer = source.ChooseWithoutStore(peers, At(i * 100ms));
+      REQUIRE(peer != nullptr);
+      CHECK(peer->name != "edge-0");
+      CHECK(asked.insert(peer->name).second);
+      source.OnFailure(peer->name, At(i * 100ms));
+    }
+    const auto peers = Peers(n);
+    CHECK(source.ChooseWithoutStore(peers, At(2s)) != nullptr);
+    CHECK(source.ChooseWithoutStore({{"edge-0", "127.0.0.1:1"}}, At(2s)) == nullptr);
+  }
+  std::set<std::string> preferred;
+  const auto peers = Peers(100);
+  for (const FeedPeer& it : peers) {
+    preferred.insert(FeedSource(it.name).ChooseWithoutStore(peers, At(0s))->name);
+  }
+  CHECK(preferred.size() > 50);
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -1,6 +1,7 @@
 #include "vanilladeck/membership/store_follower.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 namespace vanilladeck::membership {
@@ -23,7 +24,10 @@
   }
 
   StoreFollower::Sink MakeSink() {
-    return {[this](const store::Item& item) { present.insert(item.key); },
+    return {[this](const store::Item& item) {
+              present.insert(item.key);
+              applied[item.key] = item.revision;
+            },
             [this](const std::string& key) { present.erase(key); }, [this] { ++synced; },
             [this](bool is_reachable) { reachable = is_reachable; }};
   }
@@ -53,6 +57,7 @@
   }
 
   std::set<std::string> present;
+  std::map<std::string, store::Revision> applied;  ///< Revision of each item applied last.
   int synced = 0;
   bool reachable = true;
   StoreFollower follower;
@@ -288,7 +293,7 @@
   seed.full = true;
   seed.revision = 30;
   seed.changes = {{{"servers/a", "", 5}, false}, {{"servers/b", "", 6}, false}};
-  f.follower.OnSeedState(seed, f.now);
+  f.follower.OnFallbackChanges(seed, f.now);
   CHECK(f.follower.synced());
   CHECK_FALSE(f.follower.listed());
   CHECK(f.present.size() == 2);
@@ -296,9 +301,78 @@
   CHECK(f.follower.listed());
   f.Advance(2300ms);
   CHECK(f.present == std::set<std::string>{"servers/a"});
-  f.follower.OnSeedState(seed, f.now);
+  f.follower.OnFallbackChanges(seed, f.now);
   CHECK(f.present == std::set<std::string>{"servers/a"});
 }
 
+// Guards against an instance that passes on the old state of a seed as if the store had just
+// answered.
+TEST_CASE("the state of a seed is as old as the seed says") {
+  Fixture f;
+  (void)f.NextCall();
+  PeerChanges seed;
+  seed.full = true;
+  seed.age = 60s;
+  f.follower.OnFallbackChanges(seed, f.now);
+  CHECK(f.now - f.follower.last_success() == 60s);
+  seed.age = 200ms;
+  f.follower.OnFallbackChanges(seed, f.now);
+  CHECK(f.now - f.follower.last_success() == 200ms);
+}
+
+// Guards against an instance that keeps the old state of the first seed that answered.
+TEST_CASE("a newer state replaces the state of the first seed") {
+  Fixture f;
+  (void)f.NextCall();
+  PeerChanges older;
+  older.full = true;
+  older.revision = 20;
+  older.age = 60s;
+  older.changes = {{{"op/config", "", 15}, false}, {{"servers/a", "", 5}, false}};
+  PeerChanges newer = older;
+  newer.revision = 40;
+  newer.age = 0s;
+  newer.changes = {{{"op/config", "", 35}, false}, {{"servers/b", "", 30}, false}};
+  for (const PeerChanges& it : {older, newer}) f.follower.OnFallbackChanges(it, f.now);
+  f.Advance(2300ms);
+  CHECK(f.present == std::set<std::string>{"op/config", "servers/b"});
+  CHECK(f.applied.at("op/config") == 35);
+  CHECK(f.follower.revision() == 40);
+}
+
+// Guards against an instance that learns of a policy only through a reader that has missed it.
+TEST_CASE("an instance that asks a peer checks the operators' items itself") {
+  Fixture f;
+  f.List({{"op/config", "", 3}}, 10);
+  PeerChanges missed;
+  missed.revision = 60;
+  const core::TimePoint start = f.now;
+  while (f.applied.at("op/config") == 3 && f.now < start + 20s) {
+    const auto call = f.NextCall();
+    if (StoreFollower::CanAskPeer(call)) {
+      f.follower.OnPeerChanges(missed, 400ms, f.now);
+    } else {
+      CHECK(std::get<store::ReadRange>(call).prefix == "op/");
+      f.Answer(store::RangePage{{{"op/config", "", 50}}, false, 60});
+    }
+  }
+  CHECK(f.applied.at("op/config") == 50);
+  CHECK(f.now - start <= 3500ms);
+}
+
+// Guards against a change that is read neither by a listing nor by the watch that follows it.
+TEST_CASE("a watch continues before a change between the pages of a later listing") {
+  Fixture f;
+  f.List({{"op/config", "", 3}, {"servers/a", "", 4}}, 10);
+  f.now += 20s;
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  f.Answer(store::RangePage{{{"op/config", "", 3}}, true, 20});
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  f.Answer(store::RangePage{{{"servers/a", "", 22}}, false, 23});
+  const auto watch = f.NextCall();
+  REQUIRE(std::holds_alternative<store::WatchChanges>(watch));
+  CHECK(std::get<store::WatchChanges>(watch).after == 20);
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
