Give an address to the server that started last

After a server crashes, its address can be given to another one, of another service or region, while the entry of the crashed one is still listed. Requests for the crashed one were sent to the new one. It answers 421, but the request has then reached a region that its route may not allow.

Cause: servers were known by id only. Two listed servers with the same address were both assignable, and nothing but a 421 told them apart.

Evidence: "a request does not reach a server of another region that took over an address" failed before, for a report before the request and for one while it connects:

CHECK( server.requests.empty() ) false

"an address belongs to the server that started last":

CHECK_FALSE( f.servers.Assignable(*f.servers.Find("s1")) ) !true

An index by address names the holder: the server with the latest start, then the one that registered last. The other one is gone, for requests that are connecting too, and returns only by a newer report after the holder has left. A late heartbeat does not take the address back, a newer incarnation does. The gateway closes the idle connections of the superseded server, and `address-shared` names both.

Start times come from the servers' clocks. The order of arrival alone was ruled out, because a listing names both in the order of their ids.

The picker fixture gave one address to all servers; each has its own now.

What stays open: until the new server's entry is read, its address still belongs to the former one, and only a 421 shows the change.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -268,6 +268,7 @@
 
 bool Gateway::ApplyServerReport(const steering::ServerReport& report) {
   const auto old = context_.servers.Find(report.id);
+  const auto holder = context_.servers.AddressHolder(report.address);
   const bool was_cold = old && old->report.cold_left > core::Duration::zero();
   if (old && old->report.failure_domain != report.failure_domain) {
     events_.Write(StreamEvent::kServerMoved, {{"server", report.id},
@@ -292,19 +293,25 @@
        {"sequence", report.sequence},
        {"cold_ms", Ms(report.cold_left)},
        {"draining", report.state == steering::ServerState::kDraining}});
-  if (change == Change::kAdded) LogSharedAddress(report.id);
+  const auto server = context_.servers.Find(report.id);
+  if (server->gone) {
+    LogSuperseded(*server);
+  } else if (holder && holder->gone && holder->report.id != report.id) {
+    context_.pool.CloseIdleConnections(*holder);
+    LogSuperseded(*holder);
+  }
   return true;
 }
 
-void Gateway::LogSharedAddress(const std::string& id) {
-  const auto server = context_.servers.Find(id);
-  const auto other = context_.servers.FindSharingAddress(*server);
-  if (!other) return;
-  events_.Write(StreamEvent::kAddressShared, {{"server", id},
-                                              {"region", server->region},
-                                              {"other", other->report.id},
-                                              {"other_region", other->region},
-                                              {"address", server->report.address}});
+void Gateway::LogSuperseded(const steering::Server& superseded) {
+  const auto holder = context_.servers.AddressHolder(superseded.report.address);
+  events_.Write(StreamEvent::kAddressShared, {{"server", holder->report.id},
+                                              {"region", holder->region},
+                                              {"born", holder->report.born_ms},
+                                              {"superseded", superseded.report.id},
+                                              {"superseded_region", superseded.region},
+                                              {"superseded_born", superseded.report.born_ms},
+                                              {"address", holder->report.address}});
 }
 
 std::string_view Gateway::SourceName() const noexcept {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -92,8 +92,8 @@
   /// True if the change must be passed on to other instances.
   bool ApplyServerReport(const steering::ServerReport& report);
   void RemoveServer(const std::string& id, std::string_view reason);
-  /// Logs if another listed server has the address of the server `id`.
-  void LogSharedAddress(const std::string& id);
+  /// Logs that the address of a listed server belongs to another one.
+  void LogSuperseded(const steering::Server& superseded);
   /// Name of the source of the item that is being applied.
   [[nodiscard]] std::string_view SourceName() const noexcept;
   void ApplyEvacuations();
--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -38,7 +38,7 @@
   std::string region;           ///< Of the failure domain.
   core::TimePoint reported_at;  ///< Arrival of the newest report.
   bool draining = false;        ///< Never cleared within an incarnation.
-  bool gone = false;            ///< Not listed, or another server answers at the address.
+  bool gone = false;            ///< Not listed, or its address belongs to another server.
   core::TimePoint cold_until;
 
   std::uint32_t in_flight = 0;     ///< Own requests at the server.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -48,6 +48,9 @@
     known->gone = false;
     known->draining = known->draining || report.state == ServerState::kDraining;
     known->cold_until = now + report.cold_left;
+    // A server that lost its address stays gone while the newer holder has it.
+    ClaimAddress(known, false);
+    if (known->gone) return Change::kNone;
     if (starts_drain) return Change::kDraining;
     return was_gone ? Change::kReturned : Change::kNone;
   }
@@ -64,6 +67,7 @@
   if (known) Remove(*known);
   by_id_.emplace(report.id, server);
   Index(server);
+  ClaimAddress(server, true);
   return Change::kAdded;
 }
 
@@ -76,11 +80,34 @@
 
 void ServerSet::Remove(Server& server) {
   server.gone = true;
+  ReleaseAddress(server);
   Unindex(server);
   by_id_.erase(server.report.id);
 }
 
-void ServerSet::OnMisdirected(Server& server) noexcept { server.gone = true; }
+void ServerSet::OnMisdirected(Server& server) noexcept {
+  server.gone = true;
+  ReleaseAddress(server);
+}
+
+void ServerSet::ClaimAddress(const ServerPtr& server, bool registers) {
+  ServerPtr& holder = by_address_[server->report.address];
+  if (holder && holder != server) {
+    const std::int64_t born_ms = server->report.born_ms;
+    const std::int64_t holder_born_ms = holder->report.born_ms;
+    if (born_ms < holder_born_ms || (born_ms == holder_born_ms && !registers)) {
+      server->gone = true;
+      return;
+    }
+    holder->gone = true;
+  }
+  holder = server;
+}
+
+void ServerSet::ReleaseAddress(const Server& server) noexcept {
+  const auto it = by_address_.find(server.report.address);
+  if (it != by_address_.end() && it->second.get() == &server) by_address_.erase(it);
+}
 
 void ServerSet::OnSent(Server& server, core::TimePoint now) {
   ++server.in_flight;
@@ -175,11 +202,9 @@
   return it == by_id_.end() ? nullptr : it->second;
 }
 
-ServerPtr ServerSet::FindSharingAddress(const Server& server) const {
-  const auto it = std::find_if(by_id_.begin(), by_id_.end(), [&server](const auto& entry) {
-    return entry.second.get() != &server && entry.second->report.address == server.report.address;
-  });
-  return it == by_id_.end() ? nullptr : it->second;
+ServerPtr ServerSet::AddressHolder(const std::string& address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? nullptr : it->second;
 }
 
 bool ServerSet::Assignable(const Server& server) const noexcept {
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -35,6 +35,9 @@
 /// within an incarnation, and older reports are ignored. A report of the same incarnation with
 /// another service, address or failure domain makes a new `Server` that replaces the known one, so
 /// that requests that chose the known one do not reach the new place.
+///
+/// An address belongs to the server that started last, or registered last if both started at once.
+/// Others with that address are unusable until they report again after the holder has left.
 class ServerSet {
  public:
   using RegionOf = std::function<std::string(const std::string& failure_domain)>;
@@ -69,8 +72,8 @@
 
   [[nodiscard]] const std::vector<ServerPtr>& OfService(const std::string& service) const;
   [[nodiscard]] ServerPtr Find(const std::string& id) const;
-  /// Another listed server with the address of `server`, or null.
-  [[nodiscard]] ServerPtr FindSharingAddress(const Server& server) const;
+  /// The server to which the address belongs, or null; it is never `gone`.
+  [[nodiscard]] ServerPtr AddressHolder(const std::string& address) const;
 
   /// Listed, not draining and not evacuated.
   [[nodiscard]] bool Assignable(const Server& server) const noexcept;
@@ -83,12 +86,17 @@
  private:
   /// The caller holds a reference to `server`.
   void Remove(Server& server);
+  /// Leaves the address to the newer of `server` and its holder; the other one is gone. `registers`
+  /// is false for a further report of a known server.
+  void ClaimAddress(const ServerPtr& server, bool registers);
+  void ReleaseAddress(const Server& server) noexcept;
   void Index(const ServerPtr& server);
   void Unindex(const Server& server);
 
   RegionOf region_of_;
   std::map<std::string, ServerPtr> by_id_;
   std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
+  std::unordered_map<std::string, ServerPtr> by_address_;  ///< Holders.
   std::set<std::string> evacuated_;
   std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
 };
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -25,6 +25,14 @@
   return [region](config::Route& route) { route.allowed_regions = {region}; };
 }
 
+/// Answers as the server `id`, which was not expected.
+ScriptedServer::Script Misdirect(const std::string& id) {
+  return [id](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+    connection->Write(
+        FullResponse(request, "", "421 Misdirected Request", "Server-Id: " + id + "\r\n"));
+  };
+}
+
 /// CPU time of this thread.
 std::chrono::nanoseconds ThreadTime() {
   timespec time{};
@@ -245,11 +253,7 @@
 // Guards against running a request on another service's server that has taken over an address.
 TEST_CASE("a misdirected request is sent to another server and the first one is not used again") {
   ProxyFixture f;
-  const auto misdirect = [](const ScriptedServer::ConnectionPtr& connection,
-                            const std::string& request) {
-    connection->Write(FullResponse(request, "", "421 Misdirected Request", "Server-Id: i-9\r\n"));
-  };
-  auto& wrong = f.AddServer("i-1", misdirect);
+  auto& wrong = f.AddServer("i-1", Misdirect("i-9"));
   auto& right = f.AddServer("i-2", Answer("ok"));
   for (int i = 0; i < 20; ++i) {
     CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-" + std::to_string(i), "x")) == "200");
@@ -275,6 +279,27 @@
   CHECK(server.requests.empty());
 }
 
+// Guards against a request that reaches a region that its route does not allow: the server that now
+// has the address answers 421, but it has received the request.
+TEST_CASE("a request does not reach a server of another region that took over an address") {
+  ProxyFixture f;
+  auto& server = f.AddServer("i-1", Misdirect("i-2"));
+  f.SetAllowedRegions({"east"});
+  auto report = f.Report("i-2", server.Address());
+  report.born_ms = 2;
+  report.failure_domain = "west-a";
+  auto client = f.Connect();
+  SECTION("reported before the request") { f.Apply(report); }
+  f.Send(*client, f.RequestText("GET", "/read/1", "id-1"));
+  SECTION("reported while the request connects") {
+    REQUIRE(f.RunUntil([&] { return f.context.servers.Find("i-1")->in_flight == 1; }));
+    f.Apply(report);
+  }
+  REQUIRE(f.RunUntil([&] { return ProxyFixture::HasAnswer(client->input); }));
+  CHECK(f.StatusOf(client->input) == "503");
+  CHECK(server.requests.empty());
+}
+
 TEST_CASE("retries stop when the retry budget is exhausted") {
   ProxyFixture f;
   f.context.limits.retry_allowance = 4;
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -50,9 +50,9 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Script = std::function<void(const ConnectionPtr&, const std::string& request)>;
 
-  ScriptedServer(boost::asio::io_context& io, Script script)
-      : acceptor_(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
-        script_(std::move(script)) {
+  ScriptedServer(boost::asio::io_context& io, Script script,
+                 const tcp::endpoint& endpoint = {boost::asio::ip::make_address("127.0.0.1"), 0})
+      : acceptor_(io, endpoint), script_(std::move(script)) {
     Accept();
   }
 
--- a/tests/platform/instance_fixture.h
+++ b/tests/platform/instance_fixture.h
@@ -78,6 +78,7 @@
   settings.failure_domain = "east-a";
   settings.region = "east";
   settings.region_of_domain["east-a"] = "east";
+  settings.region_of_domain["west-a"] = "west";
   settings.clients = FreeEndpoint();
   settings.readiness = FreeEndpoint();
   settings.lookups = FreeEndpoint();
--- a/tests/steering/picker_fixture.h
+++ b/tests/steering/picker_fixture.h
@@ -43,7 +43,7 @@
     report.id = id;
     report.born_ms = 1;
     report.service = "catalogue";
-    report.address = "127.0.0.1:1";
+    report.address = id + ":1";
     report.failure_domain = failure_domain;
     report.slots = 9;
     report.sequence = 1;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -147,6 +147,105 @@
   CHECK(f.servers.Find("s1")->report.address == report.address);
 }
 
+// Guards against requests that reach the server to which the address of another one was given.
+TEST_CASE("an address belongs to the server that started last") {
+  PickerFixture f;
+  ServerReport old_report = f.Report("s1", "east-a");
+  ServerReport report = f.Report("s2", "west-a");
+  report.address = old_report.address;
+  report.born_ms = 2;
+  f.route.allowed_regions = {"east"};
+  SECTION("the older one is known first") {
+    (void)f.servers.OnReport(old_report, f.now);
+    CHECK(f.servers.OnReport(report, f.now) == Change::kAdded);
+  }
+  SECTION("the newer one is known first") {
+    (void)f.servers.OnReport(report, f.now);
+    (void)f.servers.OnReport(old_report, f.now);
+  }
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.Assignable(*f.servers.Find("s2")));
+  CHECK(f.ChosenId("1").empty());
+  // A late report of the former holder does not take the address back.
+  old_report.sequence = 9;
+  CHECK(f.servers.OnReport(old_report, f.now) == Change::kNone);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.Assignable(*f.servers.Find("s2")));
+}
+
+// Guards against requests to the wrong server when entries do not state when servers started.
+TEST_CASE("an address belongs to the server reported first last if both started at once") {
+  PickerFixture f;
+  ServerReport old_report = f.Report("s1", "east-a");
+  ServerReport report = f.Report("s2", "west-a");
+  report.address = old_report.address;
+  (void)f.servers.OnReport(old_report, f.now);
+  (void)f.servers.OnReport(report, f.now);
+  old_report.sequence = 9;
+  (void)f.servers.OnReport(old_report, f.now);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.Assignable(*f.servers.Find("s2")));
+}
+
+// Guards against a server that stays unusable after it got an address back by a restart.
+TEST_CASE("a newer incarnation takes its address back") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  ServerReport other = f.Report("s2", "west-a");
+  other.address = report.address;
+  other.born_ms = 2;
+  (void)f.servers.OnReport(report, f.now);
+  (void)f.servers.OnReport(other, f.now);
+  report.born_ms = 3;
+  CHECK(f.servers.OnReport(report, f.now) == Change::kAdded);
+  CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s2")));
+}
+
+// Guards against requests to a server that crashed, because the one that had its address left.
+TEST_CASE("a superseded server returns only by a newer report after the other one left") {
+  PickerFixture f;
+  ServerReport old_report = f.Report("s1", "east-a");
+  ServerReport report = f.Report("s2", "west-a");
+  report.address = old_report.address;
+  report.born_ms = 2;
+  (void)f.servers.OnReport(old_report, f.now);
+  (void)f.servers.OnReport(report, f.now);
+  old_report.sequence = 2;
+  (void)f.servers.OnReport(old_report, f.now);
+  SECTION("removed") { REQUIRE(f.servers.OnRemoved("s2")); }
+  SECTION("moved to another address") {
+    report.address = "elsewhere:1";
+    report.sequence = 2;
+    (void)f.servers.OnReport(report, f.now);
+  }
+  SECTION("misdirected") { f.servers.OnMisdirected(*f.servers.Find("s2")); }
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  CHECK(f.servers.OnReport(old_report, f.now) == Change::kNone);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  old_report.sequence = 3;
+  CHECK(f.servers.OnReport(old_report, f.now) == Change::kReturned);
+  CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+}
+
+// Guards against a server that is unusable because of the former address of another one.
+TEST_CASE("an address that its holder left is free") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.born_ms = 2;
+  ServerReport other = f.Report("s2", "east-a");
+  other.address = report.address;
+  (void)f.servers.OnReport(report, f.now);
+  SECTION("removed") { REQUIRE(f.servers.OnRemoved("s1")); }
+  SECTION("restarted elsewhere") {
+    report.address = "elsewhere:1";
+    report.born_ms = 3;
+    (void)f.servers.OnReport(report, f.now);
+  }
+  (void)f.servers.OnReport(other, f.now);
+  CHECK(f.servers.Assignable(*f.servers.Find("s2")));
+}
+
 TEST_CASE("servers of an evacuated failure domain get no requests and return cold") {
   PickerFixture f;
   f.Add("east-a", 1);
