Name other regions in a lookup only as far as the host's routes allow

When no instance of a caller's region was ready, a lookup named those of all other regions, whatever regions the routes of the host allow. The caller then sent the requests of restricted routes, with their bodies, to instances in regions that neither the route nor the caller's location allows. No fault is needed for that: a restart of all instances of a region is enough.

Evidence: the new test "a lookup names instances of other regions only as far as the host's routes allow" failed before: CHECK( f.Find("one.example", "south").addresses == Addresses{"edge-2:80"} ) with expansion: { "edge-2:80", "edge-3:80" } == { "edge-2:80" } edge-3 is in a region that the host's only route does not allow.

The lookup carries a host but no path, so the response must suit all of the host's routes: RouteTable::AllowedRegions returns the regions that every restricted route of the host allows, and only instances in these are named. The caller's own region stays first, as its requests may always enter there. Hosts without a restricted route, and hosts that the policy does not name, get all other regions as before.

If no region is allowed by all restricted routes, or none of them has a ready instance, the lookup is refused (`lookup-refused`). The caller asks the next instance and keeps its former response, so it goes on with the instances of its region, which return at the same addresses after a restart. Weighed against it: - regions allowed by the most routes: the requests of the other routes still go where they must not; - instances of the caller's region that are listed but not ready: a record is withdrawn when a stop begins and written when the instance is ready, so such records exist only while an instance knows no server, and it could only refuse. The price: while a region is lost, callers without a valid response are not served for such a host.

`remote-lookup` states the regions named and those allowed for the host.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -52,22 +52,29 @@
   // Part of a listing may lack all instances of the caller's region.
   if (!follower_.synced()) return refuse("not synced");
   if (context_.routes == nullptr) return refuse("no policy");
+  const auto allowed = context_.routes->AllowedRegions(query.host);
   auto choice =
-      membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain},
+      membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain, allowed},
                                        draining_ ? settings_.instance : "", kMaxLookupAddresses);
   if (choice.addresses.empty() && Ready()) {
     choice.addresses.push_back(http::EndpointText(settings_.clients));
+    choice.regions.insert(settings_.region);
     choice.remote = query.region != settings_.region;
   }
-  if (choice.addresses.empty()) return refuse("no instance");
+  if (choice.addresses.empty()) {
+    return refuse(allowed ? "no instance of an allowed region" : "no instance");
+  }
   if (choice.remote) {
     ++context_.metrics.remote_lookups;
-    events_.Write(telemetry::StreamEvent::kRemoteLookup,
-                  {{"host", query.host},
-                   {"region", query.region},
-                   {"named", choice.addresses.size()},
-                   {"instances", instances_.size()},
-                   {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
+    events_.Write(
+        telemetry::StreamEvent::kRemoteLookup,
+        {{"host", query.host},
+         {"region", query.region},
+         {"named", choice.addresses.size()},
+         {"regions", choice.regions},
+         {"allowed", allowed ? nlohmann::ordered_json(*allowed) : nlohmann::ordered_json()},
+         {"instances", instances_.size()},
+         {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
   }
   return std::move(choice.addresses);
 }
--- a/src/vanilladeck/membership/entry_choice.cc
+++ b/src/vanilladeck/membership/entry_choice.cc
@@ -5,6 +5,13 @@
 #include "vanilladeck/core/hash.h"
 
 namespace vanilladeck::membership {
+namespace {
+
+bool Allows(const AllowedRegions& allowed, const std::string& region) {
+  return !allowed || std::find(allowed->begin(), allowed->end(), region) != allowed->end();
+}
+
+}  // namespace
 
 EntryChoice ChooseEntryAddresses(const std::map<std::string, InstanceRecord>& instances,
                                  const EntryQuery& query, std::string_view excluded,
@@ -14,7 +21,8 @@
   for (const bool own_region : {true, false}) {
     for (const auto& [name, record] : instances) {
       if (name == excluded || !record.ready) continue;
-      if ((record.region == query.region) == own_region) chosen.push_back(&record);
+      if ((record.region == query.region) != own_region) continue;
+      if (own_region || Allows(query.allowed_regions, record.region)) chosen.push_back(&record);
     }
     choice.remote = !own_region && !chosen.empty();
     if (!chosen.empty()) break;
@@ -28,7 +36,10 @@
     chosen.resize(limit);
   }
   choice.addresses.reserve(chosen.size());
-  for (const InstanceRecord* it : chosen) choice.addresses.push_back(it->address);
+  for (const InstanceRecord* it : chosen) {
+    choice.addresses.push_back(it->address);
+    choice.regions.insert(it->region);
+  }
   return choice;
 }
 
--- a/src/vanilladeck/steering/route_table.cc
+++ b/src/vanilladeck/steering/route_table.cc
@@ -36,6 +36,21 @@
   return nullptr;
 }
 
+std::optional<std::vector<std::string>> RouteTable::AllowedRegions(std::string_view host) const {
+  const auto routes = by_host_.find(CanonicalHost(host));
+  if (routes == by_host_.end()) return std::nullopt;
+  std::optional<std::vector<std::string>> allowed;
+  for (const config::Route* it : routes->second) {
+    if (it->allowed_regions.empty()) continue;
+    if (!allowed) {
+      allowed = it->allowed_regions;
+      continue;
+    }
+    std::erase_if(*allowed, [it](const std::string& region) { return !it->AllowsRegion(region); });
+  }
+  return allowed;
+}
+
 const config::ServiceLimits* RouteTable::Service(std::string_view name) const {
   const auto it = std::find_if(policy_.services.begin(), policy_.services.end(),
                                [&](const auto& service) { return service.name == name; });
--- a/src/vanilladeck/steering/route_table.h
+++ b/src/vanilladeck/steering/route_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,6 +24,11 @@
   /// `host` may carry a port and any letter case; `path` may carry a query.
   [[nodiscard]] const config::Route* Match(std::string_view host, std::string_view path) const;
 
+  /// Regions that every route of `host` with allowed regions allows, in the order of the first such
+  /// route; empty if these routes have no region in common, nullopt if no route of the host is
+  /// restricted.
+  [[nodiscard]] std::optional<std::vector<std::string>> AllowedRegions(std::string_view host) const;
+
   [[nodiscard]] const config::ServiceLimits* Service(std::string_view name) const;
   [[nodiscard]] const config::RoutingPolicy& policy() const noexcept { return policy_; }
   [[nodiscard]] std::uint64_t version() const noexcept { return policy_.version; }
--- a/tests/membership/entry_choice_test.cc
+++ b/tests/membership/entry_choice_test.cc
@@ -23,7 +23,7 @@
 TEST_CASE("a lookup returns the ready instances of the caller's region") {
   auto fleet = Fleet(3);
   fleet["east1"].ready = false;
-  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a"}, "east2", kLimit);
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, "east2", kLimit);
   CHECK_FALSE(choice.remote);
   CHECK(choice.addresses == std::vector<std::string>{"east0:80"});
 }
@@ -32,18 +32,46 @@
 TEST_CASE("callers of a region without a ready instance are sent to other regions") {
   auto fleet = Fleet(3);
   for (int i = 0; i < 3; ++i) fleet["east" + std::to_string(i)].ready = false;
-  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a"}, "", kLimit);
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, "", kLimit);
   CHECK(choice.remote);
   CHECK(choice.addresses.size() == 3);
 }
 
+// Guards against naming instances of regions in which the routes of the host may not run.
+TEST_CASE("callers of a region without a ready instance are sent to allowed regions only") {
+  auto fleet = Fleet(1);
+  fleet["north0"] = {"north0", "north0:80", "north-a", "north", true, ""};
+  fleet["east0"].ready = false;
+  const auto choose = [&fleet](const AllowedRegions& allowed) {
+    return ChooseEntryAddresses(fleet, {"east", "east-a", allowed}, "", kLimit);
+  };
+  using Addresses = std::vector<std::string>;
+  CHECK(choose(std::nullopt).addresses == Addresses{"north0:80", "west0:80"});
+  CHECK(choose(Addresses{"north"}).addresses == Addresses{"north0:80"});
+  CHECK(choose(Addresses{"north"}).remote);
+  CHECK(choose(Addresses{"north"}).regions == std::set<std::string>{"north"});
+  CHECK(choose(Addresses{"east"}).addresses.empty());
+  CHECK(choose(Addresses{}).addresses.empty());
+  CHECK_FALSE(choose(Addresses{}).remote);
+}
+
+// Guards against sending callers away from the instances of their own region, which may receive
+// their requests even if the route allows other regions only.
+TEST_CASE("the allowed regions do not matter while the caller's region has a ready instance") {
+  const auto choice =
+      ChooseEntryAddresses(Fleet(1), {"east", "east-a", AllowedRegions{{"west"}}}, "", kLimit);
+  CHECK_FALSE(choice.remote);
+  CHECK(choice.addresses == std::vector<std::string>{"east0:80"});
+}
+
 // Guards against a large region in which only the first 64 instances by name receive callers.
 TEST_CASE("the subsets of a region's failure domains together cover all its instances") {
   const auto fleet = Fleet(100);
   std::set<std::string> reached;
   for (const char domain : std::string("abcdefgh")) {
     const auto addresses =
-        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain}, "", kLimit).addresses;
+        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain, {}}, "", kLimit)
+            .addresses;
     CHECK(addresses.size() == kLimit);
     reached.insert(addresses.begin(), addresses.end());
   }
@@ -54,7 +82,7 @@
 // that the latest response omits.
 TEST_CASE("the subset of a failure domain is stable, and a lost instance changes one address") {
   auto fleet = Fleet(100);
-  const EntryQuery query{"east", "east-a"};
+  const EntryQuery query{"east", "east-a", {}};
   const auto before = ChooseEntryAddresses(fleet, query, "", kLimit).addresses;
   CHECK(ChooseEntryAddresses(fleet, query, "", kLimit).addresses == before);
   const std::string lost = before[10].substr(0, before[10].find(':'));
--- a/tests/platform/lookup_test.cc
+++ b/tests/platform/lookup_test.cc
@@ -18,12 +18,15 @@
   return StoreItem("vanilladeck/instances/" + name, membership::EncodeInstance(record));
 }
 
-/// Instance edge-1 in region east whose store lists `pages`, refuses leases and has no changes.
+using Items = std::vector<nlohmann::json>;
+
+/// Instance edge-1 in region east whose store lists two pages of items, or one if `second` is
+/// empty, refuses leases and has no changes.
 ///
 /// The response to a request for the second page is held back until `ReleasePage`.
 struct Fixture {
-  explicit Fixture(std::vector<std::vector<nlohmann::json>> listing)
-      : pages(std::move(listing)),
+  explicit Fixture(Items first, Items second = {})
+      : pages{std::move(first), std::move(second)},
         store(io, [this](const ScriptedServer::ConnectionPtr& connection,
                          const std::string& request) { ServeStore(connection, request); }),
         events(open("/dev/null", O_WRONLY), "edge-1"),
@@ -53,7 +56,7 @@
   void WritePage(ScriptedServer::Connection& connection, std::size_t i) const {
     const std::string body = nlohmann::json{
         {"items", pages[i]},
-        {"hasMore", i + 1 < pages.size()},
+        {"hasMore", i == 0 && !pages[1].empty()},
         {"currentRev", 20}}.dump();
     connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                      "\r\n\r\n" + body);
@@ -73,7 +76,7 @@
   }
 
   boost::asio::io_context io;
-  std::vector<std::vector<nlohmann::json>> pages;
+  std::array<Items, 2> pages;
   ScriptedServer::ConnectionPtr waiting_for_page;
   ScriptedServer store;
   telemetry::EventStream events;
@@ -85,9 +88,9 @@
 // Guards against an instance that names those of other regions because it has read the policy but
 // not yet all instances.
 TEST_CASE("an instance that has listed a part of the store answers no lookup") {
-  Fixture f({{StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
-              StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")},
-             {InstanceItem("edge-3", "east")}});
+  Fixture f({StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
+             StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")},
+            {InstanceItem("edge-3", "east")});
   REQUIRE(f.RunUntil([&] { return f.waiting_for_page != nullptr; }));
   const auto early = f.Find("a.example", "east");
   CHECK(early.status == "503");
@@ -97,5 +100,22 @@
   CHECK(f.Find("a.example", "east").addresses == std::vector<std::string>{"edge-3:80"});
 }
 
+// Guards against sending a host's clients to a region that its routes do not allow because no
+// instance of the caller's region is ready.
+TEST_CASE("a lookup names instances of other regions only as far as the host's routes allow") {
+  Fixture f({StoreItem("op/config", PolicyText({RouteResource("one.example", "/x/", {"west"}),
+                                                RouteResource("free.example", "/x/", {}),
+                                                RouteResource("split.example", "/x/", {"west"}),
+                                                RouteResource("split.example", "/y/", {"north"})})),
+             StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west"),
+             InstanceItem("edge-3", "north")});
+  REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
+  using Addresses = std::vector<std::string>;
+  CHECK(f.Find("one.example", "south").addresses == Addresses{"edge-2:80"});
+  CHECK(f.Find("ONE.example:80", "south").addresses == Addresses{"edge-2:80"});
+  CHECK(f.Find("free.example", "south").addresses.size() >= 2);
+  CHECK(f.Find("split.example", "north").addresses == Addresses{"edge-3:80"});
+}
+
 }  // namespace
 }  // namespace vanilladeck::platform
--- a/tests/steering/route_table_test.cc
+++ b/tests/steering/route_table_test.cc
@@ -29,6 +29,32 @@
   CHECK(table.Match("b.example", "/anything")->name == "other");
 }
 
+// Guards against sending a host's clients to regions that one of its routes does not allow.
+TEST_CASE("the regions of a host are those that all its restricted routes allow") {
+  config::RoutingPolicy policy;
+  for (const char* host : {"free", "one", "overlap", "disjoint"}) {
+    policy.routes.push_back(MakeRoute("any", host, "/any/"));
+  }
+  const auto restrict = [&policy](const std::string& host, const std::string& prefix,
+                                  std::vector<std::string> regions) {
+    policy.routes.push_back(MakeRoute(host + prefix, host, prefix));
+    policy.routes.back().allowed_regions = std::move(regions);
+  };
+  restrict("one", "/a/", {"east"});
+  restrict("overlap", "/a/", {"east", "west"});
+  restrict("overlap", "/b/", {"north", "west"});
+  restrict("disjoint", "/a/", {"east"});
+  restrict("disjoint", "/b/", {"west"});
+  const RouteTable table(std::move(policy));
+  using Regions = std::vector<std::string>;
+  CHECK_FALSE(table.AllowedRegions("free").has_value());
+  CHECK_FALSE(table.AllowedRegions("unknown").has_value());
+  CHECK(table.AllowedRegions("one") == Regions{"east"});
+  CHECK(table.AllowedRegions("ONE:8080") == Regions{"east"});
+  CHECK(table.AllowedRegions("overlap") == Regions{"west"});
+  CHECK(table.AllowedRegions("disjoint") == Regions{});
+}
+
 TEST_CASE("requests are divided by weight") {
   config::Route route = MakeRoute("r", "a", "/");
   route.services = {{"s1", 90}, {"s2", 10}};
