Treat the answering instance like any other in a lookup

Two faults of lookups at an instance that is ready but that the store does not list yet, which is so for some tenths of a second after each start: - the callers of its own region were sent to other regions, if the other instances of the region were not listed either, though the instance itself could serve them; - if it knew no other ready instance, it named itself to the callers of any region, whatever regions the routes of the host allow.

The cause of both: the instance was named only after everything else had failed, and without the checks that apply to the others.

Evidence: two new tests failed before. "an instance that is ready but not listed names itself to callers of its region": CHECK( f.Find("free.example", "east").addresses == own ) with expansion: { "edge-2:80" } == { "127.0.0.1:39079" } "an instance names itself to another region's callers only as far as allowed": CHECK( f.Find("west.example", "south").status == "503" ) with expansion: "200" == "503"

The choice now takes the record of the answering instance with its present readiness. The record replaces the listed one and is subject to the same regions and the same limit. It also replaces the name to omit: an instance that drains is not ready.

Three expectations change, as the ready instance is now part of the responses: the exact lists of addresses in the tests of the seed's state, of the partial listing and of the allowed regions (which replaces a minimum number) include its own address.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -53,14 +53,10 @@
   if (!follower_.synced()) return refuse("not synced");
   if (context_.routes == nullptr) return refuse("no policy");
   const auto allowed = context_.routes->AllowedRegions(query.host);
-  auto choice =
-      membership::ChooseEntryAddresses(instances_, {query.region, query.failure_domain, allowed},
-                                       draining_ ? settings_.instance : "", kMaxLookupAddresses);
-  if (choice.addresses.empty() && Ready()) {
-    choice.addresses.push_back(http::EndpointText(settings_.clients));
-    choice.regions.insert(settings_.region);
-    choice.remote = query.region != settings_.region;
-  }
+  membership::InstanceRecord self = registration_.record();
+  self.ready = Ready();
+  auto choice = membership::ChooseEntryAddresses(
+      instances_, {query.region, query.failure_domain, allowed}, self, kMaxLookupAddresses);
   if (choice.addresses.empty()) {
     return refuse(allowed ? "no instance of an allowed region" : "no instance");
   }
--- a/src/vanilladeck/membership/entry_choice.cc
+++ b/src/vanilladeck/membership/entry_choice.cc
@@ -14,16 +14,19 @@
 }  // namespace
 
 EntryChoice ChooseEntryAddresses(const std::map<std::string, InstanceRecord>& instances,
-                                 const EntryQuery& query, std::string_view excluded,
+                                 const EntryQuery& query, const InstanceRecord& self,
                                  std::size_t limit) {
   EntryChoice choice;
   std::vector<const InstanceRecord*> chosen;
   for (const bool own_region : {true, false}) {
-    for (const auto& [name, record] : instances) {
-      if (name == excluded || !record.ready) continue;
-      if ((record.region == query.region) != own_region) continue;
+    const auto consider = [&](const InstanceRecord& record) {
+      if (!record.ready || (record.region == query.region) != own_region) return;
       if (own_region || Allows(query.allowed_regions, record.region)) chosen.push_back(&record);
+    };
+    for (const auto& [name, record] : instances) {
+      if (name != self.name) consider(record);
     }
+    consider(self);
     choice.remote = !own_region && !chosen.empty();
     if (!chosen.empty()) break;
   }
--- a/src/vanilladeck/membership/entry_choice.h
+++ b/src/vanilladeck/membership/entry_choice.h
@@ -36,9 +36,10 @@
 /// more than `limit`, each failure domain gets its own stable subset (rendezvous hashing): callers
 /// close connections to instances missing from a new response, so the subset must not change
 /// between responses, and the subsets of all domains together must cover every instance.
-/// `excluded` is the name of an instance to omit; empty for none.
+/// `self` is the record of the instance that answers; it replaces the listed one, which lags
+/// behind.
 [[nodiscard]] EntryChoice ChooseEntryAddresses(
     const std::map<std::string, InstanceRecord>& instances, const EntryQuery& query,
-    std::string_view excluded, std::size_t limit);
+    const InstanceRecord& self, std::size_t limit);
 
 }  // namespace vanilladeck::membership
--- a/tests/membership/entry_choice_test.cc
+++ b/tests/membership/entry_choice_test.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t kLimit = 64;
+/// The answering instance of tests that are about the others: not ready, so it is not named.
+InstanceRecord NotReady() { return {}; }
 
 std::map<std::string, InstanceRecord> Fleet(int per_region) {
   std::map<std::string, InstanceRecord> fleet;
@@ -23,7 +25,9 @@
 TEST_CASE("a lookup returns the ready instances of the caller's region") {
   auto fleet = Fleet(3);
   fleet["east1"].ready = false;
-  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, "east2", kLimit);
+  InstanceRecord self = fleet["east2"];
+  self.ready = false;
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, self, kLimit);
   CHECK_FALSE(choice.remote);
   CHECK(choice.addresses == std::vector<std::string>{"east0:80"});
 }
@@ -32,18 +36,36 @@
 TEST_CASE("callers of a region without a ready instance are sent to other regions") {
   auto fleet = Fleet(3);
   for (int i = 0; i < 3; ++i) fleet["east" + std::to_string(i)].ready = false;
-  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, "", kLimit);
+  const auto choice = ChooseEntryAddresses(fleet, {"east", "east-a", {}}, NotReady(), kLimit);
   CHECK(choice.remote);
   CHECK(choice.addresses.size() == 3);
 }
 
+// Guards against sending callers to other regions while the answering instance, back from a restart
+// and not yet listed as ready, could serve them.
+TEST_CASE("the answering instance is named by its own state, not by its listed record") {
+  auto fleet = Fleet(1);
+  InstanceRecord self = fleet["east0"];
+  using Addresses = std::vector<std::string>;
+  const auto choose = [&] {
+    return ChooseEntryAddresses(fleet, {"east", "east-a", {}}, self, kLimit).addresses;
+  };
+  CHECK(choose() == Addresses{"east0:80"});
+  fleet["east0"].ready = false;
+  CHECK(choose() == Addresses{"east0:80"});
+  fleet.erase("east0");
+  CHECK(choose() == Addresses{"east0:80"});
+  self.ready = false;
+  CHECK(choose() == Addresses{"west0:80"});
+}
+
 // Guards against naming instances of regions in which the routes of the host may not run.
 TEST_CASE("callers of a region without a ready instance are sent to allowed regions only") {
   auto fleet = Fleet(1);
   fleet["north0"] = {"north0", "north0:80", "north-a", "north", true, ""};
   fleet["east0"].ready = false;
   const auto choose = [&fleet](const AllowedRegions& allowed) {
-    return ChooseEntryAddresses(fleet, {"east", "east-a", allowed}, "", kLimit);
+    return ChooseEntryAddresses(fleet, {"east", "east-a", allowed}, NotReady(), kLimit);
   };
   using Addresses = std::vector<std::string>;
   CHECK(choose(std::nullopt).addresses == Addresses{"north0:80", "west0:80"});
@@ -58,8 +80,8 @@
 // Guards against sending callers away from the instances of their own region, which may receive
 // their requests even if the route allows other regions only.
 TEST_CASE("the allowed regions do not matter while the caller's region has a ready instance") {
-  const auto choice =
-      ChooseEntryAddresses(Fleet(1), {"east", "east-a", AllowedRegions{{"west"}}}, "", kLimit);
+  const auto choice = ChooseEntryAddresses(Fleet(1), {"east", "east-a", AllowedRegions{{"west"}}},
+                                           NotReady(), kLimit);
   CHECK_FALSE(choice.remote);
   CHECK(choice.addresses == std::vector<std::string>{"east0:80"});
 }
@@ -70,7 +92,7 @@
   std::set<std::string> reached;
   for (const char domain : std::string("abcdefgh")) {
     const auto addresses =
-        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain, {}}, "", kLimit)
+        ChooseEntryAddresses(fleet, {"east", std::string("east-") + domain, {}}, NotReady(), kLimit)
             .addresses;
     CHECK(addresses.size() == kLimit);
     reached.insert(addresses.begin(), addresses.end());
@@ -83,11 +105,11 @@
 TEST_CASE("the subset of a failure domain is stable, and a lost instance changes one address") {
   auto fleet = Fleet(100);
   const EntryQuery query{"east", "east-a", {}};
-  const auto before = ChooseEntryAddresses(fleet, query, "", kLimit).addresses;
-  CHECK(ChooseEntryAddresses(fleet, query, "", kLimit).addresses == before);
+  const auto before = ChooseEntryAddresses(fleet, query, NotReady(), kLimit).addresses;
+  CHECK(ChooseEntryAddresses(fleet, query, NotReady(), kLimit).addresses == before);
   const std::string lost = before[10].substr(0, before[10].find(':'));
   fleet.erase(lost);
-  const auto after = ChooseEntryAddresses(fleet, query, "", kLimit).addresses;
+  const auto after = ChooseEntryAddresses(fleet, query, NotReady(), kLimit).addresses;
   const auto kept = std::count_if(after.begin(), after.end(), [&before](const std::string& it) {
     return std::find(before.begin(), before.end(), it) != before.end();
   });
--- a/tests/platform/lookup_test.cc
+++ b/tests/platform/lookup_test.cc
@@ -18,6 +18,7 @@
   return StoreItem("vanilladeck/instances/" + name, membership::EncodeInstance(record));
 }
 
+using Addresses = std::vector<std::string>;
 using Items = std::vector<nlohmann::json>;
 
 /// Instance edge-1 in region east whose store lists two pages of items, or one if `second` is
@@ -71,6 +72,10 @@
     return predicate();
   }
 
+  [[nodiscard]] std::string OwnAddress() const {
+    return vanilladeck::http::EndpointText(settings.clients);
+  }
+
   LookupAnswer Find(const std::string& host, const std::string& region) {
     return Lookup(io, settings.lookups, host, region);
   }
@@ -88,8 +93,8 @@
 // Guards against an instance that names those of other regions because it has read the policy but
 // not yet all instances.
 TEST_CASE("an instance that has listed a part of the store answers no lookup") {
-  Fixture f({StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
-             StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")},
+  Fixture f(Items{StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
+                  StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")},
             {InstanceItem("edge-3", "east")});
   REQUIRE(f.RunUntil([&] { return f.waiting_for_page != nullptr; }));
   const auto early = f.Find("a.example", "east");
@@ -97,25 +102,56 @@
   CHECK(early.addresses.empty());
   f.ReleasePage();
   REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
-  CHECK(f.Find("a.example", "east").addresses == std::vector<std::string>{"edge-3:80"});
+  CHECK(f.Find("a.example", "east").addresses == Addresses{"edge-3:80", f.OwnAddress()});
 }
 
 // Guards against sending a host's clients to a region that its routes do not allow because no
 // instance of the caller's region is ready.
 TEST_CASE("a lookup names instances of other regions only as far as the host's routes allow") {
-  Fixture f({StoreItem("op/config", PolicyText({RouteResource("one.example", "/x/", {"west"}),
-                                                RouteResource("free.example", "/x/", {}),
-                                                RouteResource("split.example", "/x/", {"west"}),
-                                                RouteResource("split.example", "/y/", {"north"})})),
-             StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west"),
-             InstanceItem("edge-3", "north")});
+  Fixture f(
+      Items{StoreItem("op/config", PolicyText({RouteResource("one.example", "/x/", {"west"}),
+                                               RouteResource("free.example", "/x/", {}),
+                                               RouteResource("split.example", "/x/", {"west"}),
+                                               RouteResource("split.example", "/y/", {"north"})})),
+            StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west"),
+            InstanceItem("edge-3", "north")});
   REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
-  using Addresses = std::vector<std::string>;
   CHECK(f.Find("one.example", "south").addresses == Addresses{"edge-2:80"});
   CHECK(f.Find("ONE.example:80", "south").addresses == Addresses{"edge-2:80"});
-  CHECK(f.Find("free.example", "south").addresses.size() >= 2);
+  CHECK(f.Find("free.example", "south").addresses ==
+        Addresses{"edge-2:80", "edge-3:80", f.OwnAddress()});
   CHECK(f.Find("split.example", "north").addresses == Addresses{"edge-3:80"});
 }
 
+// Guards against an instance that, as the only one it knows to be ready, names itself to the
+// callers of another region though the routes of the host do not allow its own.
+TEST_CASE("an instance names itself to another region's callers only as far as allowed") {
+  Fixture f(
+      Items{StoreItem("op/config", PolicyText({RouteResource("west.example", "/x/", {"west"}),
+                                               RouteResource("east.example", "/x/", {"east"}),
+                                               RouteResource("split.example", "/x/", {"west"}),
+                                               RouteResource("split.example", "/y/", {"north"})})),
+            StoreItem("servers/i-1", ServerText())});
+  REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
+  CHECK(f.Find("west.example", "south").status == "503");
+  CHECK(f.Find("split.example", "south").status == "503");
+  const Addresses own{f.OwnAddress()};
+  CHECK(f.Find("east.example", "south").addresses == own);
+  CHECK(f.Find("west.example", "east").addresses == own);
+}
+
+// Guards against sending callers to other regions while the first instance that is back in their
+// region is ready but not yet listed.
+TEST_CASE("an instance that is ready but not listed names itself to callers of its region") {
+  Fixture f(
+      Items{StoreItem("op/config", PolicyText({RouteResource("free.example", "/x/", {}),
+                                               RouteResource("west.example", "/x/", {"west"})})),
+            StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "west")});
+  REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
+  const Addresses own{f.OwnAddress()};
+  CHECK(f.Find("free.example", "east").addresses == own);
+  CHECK(f.Find("west.example", "east").addresses == own);
+}
+
 }  // namespace
 }  // namespace vanilladeck::platform
--- a/tests/platform/seed_start_test.cc
+++ b/tests/platform/seed_start_test.cc
@@ -25,7 +25,8 @@
   REQUIRE(f.ReadyWithin(8s));
   const auto answer = testing::Lookup(f.io, f.settings.lookups, "a.example", "east");
   CHECK(answer.status == "200");
-  CHECK(answer.addresses == std::vector<std::string>{"127.0.0.1:2"});
+  CHECK(answer.addresses == std::vector<std::string>{"127.0.0.1:2", vanilladeck::http::EndpointText(
+                                                                        f.settings.clients)});
 }
 
 // Guards against instances that start at the same time and accept each other's empty state.
