Never reuse a connection from before a server lost its address

A server that was gone (421, or its address went to another one) and returned got requests on connections from before. Such a connection may lead to the server that had the address in between.

Cause: a returned server was the same object, with the same key in the pool. A connection in use while it was gone went back to the pool when its exchange ended. Idle ones were closed by the gateway only at some of the changes: the check for "was gone" came after the report had cleared it.

Evidence: "a server that returns gets no requests on its former connections" failed before, for an idle connection and for one in use:

REQUIRE( server.connections.size() == 2 ) 1 == 2

"a server that returns is another object with the same statistics":

CHECK( known->gone ) false

`gone` is never cleared now: a server that returns is a new object, and the pool's key is a number that is unique to the object. References from before stay gone, so that requests that are connecting choose again and connections are closed when they are released. The gateway needs no change, since `old` now stays gone. Statistics, draining and cold sends are kept; own requests are counted at the object that got them.

Not caused by this: "idle server connections are closed at the connection limit" failed once here (opened() > 40: 40 > 40).

--- a/src/vanilladeck/gateway/upstream_pool.cc
+++ b/src/vanilladeck/gateway/upstream_pool.cc
@@ -21,14 +21,9 @@
 
 }  // namespace
 
-std::string UpstreamPool::KeyOf(const steering::Server& server) {
-  return server.report.id + '/' + std::to_string(server.report.born_ms) + '/' +
-         server.report.address;
-}
-
-UpstreamPool::ConnectionPtr UpstreamPool::TakeIdle(const std::string& key, config::RequestKind kind,
+UpstreamPool::ConnectionPtr UpstreamPool::TakeIdle(std::uint64_t serial, config::RequestKind kind,
                                                    core::TimePoint now) {
-  const auto it = idle_.find(key);
+  const auto it = idle_.find(serial);
   if (it == idle_.end()) return nullptr;
   while (!it->second.empty()) {
     ConnectionPtr connection = it->second.back();
@@ -56,7 +51,7 @@
 
 bool UpstreamPool::CloseLongestIdle() {
   std::vector<ConnectionPtr>* longest = nullptr;
-  for (auto& [key, list] : idle_) {
+  for (auto& [serial, list] : idle_) {
     // The front of a list has been idle longest.
     if (list.empty()) continue;
     if (longest == nullptr || list.front()->idle_since() < longest->front()->idle_since()) {
@@ -71,7 +66,7 @@
 
 void UpstreamPool::Acquire(const steering::Server& server, config::RequestKind kind,
                            core::TimePoint deadline, AcquireDone done) {
-  if (const ConnectionPtr idle = TakeIdle(KeyOf(server), kind, core::RuntimeClock::now())) {
+  if (const ConnectionPtr idle = TakeIdle(server.serial, kind, core::RuntimeClock::now())) {
     done(idle, AcquireStatus::kReused, {});
     return;
   }
@@ -107,7 +102,7 @@
     connection->Cancel();
     return;
   }
-  auto& list = idle_[KeyOf(server)];
+  auto& list = idle_[server.serial];
   if (list.size() >= kMaxIdlePerServer) {
     connection->Cancel();
     return;
@@ -117,7 +112,7 @@
 }
 
 void UpstreamPool::CloseIdleConnections(const steering::Server& server) {
-  const auto it = idle_.find(KeyOf(server));
+  const auto it = idle_.find(server.serial);
   if (it == idle_.end()) return;
   for (const ConnectionPtr& connection : it->second) connection->Cancel();
   idle_.erase(it);
--- a/src/vanilladeck/gateway/upstream_pool.h
+++ b/src/vanilladeck/gateway/upstream_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,8 +21,8 @@
   kNoDescriptor,  ///< This process cannot open more connections; not a fault of the server.
 };
 
-/// Pool of connections to backend servers, by incarnation. The most recently used one is reused
-/// first.
+/// Pool of connections to backend servers, by `steering::Server`. The most recently used one is
+/// reused first.
 class UpstreamPool {
  public:
   using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
@@ -45,7 +46,7 @@
   /// Returns a connection to the pool; closes it if it is not reusable.
   void Release(const steering::Server& server, const ConnectionPtr& connection);
 
-  /// Closes the idle connections to this incarnation of a server.
+  /// Closes the idle connections to this server.
   void CloseIdleConnections(const steering::Server& server);
 
   /// Closes connections whose idle time is over; to be called about once a second.
@@ -55,18 +56,18 @@
   [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
 
  private:
-  [[nodiscard]] static std::string KeyOf(const steering::Server& server);
   [[nodiscard]] ConnectionPtr NewConnection();
   /// Closes the connection that has been idle longest; false if none is idle.
   bool CloseLongestIdle();
-  ConnectionPtr TakeIdle(const std::string& key, config::RequestKind kind, core::TimePoint now);
+  ConnectionPtr TakeIdle(std::uint64_t serial, config::RequestKind kind, core::TimePoint now);
 
   boost::asio::io_context& context_;
   DeadlinesPtr deadlines_;
   core::ByteBudgetPtr budget_;
   std::size_t max_open_;
   std::shared_ptr<std::size_t> open_;  ///< Connections may outlive the pool.
-  std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
+  /// By serial of the server.
+  std::unordered_map<std::uint64_t, std::vector<ConnectionPtr>> idle_;
   std::uint64_t opened_ = 0;
 };
 
--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -34,11 +34,12 @@
 
 /// One incarnation of a backend server in one place, as this instance sees it.
 struct Server {
+  std::uint64_t serial = 0;     ///< Unique in a `ServerSet`.
   ServerReport report;          ///< Service, address and failure domain never change.
   std::string region;           ///< Of the failure domain.
   core::TimePoint reported_at;  ///< Arrival of the newest report.
   bool draining = false;        ///< Never cleared within an incarnation.
-  bool gone = false;            ///< Not listed, or its address belongs to another server.
+  bool gone = false;            ///< Not listed, or another server has its address; never cleared.
   core::TimePoint cold_until;
 
   std::uint32_t in_flight = 0;     ///< Own requests at the server.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -40,35 +40,37 @@
   const bool same_incarnation =
       known && report.born_ms == known->report.born_ms && (same_place || report.born_ms != 0);
   if (same_incarnation && report.sequence <= known->report.sequence) return Change::kNone;
+  const bool returns = same_incarnation && same_place && known->gone;
   if (same_incarnation && same_place) {
-    const bool was_gone = known->gone;
     const bool starts_drain = report.state == ServerState::kDraining && !known->draining;
     known->report = report;
     known->reported_at = now;
-    known->gone = false;
     known->draining = known->draining || report.state == ServerState::kDraining;
     known->cold_until = now + report.cold_left;
-    // A server that lost its address stays gone while the newer holder has it.
-    ClaimAddress(known, false);
-    if (known->gone) return Change::kNone;
-    if (starts_drain) return Change::kDraining;
-    return was_gone ? Change::kReturned : Change::kNone;
+    if (!returns) return starts_drain ? Change::kDraining : Change::kNone;
+    if (IsSuperseded(*known, false)) return Change::kNone;
   }
-  auto server = std::make_shared<Server>();
-  server->report = report;
-  server->region = region_of_(report.failure_domain);
-  server->reported_at = now;
-  server->draining = report.state == ServerState::kDraining;
-  server->cold_until = now + report.cold_left;
-  if (same_incarnation) {
-    server->draining = server->draining || known->draining;
-    server->cold_sends = known->cold_sends;
+  const auto server = returns ? std::make_shared<Server>(*known) : std::make_shared<Server>();
+  server->serial = ++last_serial_;
+  if (returns) {
+    server->gone = false;
+    server->in_flight = 0;
+  } else {
+    server->report = report;
+    server->region = region_of_(report.failure_domain);
+    server->reported_at = now;
+    server->draining = report.state == ServerState::kDraining;
+    server->cold_until = now + report.cold_left;
+    if (same_incarnation) {
+      server->draining = server->draining || known->draining;
+      server->cold_sends = known->cold_sends;
+    }
   }
   if (known) Remove(*known);
   by_id_.emplace(report.id, server);
   Index(server);
-  ClaimAddress(server, true);
-  return Change::kAdded;
+  ClaimAddress(server);
+  return returns ? Change::kReturned : Change::kAdded;
 }
 
 bool ServerSet::OnRemoved(const std::string& id) {
@@ -90,17 +92,21 @@
   ReleaseAddress(server);
 }
 
-void ServerSet::ClaimAddress(const ServerPtr& server, bool registers) {
-  ServerPtr& holder = by_address_[server->report.address];
-  if (holder && holder != server) {
-    const std::int64_t born_ms = server->report.born_ms;
-    const std::int64_t holder_born_ms = holder->report.born_ms;
-    if (born_ms < holder_born_ms || (born_ms == holder_born_ms && !registers)) {
-      server->gone = true;
-      return;
-    }
-    holder->gone = true;
+bool ServerSet::IsSuperseded(const Server& server, bool registers) const {
+  const ServerPtr holder = AddressHolder(server.report.address);
+  if (!holder || holder.get() == &server) return false;
+  const std::int64_t born_ms = server.report.born_ms;
+  const std::int64_t holder_born_ms = holder->report.born_ms;
+  return born_ms < holder_born_ms || (born_ms == holder_born_ms && !registers);
+}
+
+void ServerSet::ClaimAddress(const ServerPtr& server) {
+  if (IsSuperseded(*server, true)) {
+    server->gone = true;
+    return;
   }
+  ServerPtr& holder = by_address_[server->report.address];
+  if (holder) holder->gone = true;
   holder = server;
 }
 
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -33,8 +33,8 @@
 ///
 /// A report with a new `born_ms` starts a new incarnation with empty statistics. Draining is sticky
 /// within an incarnation, and older reports are ignored. A report of the same incarnation with
-/// another service, address or failure domain makes a new `Server` that replaces the known one, so
-/// that requests that chose the known one do not reach the new place.
+/// another service, address or failure domain, or after it was gone, makes a new `Server` that
+/// replaces the known one, so that requests and connections of the known one stay with it.
 ///
 /// An address belongs to the server that started last, or registered last if both started at once.
 /// Others with that address are unusable until they report again after the holder has left.
@@ -86,9 +86,11 @@
  private:
   /// The caller holds a reference to `server`.
   void Remove(Server& server);
-  /// Leaves the address to the newer of `server` and its holder; the other one is gone. `registers`
-  /// is false for a further report of a known server.
-  void ClaimAddress(const ServerPtr& server, bool registers);
+  /// The address of `server` belongs to a newer one. `registers` is false for a further report of a
+  /// known server.
+  [[nodiscard]] bool IsSuperseded(const Server& server, bool registers) const;
+  /// Leaves the address to the newer of `server` and its holder; the other one is gone.
+  void ClaimAddress(const ServerPtr& server);
   void ReleaseAddress(const Server& server) noexcept;
   void Index(const ServerPtr& server);
   void Unindex(const Server& server);
@@ -97,6 +99,7 @@
   std::map<std::string, ServerPtr> by_id_;
   std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
   std::unordered_map<std::string, ServerPtr> by_address_;  ///< Holders.
+  std::uint64_t last_serial_ = 0;
   std::set<std::string> evacuated_;
   std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
 };
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -300,6 +300,44 @@
   CHECK(server.requests.empty());
 }
 
+// Guards against a request that reaches another server: a connection from before a server lost its
+// address may lead to the one that got it.
+TEST_CASE("a server that returns gets no requests on its former connections") {
+  ProxyFixture f;
+  ScriptedServer::ConnectionPtr pending;
+  std::string pending_request;
+  auto& server = f.AddServer(
+      "i-1", [&](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+        if (HeaderOf(request, "Request-Id") == "held") {
+          pending = connection;
+          pending_request = request;
+        } else {
+          connection->Write(FullResponse(request, "x"));
+        }
+      });
+  const auto lose_and_return = [&] {
+    f.context.servers.OnMisdirected(*f.context.servers.Find("i-1"));
+    auto report = f.Report("i-1", server.Address());
+    report.sequence = 2;
+    f.Apply(report);
+  };
+  SECTION("idle") {
+    REQUIRE(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "200");
+    lose_and_return();
+  }
+  SECTION("in use") {
+    auto client = f.Connect();
+    f.Send(*client, f.RequestText("GET", "/read/1", "held"));
+    REQUIRE(f.RunUntil([&] { return pending != nullptr; }));
+    lose_and_return();
+    pending->Write(FullResponse(pending_request, "x"));
+    REQUIRE(f.RunUntil([&] { return ProxyFixture::HasAnswer(client->input); }));
+    CHECK(f.StatusOf(client->input) == "200");
+  }
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-2")) == "200");
+  REQUIRE(server.connections.size() == 2);
+}
+
 TEST_CASE("retries stop when the retry budget is exhausted") {
   ProxyFixture f;
   f.context.limits.retry_allowance = 4;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -228,6 +228,32 @@
   CHECK(f.servers.Assignable(*f.servers.Find("s1")));
 }
 
+// Guards against using a reference from before a server lost its address: its connections may lead
+// to another server.
+TEST_CASE("a server that returns is another object with the same statistics") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  report.cold_left = 3s;
+  (void)f.servers.OnReport(report, f.now);
+  const ServerPtr known = f.servers.Find("s1");
+  f.servers.OnSent(*known, f.now);
+  known->failure_rate = 0.5;
+  known->draining = true;
+  f.servers.OnMisdirected(*known);
+  report.sequence = 2;
+  REQUIRE(f.servers.OnReport(report, f.now) == Change::kReturned);
+  const ServerPtr returned = f.servers.Find("s1");
+  CHECK(known->gone);
+  CHECK_FALSE(returned->gone);
+  CHECK(returned->draining);
+  CHECK(returned->failure_rate == 0.5);
+  CHECK(returned->cold_sends.size() == 1);
+  CHECK(returned->in_flight == 0);
+  CHECK(f.servers.OfService("catalogue").size() == 1);
+  f.servers.OnEnd(*known, AttemptEnd::kAbandoned, std::nullopt, 1ms, 0ms, f.now);
+  CHECK(returned->in_flight == 0);
+}
+
 // Guards against a server that is unusable because of the former address of another one.
 TEST_CASE("an address that its holder left is free") {
   PickerFixture f;
