Check the places of servers under reports in any order

A property test of ServerSet: after each of 60 random reports, removals and 421s, an address has at most one usable server, which is its holder; a region is that of the failure domain; the lists by id, service and address agree; and a server that is gone stays gone.

--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -1,6 +1,11 @@
 #include "vanilladeck/steering/server_set.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <vector>
 
 #include "steering/picker_fixture.h"
 
@@ -272,6 +277,53 @@
   CHECK(f.servers.Assignable(*f.servers.Find("s2")));
 }
 
+// Guards against requests to a place that is not the server's, for reports in any order.
+TEST_CASE("each address has one usable server and each region is that of the failure domain") {
+  REQUIRE(rc::check("server places", [] {
+    PickerFixture f;
+    std::vector<ServerPtr> seen;
+    std::set<const Server*> gone;
+    for (int step : *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 10))) {
+      const std::string id = "s" + std::to_string(*rc::gen::inRange(0, 4));
+      const ServerPtr known = f.servers.Find(id);
+      if (step == 0) {
+        (void)f.servers.OnRemoved(id);
+      } else if (step == 1 && known) {
+        f.servers.OnMisdirected(*known);
+      } else {
+        ServerReport report = f.Report(id, *rc::gen::element<std::string>("east-a", "west-a"));
+        report.born_ms = *rc::gen::inRange(0, 4);
+        report.sequence = *rc::gen::inRange(0, 8);
+        report.address = std::to_string(*rc::gen::inRange(0, 3));
+        report.service = *rc::gen::element<std::string>("catalogue", "orders");
+        (void)f.servers.OnReport(report, f.now);
+      }
+      std::map<std::string, int> usable;
+      std::size_t listed = 0;
+      for (const char* service : {"catalogue", "orders"}) {
+        for (const ServerPtr& it : f.servers.OfService(service)) {
+          ++listed;
+          seen.push_back(it);
+          RC_ASSERT(f.servers.Find(it->report.id) == it);
+          RC_ASSERT(it->report.service == service);
+          RC_ASSERT(it->region == PickerFixture::RegionOf(it->report.failure_domain));
+          if (it->gone) continue;
+          RC_ASSERT(++usable[it->report.address] == 1);
+          RC_ASSERT(f.servers.AddressHolder(it->report.address) == it);
+        }
+      }
+      RC_ASSERT(listed == f.servers.size());
+      for (const char* address : {"0", "1", "2"}) {
+        RC_ASSERT((f.servers.AddressHolder(address) != nullptr) == (usable.count(address) > 0));
+      }
+      for (const ServerPtr& it : seen) {
+        if (it->gone) gone.insert(it.get());
+        RC_ASSERT(it->gone == (gone.count(it.get()) > 0));
+      }
+    }
+  }));
+}
+
 TEST_CASE("servers of an evacuated failure domain get no requests and return cold") {
   PickerFixture f;
   f.Add("east-a", 1);
