Keep a removal deferred when an older state still has the item

What callers saw: nothing that was traced to this; found by a test with states of several instances. Cause: after an outage a removal is applied 2.2 s late unless the item is read again. Any state with the item cancelled it, also that of an instance that lags behind the removal; a delta does not repeat the removal, so the server stayed in use until the next listing. Change: an item cancels a deferred removal only if it was read at or after the revision of the removal.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -75,7 +75,7 @@
   if (page_after_.empty()) listing_revision_ = page.revision;
   for (const store::Item& it : page.items) {
     listed_keys_.insert(it.key);
-    ApplyItem(it);
+    ApplyItem(it, page.revision);
   }
   if (page.more && !page.items.empty()) {
     // Guards against an endless listing if pages do not advance.
@@ -134,7 +134,7 @@
     present.insert(it.item.key);
     const auto known = known_revisions_.find(it.item.key);
     if (!it.removed) {
-      ApplyItem(it.item);
+      ApplyItem(it.item, changes.revision);
     } else if (known != known_revisions_.end() && known->second <= it.item.revision) {
       RemoveOrDefer(it.item.key, it.item.revision, now);
     }
@@ -159,7 +159,7 @@
   std::set<std::string> present;
   for (const store::Item& it : page.items) {
     present.insert(it.key);
-    ApplyItem(it);
+    ApplyItem(it, page.revision);
   }
   // The read may be stale: an item counts as removed only if the read is at least as new.
   std::vector<std::string> missing;
@@ -181,7 +181,7 @@
         RemoveOrDefer(it.item.key, it.item.revision, now);
       }
     } else {
-      ApplyItem(it.item);
+      ApplyItem(it.item, changes.revision);
     }
   }
   revision_ = std::max(revision_, changes.revision);
@@ -206,20 +206,25 @@
   due_ = now + settings_.retry_pause;
 }
 
-void StoreFollower::ApplyItem(const store::Item& item) {
+void StoreFollower::ApplyItem(const store::Item& item, store::Revision read_at) {
   const auto removed = tombstones_.find(item.key);
   if (removed != tombstones_.end()) {
     if (item.revision <= removed->second.revision) return;
     tombstones_.erase(removed);
   }
+  const auto deferred = deferred_removals_.find(item.key);
+  if (deferred != deferred_removals_.end()) {
+    // A state from before the removal does not cancel it.
+    if (std::max(item.revision, read_at) < deferred->second.revision) return;
+  }
   auto [known, added] = known_revisions_.try_emplace(item.key, item.revision);
   if (!added) {
     if (item.revision < known->second) return;
     const bool same = item.revision == known->second;
     known->second = item.revision;
-    if (same && deferred_removals_.count(item.key) == 0) return;
+    if (same && deferred == deferred_removals_.end()) return;
   }
-  deferred_removals_.erase(item.key);
+  if (deferred != deferred_removals_.end()) deferred_removals_.erase(deferred);
   if (sink_.on_item) sink_.on_item(item);
 }
 
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -95,7 +95,8 @@
   void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   void OnFailure(const store::CallError& error, core::TimePoint now);
-  void ApplyItem(const store::Item& item);
+  /// `read_at` is the store revision of the state that contains the item.
+  void ApplyItem(const store::Item& item, store::Revision read_at);
   /// `revision` is a store revision at which the key was absent.
   void RemoveOrDefer(const std::string& key, store::Revision revision, core::TimePoint now);
   void ApplyRemoval(const std::string& key, store::Revision revision, core::TimePoint now);
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -374,5 +374,28 @@
   CHECK(std::get<store::WatchChanges>(watch).after == 20);
 }
 
+// Guards against a server that has left and stays in use: the removal was deferred after an outage,
+// and a lagging instance still had the server.
+TEST_CASE("an older state of another instance does not cancel a deferred removal") {
+  Fixture f;
+  f.List({{"servers/a", "", 5}, {"servers/b", "", 6}}, 10);
+  f.Advance(3s);
+  (void)f.NextCall();
+  f.Answer(store::Changes{{{{"servers/a", "", 31}, true}, {{"servers/b", "", 32}, true}}, 40});
+  PeerChanges older;
+  older.full = true;
+  older.revision = 20;
+  older.changes = {{{"servers/a", "", 5}, false}, {{"servers/b", "", 6}, false}};
+  f.follower.OnFallbackChanges(older, f.now);
+  // A state as of a later revision, in which one server has not left, cancels the removal.
+  PeerChanges newer = older;
+  newer.revision = 41;
+  newer.changes = {{{"servers/b", "", 6}, false}};
+  newer.full = false;
+  f.follower.OnFallbackChanges(newer, f.now);
+  f.Advance(2300ms);
+  CHECK(f.present == std::set<std::string>{"servers/b"});
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
