Relay a value that is not UTF-8 as an empty one

What callers saw: nothing that was traced to this; found by reading and shown by the test. Cause: a reader rejects an item whose bytes aren't text. The message to other instances replaced these bytes by readable ones, so that instances fed by the reader could use an item that the reader does not. Change: such a value is relayed as an empty one, which is rejected everywhere, as one that isn't base64. Only messages that hold one are encoded twice. Evidence: "a value that is not text is not made readable by relaying it" failed before, for all invalid values but the text: change_log_test.cc:146: FAILED: CHECK_FALSE( core::ParseJson(read->changes[i].item.value).is_object() ) with expansion: !true membership, gateway and platform tests pass.

--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -13,6 +13,15 @@
 // until its next listing (`FollowerSettings::relist_interval`), which takes up to some seconds.
 constexpr core::Duration kRepeatTime = std::chrono::seconds(25);
 
+bool IsUtf8(const nlohmann::json& text) {
+  try {
+    (void)text.dump();
+    return true;
+  } catch (const nlohmann::json::type_error&) {
+    return false;
+  }
+}
+
 }  // namespace
 
 std::string EncodePeerChanges(const PeerChanges& changes) {
@@ -27,11 +36,20 @@
     list.push_back(std::move(line));
   }
   const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(changes.age).count();
-  const nlohmann::json message{{"epoch", changes.epoch}, {"position", changes.position},
-                               {"full", changes.full},   {"revision", changes.revision},
-                               {"age_ms", age_ms},       {"changes", std::move(list)}};
-  // Values from other writers may contain arbitrary bytes; invalid UTF-8 is replaced.
-  return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  nlohmann::json message{{"epoch", changes.epoch}, {"position", changes.position},
+                         {"full", changes.full},   {"revision", changes.revision},
+                         {"age_ms", age_ms},       {"changes", std::move(list)}};
+  try {
+    return message.dump();
+  } catch (const nlohmann::json::type_error&) {
+    // Values from other writers may contain arbitrary bytes. Such a value becomes empty, since
+    // replacing its bytes could yield one that can be used.
+    for (auto& it : message["changes"]) {
+      const auto value = it.find("value");
+      if (value != it.end() && !IsUtf8(*value)) *value = "";
+    }
+    return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
 }
 
 std::optional<PeerChanges> DecodePeerChanges(const std::string& text) {
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "vanilladeck/core/json.h"
 #include "vanilladeck/membership/feed_source.h"
 #include "vanilladeck/membership/store_follower.h"
 
@@ -124,6 +125,28 @@
   CHECK_FALSE(DecodePeerChanges("{\"epoch\":3}").has_value());
 }
 
+// Guards against an item that its reader rejects as unreadable and that other instances use: bytes
+// that are not UTF-8 were replaced by readable ones.
+TEST_CASE("a value that is not text is not made readable by relaying it") {
+  PeerChanges sent;
+  const std::string text = "{\"name\":\"caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x9a\xb2 \\u0000\"}";
+  sent.changes.push_back({{"op/config", text, 5}, false});
+  const std::vector<std::string> invalid{
+      "\xff",         "\xc3", "\xe2\x82",         "\xf0\x9f\x9a", "\xc0\x80",
+      "\xed\xa0\x80", "\x80", "\xf4\x90\x80\x80", "\xe0\x80\x80"};
+  for (const std::string& it : invalid) {
+    sent.changes.push_back({{"servers/x", "{\"name\":\"" + it + "\"}", 6}, false});
+  }
+  const auto read = DecodePeerChanges(EncodePeerChanges(sent));
+  REQUIRE(read.has_value());
+  REQUIRE(read->changes.size() == sent.changes.size());
+  CHECK(read->changes[0].item.value == text);
+  for (std::size_t i = 1; i < sent.changes.size(); ++i) {
+    CHECK_FALSE(read->changes[i].removed);
+    CHECK_FALSE(core::ParseJson(read->changes[i].item.value).is_object());
+  }
+}
+
 /// A follower that has applied one listing at revision 10.
 struct Follower {
   Follower()
