--- a/tests/platform/refused_instance_test.cc
+++ b/tests/platform/refused_instance_test.cc
@@ -1,5 +1,6 @@
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -100,12 +101,14 @@
     REQUIRE(known.has_value());
     membership::PeerChanges changes;
     changes.epoch = "edge-2/1";
-    changes.position = 5;
-    changes.revision = 50;
     changes.full = known->revision == 0 && known->epoch.empty();
     changes.age = 100ms;
-    if (known->epoch != changes.epoch) {
-      changes.changes = {{{"op/config", Policy("0000000d"), 50}, false}, {OtherInstance(), false}};
+    // Each answer holds the next policy.
+    const std::size_t next = known->epoch == changes.epoch ? known->position : 0;
+    changes.position = std::min(next + 1, policies.size());
+    changes.revision = policies[changes.position - 1].revision;
+    if (next < policies.size()) {
+      changes.changes = {{policies[next], false}, {OtherInstance(), false}};
     }
     Respond(connection, "200 OK", membership::EncodePeerChanges(changes));
   }
@@ -147,6 +150,7 @@
   }
 
   int listings_left;
+  std::vector<store::Item> policies{{"op/config", Policy("0000000d"), 50}};
   boost::asio::io_context io;
   ScriptedServer store;
   ScriptedServer other;
@@ -180,5 +184,15 @@
   CHECK(f.PolicyWithin(13, 5s));
 }
 
+// Guards against an instance that keeps an old policy because it could not use the one before the
+// newest.
+TEST_CASE("a policy that cannot be used does not keep a later one from being used") {
+  Fixture f(1, 0s);
+  f.policies.insert(f.policies.begin(), {"op/config", "{}", 40});
+  REQUIRE(f.PolicyWithin(12, 4s));
+  CHECK(f.PolicyWithin(13, 8s));
+  CHECK(f.Events().find("\"event\":\"entry-rejected\"") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace vanilladeck::platform
