--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -96,6 +96,32 @@
   CHECK(decoded.value().routes[0].kind == config::RequestKind::kNonIdempotent);
 }
 
+// Guards against running requests everywhere because their allowed regions cannot be read.
+TEST_CASE("a route whose allowed regions cannot be read makes the policy unusable") {
+  for (const char* value : {R"("east")", "1", "true", R"({"east":1})", R"(["east",7])", "[7]",
+                            "[null]", R"([["east"]])"}) {
+    json policy = Policy();
+    policy["resources"][0]["spec"]["allowedRegions"] = json::parse(value);
+    INFO(value);
+    const auto decoded = DecodePolicy(policy.dump());
+    CHECK_FALSE(decoded.has_value());
+    if (!decoded) CHECK(decoded.error() == "route r1");
+  }
+}
+
+TEST_CASE("a route without allowed regions may run in all regions") {
+  json policy = Policy();
+  json& spec = policy["resources"][0]["spec"];
+  for (const json& value : {json(nullptr), json::array()}) {
+    spec["allowedRegions"] = value;
+    const auto decoded = DecodePolicy(policy.dump());
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value().routes[0].allowed_regions.empty());
+  }
+  spec.erase("allowedRegions");
+  REQUIRE(DecodePolicy(policy.dump()).has_value());
+}
+
 // Guards against a crash caused by a corrupt value in the store.
 TEST_CASE("corrupt values yield an error or a value, never a crash") {
   std::mt19937 random(20261204);
