Test that a route's allowed regions are checked in the deployment text

The reader of the deployment text rejects a region that is not defined, an element of another type and a value that is not a list. Only the first was tested.

--- a/tests/config/route_test.cc
+++ b/tests/config/route_test.cc
@@ -61,6 +61,9 @@
   const std::vector<std::pair<std::string, std::string>> changes{
       {"service = \"front\"", "service = \"none\""},
       {"[\"north\"]", "[\"south\"]"},
+      {"[\"north\"]", "[\"\"]"},
+      {"[\"north\"]", "[\"north\", 7]"},
+      {"[\"north\"]", "\"north\""},
       {"\"/x/\"", "\"x\""},
       {"\"idempotent\"", "\"maybe\""},
       {"= 2500", "= 0"},
