--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -54,11 +54,13 @@
 // instances switched to the other reader and then to the store, several times a minute.
 TEST_CASE("an instance that switches readers gets the changes since its revision") {
   ChangeLog log("b/1");
-  for (int i = 0; i < 400; ++i)
+  for (int i = 0; i < 400; ++i) {
     log.Put({"servers/" + std::to_string(i), "v", 100 + i}, true, At(0s));
+  }
   log.OnListed(600);
-  for (int i = 0; i < 400; ++i)
+  for (int i = 0; i < 400; ++i) {
     log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false, At(0s));
+  }
   log.Put({"servers/7", "draining", 1200}, true, At(0s));
   log.Remove("servers/8", 1201, At(0s));
   const PeerChanges changes = log.Since({"a/1", 55, 1100}, At(0s));
