--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -284,7 +284,7 @@
 TEST_CASE("a request does not reach a server of another region that took over an address") {
   ProxyFixture f;
   auto& server = f.AddServer("i-1", Misdirect("i-2"));
-  f.SetAllowedRegions({"east"});
+  f.ChangePolicy(OnlyIn("east"));
   auto report = f.Report("i-2", server.Address());
   report.born_ms = 2;
   report.failure_domain = "west-a";
