Refuse requests with allowed regions while a newer policy may be binding

Callers could see requests run outside the allowed regions of their route at an instance that did not know the newest policy: one that nothing reaches, or one whose process was stopped (frozen, starved of its processor) and that serves what waited in its sockets when it runs again, before it reads the store. The request path never asked how old the policy was.

So an instance that knows every change accepted up to a time may rely on allowed regions for that long; after it, requests of such routes are refused, not run. Routes without allowed regions go on as before. The time is that of the last complete answer of the store, or of a peer less the time for which the peer is behind; an answer that may have waited during a stall counts from its call. Checks of the operators' keys don't count, since they may be stale. A request whose deadline passed during a stall is not sent either. Log event: policy-outdated.

Ruled out: refusing all requests of an outdated instance, since an outage of the store must not stop traffic that may run anywhere.

--- a/src/vanilladeck/gateway/context.h
+++ b/src/vanilladeck/gateway/context.h
@@ -86,6 +86,9 @@
   steering::ServerPicker picker;
   UpstreamPool pool;
   std::shared_ptr<const steering::RouteTable> routes;  ///< Null until the first policy arrives.
+  core::TimePoint policy_as_of;  ///< `routes` is the newest policy as of this time.
+  /// Age of the policy up to which its allowed regions can be relied on.
+  core::Duration max_region_policy_age = core::Duration::max();
   std::unordered_map<std::string, steering::RetryWindow> retry_windows;
   telemetry::EventStream& events;
   GatewayMetrics metrics;
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,6 +35,8 @@
 constexpr core::Duration kDrainIdleTime = milliseconds(1200);
 // The process exits this long before the platform would kill it.
 constexpr core::Duration kExitMargin = milliseconds(250);
+// A peer is polled each 0.4 s and answers within 0.3 s; its listings take up to half a second.
+constexpr core::Duration kRelayTime = milliseconds(1200);
 // The instance's record is written again if the store has not listed it for this time.
 constexpr core::Duration kRecordMissingTimeout = milliseconds(2500);
 
@@ -128,7 +130,10 @@
                 {readiness_, settings_.readiness, "readiness", true},
                 {lookups_, settings_.lookups, "lookups", true},
                 {peers_, settings_.peers, "peers", false},
-                {metrics_, settings_.metrics, "metrics", false}} {}
+                {metrics_, settings_.metrics, "metrics", false}} {
+  context_.max_region_policy_age =
+      std::max(settings_.policy_delay, settings_.follower.poll_interval + kRelayTime);
+}
 
 Gateway::~Gateway() = default;
 
@@ -174,6 +179,7 @@
   QueryFallback(now);
   UpdateFleet();
   UpdateReadiness();
+  UpdatePolicyAge();
   if (draining_) DrainTick();
   events_.Flush();
 }
@@ -189,6 +195,7 @@
                            [this, call = *call](const store::VersionedResult& result) {
                              CountCall(call, result);
                              follower_.OnAnswer(result, core::RuntimeClock::now());
+                             context_.policy_as_of = follower_.current_as_of();
                              // The next page, or the next watch after one without changes, follows
                              // immediately.
                              if (result) SendStoreCalls();
@@ -415,6 +422,17 @@
       {{"ready", ready}, {"servers", context_.servers.size()}, {"instances", instances_.size()}});
 }
 
+void Gateway::UpdatePolicyAge() {
+  if (!context_.routes) return;
+  const core::Duration age = core::RuntimeClock::now() - context_.policy_as_of;
+  const bool outdated = age > context_.max_region_policy_age;
+  if (outdated == policy_outdated_) return;
+  policy_outdated_ = outdated;
+  events_.Write(
+      StreamEvent::kPolicyOutdated,
+      {{"outdated", outdated}, {"version", context_.routes->version()}, {"age_ms", Ms(age)}});
+}
+
 void Gateway::BeginDrain(std::function<void()> stopped) {
   if (draining_) return;
   draining_ = true;
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -40,6 +40,8 @@
   WireNames names;
   FleetLimits fleet;
   membership::FollowerSettings follower;
+  /// Time after which a policy that the store has accepted is binding.
+  core::Duration policy_delay = std::chrono::milliseconds(2500);
   /// Time from SIGTERM until the platform kills the process.
   core::Duration stop_grace = std::chrono::seconds(6);
 };
@@ -85,6 +87,7 @@
   [[nodiscard]] std::vector<membership::FeedPeer> KnownPeers() const;
   void OnPeerResponse(const membership::FeedPeer& peer, const ExchangeOutcome& outcome);
   void UpdateFeedPeers();
+  void UpdatePolicyAge();
   void OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
   void OnSynced();
@@ -151,6 +154,7 @@
   bool draining_ = false;
   bool stopped_ = false;
   bool was_ready_ = false;
+  bool policy_outdated_ = false;
   std::function<void()> on_stopped_;
 };
 
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -104,6 +104,7 @@
     membership::PeerChanges changes = change_log_.Since(*known, now);
     changes.revision = follower_.revision();
     changes.age = now - follower_.last_success();
+    changes.behind = now - follower_.current_as_of();
     ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
     return;
   }
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -72,6 +72,7 @@
       membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
     peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
+    context_.policy_as_of = follower_.current_as_of();
     return;
   }
   if (changes) reason = "state of the peer is too old";
@@ -167,6 +168,7 @@
     peer_positions_[name] = {changes->epoch, changes->position, changes->revision};
   }
   follower_.OnFallbackChanges(*changes, now);
+  context_.policy_as_of = follower_.current_as_of();
 }
 
 std::vector<membership::FeedPeer> Gateway::KnownPeers() const {
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -143,19 +143,23 @@
   return true;
 }
 
+bool ProxiedRequest::AreRegionsBinding() const {
+  return route_->allowed_regions.empty() ||
+         core::RuntimeClock::now() - context_.policy_as_of <= context_.max_region_policy_age;
+}
+
 bool ProxiedRequest::AssignmentStands() {
-  return context_.servers.Assignable(*server_) && AdoptPolicyInForce() &&
+  return context_.servers.Assignable(*server_) && AdoptPolicyInForce() && AreRegionsBinding() &&
          server_->report.service == service_name_ && route_->AllowsRegion(server_->region);
 }
 
 void ProxiedRequest::StartAttempt() {
   if (!AdoptPolicyInForce()) {
-    constexpr std::string_view kReason = "policy-changed";
-    if (may_have_run_) {
-      Fail(kBadGateway, kReason);
-    } else {
-      Refuse(kReason);
-    }
+    GiveUp("policy-changed");
+    return;
+  }
+  if (!AreRegionsBinding()) {
+    GiveUp("policy-outdated");
     return;
   }
   const core::TimePoint now = core::RuntimeClock::now();
@@ -163,12 +167,7 @@
                                   spread_, deadline_ - now, &tried_};
   auto choice = context_.picker.Choose(query, now);
   if (const auto* reason = std::get_if<steering::NoServerReason>(&choice)) {
-    const auto name = steering::kNoServerReasonNames[static_cast<std::size_t>(*reason)];
-    if (may_have_run_) {
-      Fail(kBadGateway, name);
-    } else {
-      Refuse(name);
-    }
+    GiveUp(steering::kNoServerReasonNames[static_cast<std::size_t>(*reason)]);
     return;
   }
   auto& pick = std::get<steering::Pick>(choice);
@@ -203,7 +202,10 @@
     StartAttempt();
     return;
   }
-  const std::string_view reason = local ? "no-descriptor" : "unreachable";
+  GiveUp(local ? "no-descriptor" : "unreachable");
+}
+
+void ProxiedRequest::GiveUp(std::string_view reason) {
   if (may_have_run_) {
     Fail(kBadGateway, reason);
   } else {
@@ -217,6 +219,13 @@
     OnConnectFailure(status, detail);
     return;
   }
+  // After a stall of the process this can run before the timer of the deadline.
+  if (core::RuntimeClock::now() >= deadline_) {
+    context_.pool.Release(*server_, connection);
+    context_.deadlines->Remove(deadline_id_);
+    OnDeadline();
+    return;
+  }
   if (status == AcquireStatus::kConnected) {
     context_.metrics.connect_latency.Add(core::RuntimeClock::now() - sent_at_);
   }
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -32,9 +32,13 @@
   /// Makes the policy in force the one of this request; false, without effect, if it doesn't allow
   /// the request to be sent (again). The deadline stays as it was.
   [[nodiscard]] bool AdoptPolicyInForce();
+  /// False if another policy with other allowed regions for the request may be binding by now.
+  [[nodiscard]] bool AreRegionsBinding() const;
   /// True if the request may still be sent to `server_`, chosen earlier.
   [[nodiscard]] bool AssignmentStands();
   void StartAttempt();
+  /// Ends the request because no further attempt is allowed.
+  void GiveUp(std::string_view reason);
   void OnConnection(const UpstreamPool::ConnectionPtr& connection, AcquireStatus status,
                     const std::string& detail);
   void OnConnectFailure(AcquireStatus status, const std::string& detail);
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -35,10 +35,13 @@
     }
     list.push_back(std::move(line));
   }
-  const auto age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(changes.age).count();
-  nlohmann::json message{{"epoch", changes.epoch}, {"position", changes.position},
-                         {"full", changes.full},   {"revision", changes.revision},
-                         {"age_ms", age_ms},       {"changes", std::move(list)}};
+  const auto ms = [](core::Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  };
+  nlohmann::json message{{"epoch", changes.epoch},    {"position", changes.position},
+                         {"full", changes.full},      {"revision", changes.revision},
+                         {"age_ms", ms(changes.age)}, {"behind_ms", ms(changes.behind)},
+                         {"changes", std::move(list)}};
   try {
     return message.dump();
   } catch (const nlohmann::json::type_error&) {
@@ -61,11 +64,13 @@
   const auto full = field("full");
   const auto revision = field("revision");
   const auto age = field("age_ms");
+  const auto behind = field("behind_ms");
   const auto list = field("changes");
   if (epoch == json.end() || !epoch->is_string() || position == json.end() ||
       !position->is_number_unsigned() || full == json.end() || !full->is_boolean() ||
       revision == json.end() || !revision->is_number_integer() || age == json.end() ||
-      !age->is_number_integer() || list == json.end() || !list->is_array()) {
+      !age->is_number_integer() || behind == json.end() || !behind->is_number_integer() ||
+      list == json.end() || !list->is_array()) {
     return std::nullopt;
   }
   PeerChanges changes;
@@ -74,6 +79,7 @@
   changes.full = full->get<bool>();
   changes.revision = revision->get<store::Revision>();
   changes.age = std::chrono::milliseconds(age->get<std::int64_t>());
+  changes.behind = std::chrono::milliseconds(behind->get<std::int64_t>());
   for (const auto& it : *list) {
     const auto key = it.find("key");
     const auto item_revision = it.find("revision");
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -26,6 +26,7 @@
   bool full = false;             ///< `changes` is a full snapshot, not a delta.
   store::Revision revision = 0;  ///< Store revision up to which all changes are included.
   core::Duration age{0};         ///< Time since the store last answered the sender.
+  core::Duration behind{0};      ///< Time for which the sender may have missed changes.
   std::vector<store::Change> changes;
 };
 
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -4,6 +4,12 @@
 #include <vector>
 
 namespace vanilladeck::membership {
+namespace {
+
+// `Tick` is called several times a second; a longer gap means that the process did not run.
+constexpr core::Duration kStallTime = std::chrono::milliseconds(500);
+
+}  // namespace
 
 StoreFollower::StoreFollower(FollowerSettings settings, Sink sink)
     : settings_(std::move(settings)), sink_(std::move(sink)) {}
@@ -22,6 +28,7 @@
   }
   if (in_flight_ || now < due_) return std::nullopt;
   in_flight_ = true;
+  call_sent_ = now;
   if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
   if (listing_) return store::ReadRange{"", page_after_, false};
   if (!settings_.check_prefix.empty() && now - last_check_ >= settings_.check_interval) {
@@ -57,6 +64,7 @@
   } else if (const auto* changes = std::get_if<store::Changes>(&result.value())) {
     NoteSuccess(now);
     OnChanges(*changes, now);
+    current_as_of_ = std::max(current_as_of_, AnswerTime(now));
   }
 }
 
@@ -72,7 +80,10 @@
 
 void StoreFollower::OnPage(const store::RangePage& page, core::TimePoint now) {
   source_ = ItemSource::kListing;
-  if (page_after_.empty()) listing_revision_ = page.revision;
+  if (page_after_.empty()) {
+    listing_revision_ = page.revision;
+    listed_as_of_ = AnswerTime(now);
+  }
   for (const store::Item& it : page.items) {
     listed_keys_.insert(it.key);
     ApplyItem(it, page.revision);
@@ -101,6 +112,7 @@
   due_ = now;
   synced_once_ = true;
   listed_once_ = true;
+  current_as_of_ = std::max(current_as_of_, listed_as_of_);
   changes_may_be_lost_ = false;
   if (sink_.on_synced) sink_.on_synced();
 }
@@ -146,6 +158,7 @@
     }
     for (const std::string& it : missing) RemoveOrDefer(it, changes.revision, now);
   }
+  current_as_of_ = std::max(current_as_of_, AnswerTime(now) - changes.behind);
   revision_ = std::max(revision_, changes.revision);
 }
 
@@ -245,7 +258,14 @@
   if (sink_.on_removed) sink_.on_removed(key);
 }
 
+core::TimePoint StoreFollower::AnswerTime(core::TimePoint now) const noexcept {
+  const bool stalled = call_sent_ < stalled_until_ || now - last_tick_ > kStallTime;
+  return stalled ? call_sent_ : now;
+}
+
 void StoreFollower::Tick(core::TimePoint now) {
+  if (now - last_tick_ > kStallTime) stalled_until_ = now;
+  last_tick_ = now;
   if (started_ && reachable_ && now - last_success_ >= settings_.outage_timeout) {
     reachable_ = false;
     if (sink_.on_reachable) sink_.on_reachable(false);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -87,6 +87,9 @@
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
   [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
+  /// All changes acknowledged by the store before this time are known. The clock's epoch before the
+  /// first listing or state.
+  [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
 
@@ -102,6 +105,9 @@
   void ApplyRemoval(const std::string& key, store::Revision revision, core::TimePoint now);
   void ApplyPeerState(const PeerChanges& changes, core::TimePoint now);
   void NoteSuccess(core::TimePoint now);
+  /// Time as of which the answer to the last call holds: now, or if the process has stalled since
+  /// the call, during which the answer may have waited, the time of the call.
+  [[nodiscard]] core::TimePoint AnswerTime(core::TimePoint now) const noexcept;
   void StartListing() noexcept;
 
   FollowerSettings settings_;
@@ -130,6 +136,11 @@
   bool listed_once_ = false;
   /// A watch got no answer: the store may have compacted changes that it did not deliver.
   bool changes_may_be_lost_ = false;
+  core::TimePoint call_sent_;
+  core::TimePoint last_tick_;
+  core::TimePoint stalled_until_;  ///< End of the last stall of the process.
+  core::TimePoint listed_as_of_;   ///< For the listing in progress.
+  core::TimePoint current_as_of_;
   core::TimePoint last_success_;
   core::TimePoint last_listing_;
   core::TimePoint last_check_;
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <ctime>
+#include <thread>
 
 #include "gateway/proxy_fixture.h"
 
@@ -567,5 +568,44 @@
   CHECK(RequestCount(servers) == 1);
 }
 
+// Guards against running a request outside its allowed regions: an instance that has not heard of
+// the store for a while, or was stopped meanwhile, goes by a policy that is no longer binding.
+TEST_CASE("a request with allowed regions is refused while the policy may be outdated") {
+  ProxyFixture f;
+  auto& server = f.AddServer("i-1", Answer("x"));
+  f.context.max_region_policy_age = 4s;
+  f.context.policy_as_of = core::RuntimeClock::now() - 5s;
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "200");
+  f.ChangePolicy(OnlyIn("east"));
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-2")) == "503");
+  CHECK(server.requests.size() == 1);
+  CHECK(f.context.metrics.refusals["policy-outdated"] == 1);
+  f.context.policy_as_of = core::RuntimeClock::now();
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-3")) == "200");
+}
+
+// Guards against the same if the process was stopped while the request waited for a connection.
+TEST_CASE("a connected request is not sent by a policy that may be outdated") {
+  ProxyFixture f;
+  auto& server = f.AddServer("i-1", Answer("x"));
+  f.ChangePolicy(OnlyIn("east"));
+  f.context.max_region_policy_age = 4s;
+  f.context.policy_as_of = core::RuntimeClock::now();
+  f.after_start = [&] { f.context.policy_as_of -= 5s; };
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "503");
+  CHECK(server.requests.empty());
+}
+
+// Guards against work at a server for a caller that has stopped waiting.
+TEST_CASE("a request whose deadline passed while the process was stopped is not sent") {
+  ProxyFixture f;
+  auto& server = f.AddServer("i-1", Answer("x"));
+  REQUIRE(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "200");
+  f.context.pool.CloseIdleConnections(*f.context.servers.Find("i-1"));
+  f.after_start = [] { std::this_thread::sleep_for(1600ms); };
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-2")) == "503");
+  CHECK(server.requests.size() == 1);
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -397,5 +397,50 @@
   CHECK(f.present == std::set<std::string>{"servers/b"});
 }
 
+// Guards against taking an answer that waited while the process was stopped for the present state.
+TEST_CASE("an answer that may have waited during a stall holds as of its call") {
+  Fixture f;
+  f.List({{"op/config", "v", 3}}, 10);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  f.Advance(400ms);
+  f.Answer(store::Changes{{}, 11});
+  CHECK(f.follower.current_as_of() == f.now);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  const core::TimePoint called = f.now;
+  f.now += 5s;
+  SECTION("read first") { f.Answer(store::Changes{{}, 12}); }
+  SECTION("noticed first") {
+    f.follower.Tick(f.now);
+    f.Answer(store::Changes{{}, 12});
+  }
+  CHECK(f.follower.current_as_of() == called);
+  // The check reads a replica that may lag.
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  f.Answer(store::RangePage{{{"op/config", "v", 3}}, false, 12});
+  CHECK(f.follower.current_as_of() == called);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  f.Answer(store::Changes{{}, 13});
+  CHECK(f.follower.current_as_of() == f.now);
+}
+
+// Guards against the same for a listing, and for the state of a peer that is behind itself.
+TEST_CASE("a state is as current as its first page, or as its sender") {
+  Fixture f;
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  const core::TimePoint first_page = f.now;
+  f.Answer(store::RangePage{{{"op/config", "v", 3}}, true, 10});
+  CHECK(f.follower.current_as_of() == core::TimePoint{});
+  f.Advance(300ms);
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+  f.Answer(store::RangePage{{{"servers/a", "v", 4}}, false, 10});
+  CHECK(f.follower.current_as_of() == first_page);
+  f.Advance(5s);
+  PeerChanges changes;
+  changes.revision = 11;
+  changes.behind = 2s;
+  f.follower.OnFallbackChanges(changes, f.now);
+  CHECK(f.follower.current_as_of() == f.now - 2s);
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -28,6 +28,7 @@
   CHECK(settings.value().peers.port() == 8146);
   CHECK(settings.value().seeds.size() == 2);
   CHECK(settings.value().follower.poll_interval == std::chrono::milliseconds(1000));
+  CHECK(settings.value().policy_delay == std::chrono::seconds(4));
 }
 
 // Guards against a failed start because the list of seeds or the peer address is empty.
