Log the types of a policy's resources that are not read

The policy now lists the types, and the event `policy` states them as `unread`. They are not enforced. Ruled out: rejecting the policy, which would keep all instances on the version before for a part that may not concern any request.

--- a/src/vanilladeck/config/route.h
+++ b/src/vanilladeck/config/route.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,8 @@
   std::vector<Route> routes;
   std::vector<ServiceLimits> services;
   ClientLimits limits;
+  /// Types of resources in the source that are not read, and whose restrictions have no effect.
+  std::set<std::string> unread_types;
 };
 
 }  // namespace vanilladeck::config
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -351,7 +351,8 @@
                                        {"revision", revision},
                                        {"source", SourceName()},
                                        {"routes", policy.routes.size()},
-                                       {"services", policy.services.size()}});
+                                       {"services", policy.services.size()},
+                                       {"unread", policy.unread_types}});
   context_.routes = std::make_shared<const steering::RouteTable>(std::move(policy));
   policy_applied_at_ = core::RuntimeClock::now();
 }
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -109,6 +109,19 @@
   }
 }
 
+// Guards against restrictions that are dropped without a trace because they are written in a
+// resource of a type that this version does not read.
+TEST_CASE("a policy names the types of its resources that are not read") {
+  json policy = Policy();
+  CHECK(DecodePolicy(policy.dump()).value().unread_types.empty());
+  for (const char* type : {"tenants", "quotas", "tenants"}) {
+    policy["resources"].push_back(
+        {{"type", type}, {"metadata", {{"name", "t1"}}}, {"spec", {{"allowedRegions", {"east"}}}}});
+  }
+  CHECK(DecodePolicy(policy.dump()).value().unread_types ==
+        std::set<std::string>{"quotas", "tenants"});
+}
+
 TEST_CASE("a route without allowed regions may run in all regions") {
   json policy = Policy();
   json& spec = policy["resources"][0]["spec"];
