Serve lookups for callers of a lost region from the best region that is left

A host has restricted and free routes, so callers of a lost region got no service at all for that host, and callers of a region that restarts kept going to instances that stop listening.

Change: instances of regions that all restricted routes of the host allow come first, then of those that one of them allows, then of all.

Ruled out: a refusal for as long as the region's instances restart, since a response that clients keep for longer names instances that have stopped.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -52,25 +52,22 @@
   // Part of a listing may lack all instances of the caller's region.
   if (!follower_.synced()) return refuse("not synced");
   if (context_.routes == nullptr) return refuse("no policy");
-  const auto allowed = context_.routes->AllowedRegions(query.host);
+  const auto preferred = context_.routes->PreferredRegions(query.host);
   membership::InstanceRecord self = registration_.record();
   self.ready = Ready();
   auto choice = membership::ChooseEntryAddresses(
-      instances_, {query.region, query.failure_domain, allowed}, self, kMaxLookupAddresses);
-  if (choice.addresses.empty()) {
-    return refuse(allowed ? "no instance of an allowed region" : "no instance");
-  }
+      instances_, {query.region, query.failure_domain, preferred}, self, kMaxLookupAddresses);
+  if (choice.addresses.empty()) return refuse("no instance");
   if (choice.remote) {
     ++context_.metrics.remote_lookups;
-    events_.Write(
-        telemetry::StreamEvent::kRemoteLookup,
-        {{"host", query.host},
-         {"region", query.region},
-         {"named", choice.addresses.size()},
-         {"regions", choice.regions},
-         {"allowed", allowed ? nlohmann::ordered_json(*allowed) : nlohmann::ordered_json()},
-         {"instances", instances_.size()},
-         {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
+    events_.Write(telemetry::StreamEvent::kRemoteLookup,
+                  {{"host", query.host},
+                   {"region", query.region},
+                   {"named", choice.addresses.size()},
+                   {"regions", choice.regions},
+                   {"preferred", preferred},
+                   {"instances", instances_.size()},
+                   {"age_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
   }
   return std::move(choice.addresses);
 }
--- a/src/vanilladeck/membership/entry_choice.cc
+++ b/src/vanilladeck/membership/entry_choice.cc
@@ -7,8 +7,17 @@
 namespace vanilladeck::membership {
 namespace {
 
-bool Allows(const AllowedRegions& allowed, const std::string& region) {
-  return !allowed || std::find(allowed->begin(), allowed->end(), region) != allowed->end();
+/// Ready instances for which `suits` is true, with `self` in place of its listed record.
+template <class Predicate>
+std::vector<const InstanceRecord*> ReadyInstances(
+    const std::map<std::string, InstanceRecord>& instances, const InstanceRecord& self,
+    const Predicate& suits) {
+  std::vector<const InstanceRecord*> chosen;
+  for (const auto& [name, record] : instances) {
+    if (name != self.name && record.ready && suits(record)) chosen.push_back(&record);
+  }
+  if (self.ready && suits(self)) chosen.push_back(&self);
+  return chosen;
 }
 
 }  // namespace
@@ -17,18 +26,17 @@
                                  const EntryQuery& query, const InstanceRecord& self,
                                  std::size_t limit) {
   EntryChoice choice;
-  std::vector<const InstanceRecord*> chosen;
-  for (const bool own_region : {true, false}) {
-    const auto consider = [&](const InstanceRecord& record) {
-      if (!record.ready || (record.region == query.region) != own_region) return;
-      if (own_region || Allows(query.allowed_regions, record.region)) chosen.push_back(&record);
-    };
-    for (const auto& [name, record] : instances) {
-      if (name != self.name) consider(record);
-    }
-    consider(self);
-    choice.remote = !own_region && !chosen.empty();
+  auto chosen = ReadyInstances(instances, self,
+                               [&](const InstanceRecord& it) { return it.region == query.region; });
+  choice.remote = chosen.empty();
+  for (const auto& regions : query.alternatives) {
     if (!chosen.empty()) break;
+    chosen = ReadyInstances(instances, self, [&](const InstanceRecord& it) {
+      return std::find(regions.begin(), regions.end(), it.region) != regions.end();
+    });
+  }
+  if (chosen.empty()) {
+    chosen = ReadyInstances(instances, self, [](const InstanceRecord&) { return true; });
   }
   if (chosen.size() > limit) {
     const std::uint64_t domain = core::Hash64(query.failure_domain);
--- a/src/vanilladeck/membership/entry_choice.h
+++ b/src/vanilladeck/membership/entry_choice.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -12,30 +11,28 @@
 
 namespace vanilladeck::membership {
 
-/// Regions in which the requests of a host may run; nullopt: all.
-using AllowedRegions = std::optional<std::vector<std::string>>;
-
 /// Location of the client that looks up entry instances.
 struct EntryQuery {
   std::string region;
   std::string failure_domain;
-  AllowedRegions allowed_regions;  ///< Of the host that is looked up.
+  /// Sets of other regions to use in place of the caller's, best first; then all regions.
+  std::vector<std::vector<std::string>> alternatives;
 };
 
 /// Addresses for a lookup response.
 struct EntryChoice {
   std::vector<std::string> addresses;
   std::set<std::string> regions;  ///< Of the instances named.
-  bool remote = false;  ///< No instance of the caller's region is ready; other regions are named.
+  bool remote = false;            ///< No instance of the caller's region is ready.
 };
 
 /// Returns the addresses of the entry instances for a lookup response, at most `limit`.
 ///
-/// Selects ready instances of the caller's region, or of the other allowed regions if it has none.
-/// Requests may always enter in the caller's region, since they come from there. With
-/// more than `limit`, each failure domain gets its own stable subset (rendezvous hashing): callers
-/// close connections to instances missing from a new response, so the subset must not change
-/// between responses, and the subsets of all domains together must cover every instance.
+/// Selects the ready instances of the caller's region, or of the first alternative that has any.
+/// Requests may always enter in the caller's region, since they come from there. With more than
+/// `limit`, each failure domain gets its own stable subset (rendezvous hashing): callers close
+/// connections to instances missing from a new response, so the subset must not change between
+/// responses, and the subsets of all domains together must cover every instance.
 /// `self` is the record of the instance that answers; it replaces the listed one, which lags
 /// behind.
 [[nodiscard]] EntryChoice ChooseEntryAddresses(
--- a/src/vanilladeck/steering/route_table.cc
+++ b/src/vanilladeck/steering/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace vanilladeck::steering {
 namespace {
@@ -36,19 +37,25 @@
   return nullptr;
 }
 
-std::optional<std::vector<std::string>> RouteTable::AllowedRegions(std::string_view host) const {
+std::vector<std::vector<std::string>> RouteTable::PreferredRegions(std::string_view host) const {
   const auto routes = by_host_.find(CanonicalHost(host));
-  if (routes == by_host_.end()) return std::nullopt;
-  std::optional<std::vector<std::string>> allowed;
+  if (routes == by_host_.end()) return {};
+  std::vector<std::string> any;
   for (const config::Route* it : routes->second) {
-    if (it->allowed_regions.empty()) continue;
-    if (!allowed) {
-      allowed = it->allowed_regions;
-      continue;
+    for (const std::string& region : it->allowed_regions) {
+      if (std::find(any.begin(), any.end(), region) == any.end()) any.push_back(region);
     }
-    std::erase_if(*allowed, [it](const std::string& region) { return !it->AllowsRegion(region); });
   }
-  return allowed;
+  std::vector<std::string> all;
+  std::copy_if(any.begin(), any.end(), std::back_inserter(all), [&](const std::string& region) {
+    return std::all_of(routes->second.begin(), routes->second.end(),
+                       [&](const config::Route* it) { return it->AllowsRegion(region); });
+  });
+  std::vector<std::vector<std::string>> sets;
+  for (auto* it : {&all, &any}) {
+    if (!it->empty()) sets.push_back(std::move(*it));
+  }
+  return sets;
 }
 
 const config::ServiceLimits* RouteTable::Service(std::string_view name) const {
--- a/src/vanilladeck/steering/route_table.h
+++ b/src/vanilladeck/steering/route_table.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -24,10 +23,10 @@
   /// `host` may carry a port and any letter case; `path` may carry a query.
   [[nodiscard]] const config::Route* Match(std::string_view host, std::string_view path) const;
 
-  /// Regions that every route of `host` with allowed regions allows, in the order of the first such
-  /// route; empty if these routes have no region in common, nullopt if no route of the host is
-  /// restricted.
-  [[nodiscard]] std::optional<std::vector<std::string>> AllowedRegions(std::string_view host) const;
+  /// Regions that the routes of `host` with allowed regions allow, best first: those that all of
+  /// these routes allow, then those that any of them allows. Empty sets are left out; no set if no
+  /// route of the host is restricted.
+  [[nodiscard]] std::vector<std::vector<std::string>> PreferredRegions(std::string_view host) const;
 
   [[nodiscard]] const config::ServiceLimits* Service(std::string_view name) const;
   [[nodiscard]] const config::RoutingPolicy& policy() const noexcept { return policy_; }
