Keep a sound server in use when another writer copies its entry

Callers of a service could be refused for good: an entry of another writer with the address and start of a sound server took the address away, and the server returned only by a newer report of its own, which a steady server doesn't write.

A superseded server returns when the newer one has left, as a new object, so that connections from before aren't reused. A report with another service, address or failure domain counts by the order in which the store's items are read, not by its sequence, since two writers' sequences cannot be compared. A superseded server that starts draining is reported as draining, so that readers pass it on.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -275,50 +275,61 @@
 
 bool Gateway::ApplyServerReport(const steering::ServerReport& report) {
   const auto old = context_.servers.Find(report.id);
-  const auto holder = context_.servers.AddressHolder(report.address);
+  const auto holders = context_.servers.AddressHolders(report.address);
   const bool was_cold = old && old->report.cold_left > core::Duration::zero();
-  if (old && old->report.failure_domain != report.failure_domain) {
+  const auto old_report = old ? old->report : report;
+  const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
+  LogReturned();
+  using Change = steering::ServerSet::Change;
+  if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
+  if (old && (old->gone || old->draining)) context_.pool.CloseIdleConnections(*old);
+  if (old_report.failure_domain != report.failure_domain) {
     events_.Write(StreamEvent::kServerMoved, {{"server", report.id},
                                               {"born", report.born_ms},
-                                              {"known_born", old->report.born_ms},
+                                              {"known_born", old_report.born_ms},
                                               {"sequence", report.sequence},
-                                              {"known_sequence", old->report.sequence},
-                                              {"from", old->report.failure_domain},
+                                              {"known_sequence", old_report.sequence},
+                                              {"from", old_report.failure_domain},
                                               {"to", report.failure_domain}});
   }
-  const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
-  using Change = steering::ServerSet::Change;
-  if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
-  if (old && (old->gone || old->draining)) context_.pool.CloseIdleConnections(*old);
-  events_.Write(
-      change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
-      {{"server", report.id},
-       {"born", report.born_ms},
-       {"service", report.service},
-       {"address", report.address},
-       {"failure_domain", report.failure_domain},
-       {"sequence", report.sequence},
-       {"cold_ms", Ms(report.cold_left)},
-       {"draining", report.state == steering::ServerState::kDraining}});
-  const auto server = context_.servers.Find(report.id);
-  if (server->gone) {
-    LogSuperseded(*server);
-  } else if (holder && holder->gone && holder->report.id != report.id) {
-    context_.pool.CloseIdleConnections(*holder);
-    LogSuperseded(*holder);
+  LogServer(change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
+            report);
+  if (const auto server = context_.servers.Find(report.id); server->gone) LogSuperseded(*server);
+  for (const auto& it : holders) {
+    if (!it->gone || it->report.id == report.id) continue;
+    context_.pool.CloseIdleConnections(*it);
+    LogSuperseded(*it);
   }
   return true;
 }
 
+void Gateway::LogServer(StreamEvent event, const steering::ServerReport& report) {
+  events_.Write(event, {{"server", report.id},
+                        {"born", report.born_ms},
+                        {"service", report.service},
+                        {"address", report.address},
+                        {"failure_domain", report.failure_domain},
+                        {"sequence", report.sequence},
+                        {"cold_ms", Ms(report.cold_left)},
+                        {"draining", report.state == steering::ServerState::kDraining}});
+}
+
+void Gateway::LogReturned() {
+  for (const auto& it : context_.servers.TakeReturned()) {
+    LogServer(StreamEvent::kServerAdded, it->report);
+  }
+}
+
 void Gateway::LogSuperseded(const steering::Server& superseded) {
-  const auto holder = context_.servers.AddressHolder(superseded.report.address);
-  events_.Write(StreamEvent::kAddressShared, {{"server", holder->report.id},
-                                              {"region", holder->region},
-                                              {"born", holder->report.born_ms},
-                                              {"superseded", superseded.report.id},
-                                              {"superseded_region", superseded.region},
-                                              {"superseded_born", superseded.report.born_ms},
-                                              {"address", holder->report.address}});
+  for (const auto& it : context_.servers.AddressHolders(superseded.report.address)) {
+    events_.Write(StreamEvent::kAddressShared, {{"server", it->report.id},
+                                                {"region", it->region},
+                                                {"born", it->report.born_ms},
+                                                {"superseded", superseded.report.id},
+                                                {"superseded_region", superseded.region},
+                                                {"superseded_born", superseded.report.born_ms},
+                                                {"address", it->report.address}});
+  }
 }
 
 std::string_view Gateway::SourceName() const noexcept {
@@ -328,6 +339,7 @@
 void Gateway::RemoveServer(const std::string& id, std::string_view reason) {
   const auto server = context_.servers.Find(id);
   if (!context_.servers.OnRemoved(id)) return;
+  LogReturned();
   context_.pool.CloseIdleConnections(*server);
   events_.Write(StreamEvent::kServerRemoved, {{"server", id}, {"reason", reason}});
 }
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -95,6 +95,9 @@
   /// True if the change must be passed on to other instances.
   bool ApplyServerReport(const steering::ServerReport& report);
   void RemoveServer(const std::string& id, std::string_view reason);
+  void LogServer(telemetry::StreamEvent event, const steering::ServerReport& report);
+  /// Logs servers that got their address back.
+  void LogReturned();
   /// Logs that the address of a listed server belongs to another one.
   void LogSuperseded(const steering::Server& superseded);
   /// Name of the source of the item that is being applied.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -1,6 +1,8 @@
 #include "vanilladeck/steering/server_set.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace vanilladeck::steering {
 namespace {
@@ -39,80 +41,107 @@
   // Without a start time only another place shows that a server restarted.
   const bool same_incarnation =
       known && report.born_ms == known->report.born_ms && (same_place || report.born_ms != 0);
-  if (same_incarnation && report.sequence <= known->report.sequence) return Change::kNone;
-  const bool returns = same_incarnation && same_place && known->gone;
   if (same_incarnation && same_place) {
+    if (report.sequence <= known->report.sequence) return Change::kNone;
     const bool starts_drain = report.state == ServerState::kDraining && !known->draining;
     known->report = report;
     known->reported_at = now;
     known->draining = known->draining || report.state == ServerState::kDraining;
     known->cold_until = now + report.cold_left;
-    if (!returns) return starts_drain ? Change::kDraining : Change::kNone;
-    if (IsSuperseded(*known, false)) return Change::kNone;
+    if (known->gone && report.born_ms >= LatestStart(report.address)) {
+      Replace(known, Renewed(*known));
+      return Change::kReturned;
+    }
+    return starts_drain ? Change::kDraining : Change::kNone;
   }
-  const auto server = returns ? std::make_shared<Server>(*known) : std::make_shared<Server>();
+  const auto server = std::make_shared<Server>();
   server->serial = ++last_serial_;
-  if (returns) {
-    server->gone = false;
-    server->in_flight = 0;
-  } else {
-    server->report = report;
-    server->region = region_of_(report.failure_domain);
-    server->reported_at = now;
-    server->draining = report.state == ServerState::kDraining;
-    server->cold_until = now + report.cold_left;
-    if (same_incarnation) {
-      server->draining = server->draining || known->draining;
-      server->cold_sends = known->cold_sends;
-    }
+  server->report = report;
+  server->region = region_of_(report.failure_domain);
+  server->reported_at = now;
+  server->draining = report.state == ServerState::kDraining;
+  server->cold_until = now + report.cold_left;
+  if (same_incarnation) {
+    server->draining = server->draining || known->draining;
+    server->cold_sends = known->cold_sends;
   }
-  if (known) Remove(*known);
-  by_id_.emplace(report.id, server);
-  Index(server);
-  ClaimAddress(server);
-  return returns ? Change::kReturned : Change::kAdded;
+  Replace(known, server);
+  return Change::kAdded;
 }
 
 bool ServerSet::OnRemoved(const std::string& id) {
   const ServerPtr server = Find(id);
   if (!server) return false;
-  Remove(*server);
+  Replace(server, nullptr);
   return true;
 }
 
-void ServerSet::Remove(Server& server) {
+void ServerSet::OnMisdirected(Server& server) noexcept {
   server.gone = true;
-  ReleaseAddress(server);
-  Unindex(server);
-  by_id_.erase(server.report.id);
+  LeaveAddress(server);
 }
 
-void ServerSet::OnMisdirected(Server& server) noexcept {
-  server.gone = true;
-  ReleaseAddress(server);
+std::vector<ServerPtr> ServerSet::TakeReturned() { return std::exchange(returned_, {}); }
+
+ServerPtr ServerSet::Renewed(const Server& server) {
+  const auto renewed = std::make_shared<Server>(server);
+  renewed->serial = ++last_serial_;
+  renewed->gone = false;
+  renewed->in_flight = 0;
+  return renewed;
 }
 
-bool ServerSet::IsSuperseded(const Server& server, bool registers) const {
-  const ServerPtr holder = AddressHolder(server.report.address);
-  if (!holder || holder.get() == &server) return false;
-  const std::int64_t born_ms = server.report.born_ms;
-  const std::int64_t holder_born_ms = holder->report.born_ms;
-  return born_ms < holder_born_ms || (born_ms == holder_born_ms && !registers);
+void ServerSet::Replace(const ServerPtr& known, const ServerPtr& server) {
+  if (known) {
+    known->gone = true;
+    LeaveAddress(*known);
+    Unindex(*known);
+    by_id_.erase(known->report.id);
+  }
+  if (server) {
+    by_id_.emplace(server->report.id, server);
+    Index(server);
+    by_address_[server->report.address].push_back(server);
+    AssignAddress(server->report.address);
+  }
+  if (known && !(server && server->report.address == known->report.address)) {
+    AssignAddress(known->report.address);
+  }
 }
 
-void ServerSet::ClaimAddress(const ServerPtr& server) {
-  if (IsSuperseded(*server, true)) {
-    server->gone = true;
-    return;
+std::int64_t ServerSet::LatestStart(const std::string& address) const {
+  std::int64_t latest_ms = 0;
+  const auto listed = by_address_.find(address);
+  if (listed == by_address_.end()) return latest_ms;
+  for (const ServerPtr& it : listed->second) latest_ms = std::max(latest_ms, it->report.born_ms);
+  return latest_ms;
+}
+
+void ServerSet::AssignAddress(const std::string& address) {
+  const auto listed = by_address_.find(address);
+  if (listed == by_address_.end()) return;
+  const std::int64_t latest_ms = LatestStart(address);
+  for (ServerPtr& it : listed->second) {
+    if (it->report.born_ms < latest_ms) {
+      it->gone = true;
+    } else if (it->gone) {
+      Unindex(*it);
+      it = Renewed(*it);
+      by_id_[it->report.id] = it;
+      Index(it);
+      returned_.push_back(it);
+    }
   }
-  ServerPtr& holder = by_address_[server->report.address];
-  if (holder) holder->gone = true;
-  holder = server;
 }
 
-void ServerSet::ReleaseAddress(const Server& server) noexcept {
-  const auto it = by_address_.find(server.report.address);
-  if (it != by_address_.end() && it->second.get() == &server) by_address_.erase(it);
+void ServerSet::LeaveAddress(const Server& server) noexcept {
+  const auto listed = by_address_.find(server.report.address);
+  if (listed == by_address_.end()) return;
+  auto& servers = listed->second;
+  servers.erase(std::remove_if(servers.begin(), servers.end(),
+                               [&](const ServerPtr& it) { return it.get() == &server; }),
+                servers.end());
+  if (servers.empty()) by_address_.erase(listed);
 }
 
 void ServerSet::OnSent(Server& server, core::TimePoint now) {
@@ -208,9 +237,13 @@
   return it == by_id_.end() ? nullptr : it->second;
 }
 
-ServerPtr ServerSet::AddressHolder(const std::string& address) const {
-  const auto it = by_address_.find(address);
-  return it == by_address_.end() ? nullptr : it->second;
+std::vector<ServerPtr> ServerSet::AddressHolders(const std::string& address) const {
+  std::vector<ServerPtr> holders;
+  const auto listed = by_address_.find(address);
+  if (listed == by_address_.end()) return holders;
+  std::copy_if(listed->second.begin(), listed->second.end(), std::back_inserter(holders),
+               [](const ServerPtr& it) { return !it->gone; });
+  return holders;
 }
 
 bool ServerSet::Assignable(const Server& server) const noexcept {
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -36,8 +36,8 @@
 /// another service, address or failure domain, or after it was gone, makes a new `Server` that
 /// replaces the known one, so that requests and connections of the known one stay with it.
 ///
-/// An address belongs to the server that started last, or registered last if both started at once.
-/// Others with that address are unusable until they report again after the holder has left.
+/// An address belongs to the listed servers with the latest start. Others with that address are
+/// unusable until these have left.
 class ServerSet {
  public:
   using RegionOf = std::function<std::string(const std::string& failure_domain)>;
@@ -72,8 +72,10 @@
 
   [[nodiscard]] const std::vector<ServerPtr>& OfService(const std::string& service) const;
   [[nodiscard]] ServerPtr Find(const std::string& id) const;
-  /// The server to which the address belongs, or null; it is never `gone`.
-  [[nodiscard]] ServerPtr AddressHolder(const std::string& address) const;
+  /// The servers to which the address belongs; they are not `gone`.
+  [[nodiscard]] std::vector<ServerPtr> AddressHolders(const std::string& address) const;
+  /// Servers that got their address back since the last call because a newer one left it.
+  [[nodiscard]] std::vector<ServerPtr> TakeReturned();
 
   /// Listed, not draining and not evacuated.
   [[nodiscard]] bool Assignable(const Server& server) const noexcept;
@@ -84,21 +86,25 @@
   [[nodiscard]] std::vector<std::string> Ids() const;
 
  private:
-  /// The caller holds a reference to `server`.
-  void Remove(Server& server);
-  /// The address of `server` belongs to a newer one. `registers` is false for a further report of a
-  /// known server.
-  [[nodiscard]] bool IsSuperseded(const Server& server, bool registers) const;
-  /// Leaves the address to the newer of `server` and its holder; the other one is gone.
-  void ClaimAddress(const ServerPtr& server);
-  void ReleaseAddress(const Server& server) noexcept;
+  /// A copy of `server` that is not gone and has no requests; connections to the known one are not
+  /// reused for it.
+  [[nodiscard]] ServerPtr Renewed(const Server& server);
+  /// Lists `server`, unless null, in place of `known`, unless null.
+  void Replace(const ServerPtr& known, const ServerPtr& server);
+  /// Latest start of the servers listed with the address; 0 if there is none.
+  [[nodiscard]] std::int64_t LatestStart(const std::string& address) const;
+  /// Gives the address to the servers that started last.
+  void AssignAddress(const std::string& address);
+  void LeaveAddress(const Server& server) noexcept;
   void Index(const ServerPtr& server);
   void Unindex(const Server& server);
 
   RegionOf region_of_;
   std::map<std::string, ServerPtr> by_id_;
   std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
-  std::unordered_map<std::string, ServerPtr> by_address_;  ///< Holders.
+  /// Listed servers by address, without those that answered as another one.
+  std::unordered_map<std::string, std::vector<ServerPtr>> by_address_;
+  std::vector<ServerPtr> returned_;
   std::uint64_t last_serial_ = 0;
   std::set<std::string> evacuated_;
   std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
