Rank unusable instances by their last failure, without expiry

An instance that the store did not answer could ask the same unusable instances for ever and never one that answers.

Cause: ChooseWithoutStore ranked by the end of the 5 s back-off period, and one instance is asked a second. Once the period of the first had expired, it ranked like one that was never asked, by hash, before all that had not been asked yet. With six or more unusable ones at the front of that order the others were out of reach.

Fix: the rank is the time of the last failure, which does not expire: those that never failed first, then the least recently failed. Readers keep their back-off period.

--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -102,7 +102,7 @@
   if (follower_.listed() || (follower_.synced() && seed_asked_last_)) {
     seed_asked_last_ = false;
     const auto others = KnownPeers();
-    const membership::FeedPeer* peer = feed_source_.ChooseWithoutStore(others, now);
+    const membership::FeedPeer* peer = feed_source_.ChooseWithoutStore(others);
     if (peer == nullptr) return;
     name = peer->name;
     endpoint = http::ParseEndpoint(peer->address);
--- a/src/vanilladeck/membership/feed_source.cc
+++ b/src/vanilladeck/membership/feed_source.cc
@@ -42,18 +42,20 @@
 const FeedPeer* FeedSource::Choose(core::TimePoint now) const {
   if (is_reader_) return nullptr;
   for (const FeedPeer& it : readers_) {
-    if (BackoffEnd(it.name, now) == core::TimePoint{}) return &it;
+    const auto failed = failed_at_.find(it.name);
+    if (failed == failed_at_.end() || now - failed->second >= kReaderBackoff) return &it;
   }
   return nullptr;
 }
 
-const FeedPeer* FeedSource::ChooseWithoutStore(const std::vector<FeedPeer>& others,
-                                               core::TimePoint now) const {
+const FeedPeer* FeedSource::ChooseWithoutStore(const std::vector<FeedPeer>& others) const {
   const std::uint64_t own = core::Hash64(own_name_);
   const FeedPeer* chosen = nullptr;
   std::pair<core::TimePoint, std::uint64_t> least;
   for (const FeedPeer& it : others) {
-    const std::pair rank(BackoffEnd(it.name, now), core::Hash64(it.name, own));
+    const auto failed = failed_at_.find(it.name);
+    const std::pair rank(failed != failed_at_.end() ? failed->second : core::TimePoint::min(),
+                         core::Hash64(it.name, own));
     if (it.name == own_name_ || (chosen != nullptr && rank >= least)) continue;
     chosen = &it;
     least = rank;
@@ -61,13 +63,6 @@
   return chosen;
 }
 
-core::TimePoint FeedSource::BackoffEnd(const std::string& name, core::TimePoint now) const {
-  const auto it = backoff_until_.find(name);
-  return it != backoff_until_.end() && now < it->second ? it->second : core::TimePoint{};
-}
-
-void FeedSource::OnFailure(const std::string& name, core::TimePoint now) {
-  backoff_until_[name] = now + kReaderBackoff;
-}
+void FeedSource::OnFailure(const std::string& name, core::TimePoint now) { failed_at_[name] = now; }
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/feed_source.h
+++ b/src/vanilladeck/membership/feed_source.h
@@ -33,9 +33,9 @@
 
   /// Returns the instance to ask while the store does not answer this one, or null if there is
   /// none. `others` are the known instances of all regions; each instance prefers a different one.
-  /// All of them may lag, so those in a back-off period come last.
-  [[nodiscard]] const FeedPeer* ChooseWithoutStore(const std::vector<FeedPeer>& others,
-                                                   core::TimePoint now) const;
+  /// Those that have failed come last, the most recent failure at the end; unlike a back-off
+  /// period this order does not expire, so that any number of unusable ones is passed over.
+  [[nodiscard]] const FeedPeer* ChooseWithoutStore(const std::vector<FeedPeer>& others) const;
 
   void OnFailure(const std::string& name, core::TimePoint now);
 
@@ -63,13 +63,10 @@
   static constexpr std::size_t kMaxRegionWithoutReaders = 4;
 
  private:
-  /// End of the back-off period, or the clock's epoch if there is none.
-  [[nodiscard]] core::TimePoint BackoffEnd(const std::string& name, core::TimePoint now) const;
-
   std::string own_name_;
   std::vector<FeedPeer> readers_;
   bool is_reader_ = true;
-  std::map<std::string, core::TimePoint> backoff_until_;
+  std::map<std::string, core::TimePoint> failed_at_;  ///< Time of each instance's last failure.
 };
 
 }  // namespace vanilladeck::membership
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -385,20 +385,20 @@
     std::set<std::string> asked;
     for (int i = 1; i < n; ++i) {
       const auto peers = Peers(n);
-      const FeedPeer* peer = source.ChooseWithoutStore(peers, At(i * 100ms));
+      const FeedPeer* peer = source.ChooseWithoutStore(peers);
       REQUIRE(peer != nullptr);
       CHECK(peer->name != "edge-0");
       CHECK(asked.insert(peer->name).second);
       source.OnFailure(peer->name, At(i * 100ms));
     }
     const auto peers = Peers(n);
-    CHECK(source.ChooseWithoutStore(peers, At(2s)) != nullptr);
-    CHECK(source.ChooseWithoutStore({{"edge-0", "127.0.0.1:1"}}, At(2s)) == nullptr);
+    CHECK(source.ChooseWithoutStore(peers) != nullptr);
+    CHECK(source.ChooseWithoutStore({{"edge-0", "127.0.0.1:1"}}) == nullptr);
   }
   std::set<std::string> preferred;
   const auto peers = Peers(100);
   for (const FeedPeer& it : peers) {
-    preferred.insert(FeedSource(it.name).ChooseWithoutStore(peers, At(0s))->name);
+    preferred.insert(FeedSource(it.name).ChooseWithoutStore(peers)->name);
   }
   CHECK(preferred.size() > 50);
 }
