Relay removals with their own revision

A server that had been removed could be used again by an instance that gets changes from another one, if it received a state from before the removal while its store connection recovered.

Cause: a relayed removal carried the revision of the item's last write. The removal was deferred and recorded with that revision, so that any older state, read after that write, cancelled it.

Fix: the log keeps the revision of the removal for relaying, and still the revision at which it was applied for pruning, which is later for deferred removals. The receiver's comparison with the known item stays: the relayed revision is never below the item's, so no removal that was applied before is ignored now, and its tombstones now cover states up to the removal. The revision that the log got before was not usable for this: it is that of the follower, which precedes the removals of the answer being applied and is past a deferred removal. A trial that relayed it failed both sections of "a removal is relayed with its own revision".

Without the fix in the log: CHECK( removal.changes[0].item.revision == 31 ) with expansion: 4 == 31 CHECK( f.items.count("servers/x") == 0 ) with expansion: 1 == 0 (only with an older state) Calls of Remove in existing tests pass their revision for both; their checks are unchanged.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -245,7 +245,8 @@
 }
 
 void Gateway::OnRemoved(const std::string& key) {
-  change_log_.Remove(key, follower_.revision(), core::RuntimeClock::now());
+  change_log_.Remove(key, follower_.removal_revision(), follower_.revision(),
+                     core::RuntimeClock::now());
   const RemovedItem removed = codec_.DecodeRemoval(key);
   if (const auto* server = std::get_if<RemovedServer>(&removed)) {
     RemoveServer(server->id, "entry removed");
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -115,15 +115,17 @@
   if (!complete_since_) complete_since_ = revision;
 }
 
-void ChangeLog::Remove(const std::string& key, store::Revision revision, core::TimePoint now) {
+void ChangeLog::Remove(const std::string& key, store::Revision revision, store::Revision applied_at,
+                       core::TimePoint now) {
   Prune(now);
   const auto it = entries_.find(key);
   if (it == entries_.end()) return;
   it->second.removed = true;
   it->second.removed_at = now;
   it->second.item.value.clear();
+  it->second.item.revision = std::max(it->second.item.revision, revision);
   it->second.position = ++position_;
-  it->second.revision = revision;
+  it->second.revision = applied_at;
 }
 
 void ChangeLog::Prune(core::TimePoint now) {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -43,8 +43,10 @@
 
   /// `relay` is false for a change that other instances do not need.
   void Put(const store::Item& item, bool relay, core::TimePoint now);
-  /// `revision` is the store revision at which the removal was applied here.
-  void Remove(const std::string& key, store::Revision revision, core::TimePoint now);
+  /// `revision` is a store revision at which the key was absent; `applied_at` is the revision up to
+  /// which all other changes were applied here, which is later if the removal was deferred.
+  void Remove(const std::string& key, store::Revision revision, store::Revision applied_at,
+              core::TimePoint now);
   /// Records that the log is complete as of store revision `revision`; later calls are ignored.
   void OnListed(store::Revision revision) noexcept;
 
@@ -55,9 +57,10 @@
 
  private:
   struct Entry {
-    store::Item item;
+    store::Item item;  ///< Of a removed key, the revision is that of the removal.
     std::uint64_t position = 0;
-    /// Store revision of the last relayed change; the item may have been renewed since.
+    /// Store revision of the last relayed change, for a removal the one at which it was applied
+    /// here; the item may have been renewed since.
     store::Revision revision = 0;
     core::TimePoint
         repeat_until;  ///< Until then the last change is part of all deltas by revision.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -255,6 +255,7 @@
   known_revisions_.erase(key);
   deferred_removals_.erase(key);
   tombstones_[key] = Removal{revision, now};
+  removal_revision_ = revision;
   if (sink_.on_removed) sink_.on_removed(key);
 }
 
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -92,6 +92,8 @@
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
+  /// Store revision at which the key was absent whose removal the sink is called with.
+  [[nodiscard]] store::Revision removal_revision() const noexcept { return removal_revision_; }
 
  private:
   void OnPage(const store::RangePage& page, core::TimePoint now);
@@ -131,6 +133,7 @@
   std::map<std::string, Removal> deferred_removals_;
   std::map<std::string, Removal> tombstones_;  ///< Older items of these keys are ignored.
   store::Revision revision_ = 0;
+  store::Revision removal_revision_ = 0;
   core::TimePoint due_;
   core::TimePoint watch_sent_;
   bool listed_once_ = false;
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -27,7 +27,7 @@
   log.Put({"servers/x", "v2", 7}, false, At(0s));
   CHECK(log.Since({"a/1", first.position, 0}, At(0s)).changes.empty());
   log.Put({"servers/x", "v3", 8}, true, At(0s));
-  log.Remove("servers/y", 8, At(0s));
+  log.Remove("servers/y", 8, 8, At(0s));
   const PeerChanges second = log.Since({"a/1", first.position, 0}, At(0s));
   CHECK_FALSE(second.full);
   REQUIRE(second.changes.size() == 2);
@@ -42,10 +42,10 @@
   CHECK(log.Since({"a/1", 2, 0}, At(0s)).full);
   CHECK(log.Since({"a/2", 99, 0}, At(0s)).full);
   const std::uint64_t position = log.Since({}, At(0s)).position;
-  log.Remove("servers/x", 6, At(0s));
+  log.Remove("servers/x", 6, 6, At(0s));
   log.Put({"servers/y", "v1", 6}, true, At(0s));
   CHECK_FALSE(log.Since({"a/2", position, 0}, At(0s)).full);
-  log.Remove("servers/y", 7, At(60s));
+  log.Remove("servers/y", 7, 7, At(60s));
   CHECK(log.Since({"a/2", position, 0}, At(0s)).full);
 }
 
@@ -62,7 +62,7 @@
     log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false, At(0s));
   }
   log.Put({"servers/7", "draining", 1200}, true, At(0s));
-  log.Remove("servers/8", 1201, At(0s));
+  log.Remove("servers/8", 1201, 1201, At(0s));
   const PeerChanges changes = log.Since({"a/1", 55, 1100}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 2);
@@ -81,14 +81,14 @@
   ChangeLog log("b/1");
   log.Put({"servers/x", "v", 5}, true, At(0s));
   log.OnListed(10);
-  log.Remove("servers/x", 20, At(0s));
+  log.Remove("servers/x", 20, 20, At(0s));
   const PeerChanges changes = log.Since({"a/1", 3, 25}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 1);
   CHECK(changes.changes[0].removed);
   // Once the removal is pruned, an instance that is that far behind needs a full snapshot.
   log.Put({"servers/y", "v", 30}, true, At(0s));
-  log.Remove("servers/y", 40, At(60s));
+  log.Remove("servers/y", 40, 40, At(60s));
   CHECK(log.Since({"a/1", 3, 19}, At(0s)).full);
   CHECK_FALSE(log.Since({"a/1", 3, 25}, At(0s)).full);
 }
@@ -98,9 +98,9 @@
   ChangeLog log("b/1");
   log.Put({"servers/x", "v", 5}, true, At(0s));
   log.Put({"servers/y", "v", 6}, true, At(0s));
-  log.Remove("servers/x", 7, At(0s));
+  log.Remove("servers/x", 7, 7, At(0s));
   const std::uint64_t position = log.Since({}, At(0s)).position;
-  log.Remove("servers/y", 8, At(60s));
+  log.Remove("servers/y", 8, 8, At(60s));
   const PeerChanges changes = log.Since({"b/1", position, 7}, At(0s));
   CHECK_FALSE(changes.full);
   CHECK(changes.changes.size() == 1);
@@ -250,7 +250,9 @@
 struct Reader {
   Reader()
       : follower({}, {[this](const store::Item& item) { log.Put(item, true, now); },
-                      [this](const std::string& key) { log.Remove(key, follower.revision(), now); },
+                      [this](const std::string& key) {
+                        log.Remove(key, follower.removal_revision(), follower.revision(), now);
+                      },
                       [this] { log.OnListed(follower.revision()); },
                       {}}),
         now(At(0s)) {
@@ -310,6 +312,62 @@
   CHECK(reader.SinceRevision(65).changes.empty());
 }
 
+// Guards against a removed server that is used again: a relayed removal carried the revision of the
+// item's last write, so that while the store recovers a state from before the removal cancelled it.
+TEST_CASE("an older state does not cancel a removal that a peer relayed") {
+  Reader reader;
+  Follower f;
+  f.follower.Tick(At(3s));  // An outage.
+  reader.Watch({{{"servers/x", "", 31}, true}}, 40);
+  const PeerChanges removal = reader.SinceRevision(10);
+  REQUIRE(removal.changes.size() == 1);
+  REQUIRE(removal.changes[0].removed);
+  CHECK(removal.changes[0].item.revision == 31);
+  f.follower.OnPeerChanges(removal, 400ms, At(3s));
+  SECTION("without an older state") {}
+  SECTION("with an older state") {
+    PeerChanges older;
+    older.full = true;
+    older.revision = 20;
+    older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+    f.follower.OnPeerChanges(older, 400ms, At(3400ms));
+  }
+  for (int i = 35; i < 100; ++i) f.follower.Tick(At(i * 100ms));
+  CHECK(f.items.count("servers/x") == 0);
+}
+
+// Guards against a removal that is ignored, or that removes a later entry, because it is relayed
+// with the revision up to which the reader had read before or after it.
+TEST_CASE("a removal is relayed with its own revision") {
+  Reader reader;
+  Follower f;
+  f.follower.OnPeerChanges(reader.SinceRevision(10), 400ms, At(1s));
+  PeerChanges written;
+  SECTION("which follows a write of the same answer") {
+    reader.Watch({{{"servers/x", "w", 12}, false}, {{"servers/x", "", 15}, true}}, 40);
+    written.changes = {{{"servers/x", "w", 12}, false}};
+    written.revision = 13;
+    f.follower.OnPeerChanges(written, 400ms, At(2s));
+    f.follower.OnPeerChanges(reader.SinceRevision(13), 400ms, At(3s));
+    CHECK(f.items.count("servers/x") == 0);
+  }
+  SECTION("which precedes a write that the reader has missed") {
+    reader.follower.Tick(reader.now);
+    reader.now += 10s;
+    reader.follower.Tick(reader.now);  // An outage defers the removal.
+    reader.Watch({{{"servers/x", "", 15}, true}}, 40);
+    for (int i = 0; i < 30; ++i) reader.follower.Tick(reader.now += 100ms);
+    written.changes = {{{"servers/x", "w", 20}, false}};
+    written.revision = 45;
+    f.follower.OnPeerChanges(written, 400ms, At(2s));
+    const PeerChanges removal = reader.SinceRevision(45);
+    REQUIRE(removal.changes.size() == 1);
+    CHECK(removal.changes[0].removed);
+    f.follower.OnPeerChanges(removal, 400ms, At(3s));
+    CHECK(f.items.count("servers/x") == 1);
+  }
+}
+
 std::vector<FeedPeer> Peers(int n) {
   std::vector<FeedPeer> peers;
   peers.reserve(static_cast<std::size_t>(n));
