Keep the latest revision of a deferred removal

A server that had been removed could be used again by an instance whose store connection recovered, if the removal was reported twice and a state from between the two reports came last.

Cause: a removal that is already deferred kept the revision of its first report, so that a state newer than that one, but older than the last report, cancelled it.

Fix: the larger revision is kept; the end of the grace period stays that of the recovery.

Before the fix, "a deferred removal is not cancelled by a state from before the last removal": CHECK( f.items.count("servers/x") == 0 ) with expansion: 1 == 0

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -244,7 +244,9 @@
 void StoreFollower::RemoveOrDefer(const std::string& key, store::Revision revision,
                                   core::TimePoint now) {
   if (now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{}) {
-    deferred_removals_.emplace(key, Removal{revision, recovered_at_ + settings_.removal_grace});
+    const auto [it, added] = deferred_removals_.try_emplace(
+        key, Removal{revision, recovered_at_ + settings_.removal_grace});
+    if (!added) it->second.revision = std::max(it->second.revision, revision);
     return;
   }
   ApplyRemoval(key, revision, now);
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -368,6 +368,27 @@
   }
 }
 
+// Guards against a removed server that is used again: while the store recovers, a state from before
+// its last removal cancelled the deferred one, which kept the revision of an earlier removal.
+TEST_CASE("a deferred removal is not cancelled by a state from before the last removal") {
+  Follower f;
+  f.follower.Tick(At(3s));  // An outage.
+  PeerChanges removal;
+  removal.changes = {{{"servers/x", "", 20}, true}};
+  removal.revision = 20;
+  f.follower.OnPeerChanges(removal, 400ms, At(3s));
+  removal.changes[0].item.revision = 30;
+  removal.revision = 30;
+  f.follower.OnPeerChanges(removal, 400ms, At(3200ms));
+  PeerChanges older;
+  older.full = true;
+  older.revision = 25;
+  older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  f.follower.OnPeerChanges(older, 400ms, At(3400ms));
+  for (int i = 35; i < 100; ++i) f.follower.Tick(At(i * 100ms));
+  CHECK(f.items.count("servers/x") == 0);
+}
+
 std::vector<FeedPeer> Peers(int n) {
   std::vector<FeedPeer> peers;
   peers.reserve(static_cast<std::size_t>(n));
