Allow for the polls of a reader before other instances are asked

Instances that poll a reader asked other instances for changes again and again although their reader and the store answered.

Cause: QueryFallback applied the threshold for a reader's last store answer to the total age in an instance that polls one, which also contains the pause between polls, the response and a tick.

Fix: FeedSource::IsOwnStateCurrent adds these three times (0.4 + 0.3 + 0.1 s) for an instance that has a reader to poll. Without a usable reader, and for a reader itself, the threshold stays.

--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -85,8 +85,8 @@
 }
 
 void Gateway::QueryFallback(core::TimePoint now) {
-  const bool current = membership::FeedSource::IsCurrent(now - follower_.last_success(),
-                                                         settings_.follower.poll_interval);
+  const bool current = feed_source_.IsOwnStateCurrent(now - follower_.last_success(),
+                                                      settings_.follower.poll_interval, now);
   if (follower_.listed() && current) {
     fallback_connection_ = nullptr;
     return;
--- a/src/vanilladeck/membership/feed_source.cc
+++ b/src/vanilladeck/membership/feed_source.cc
@@ -63,6 +63,12 @@
   return chosen;
 }
 
+bool FeedSource::IsOwnStateCurrent(core::Duration age, core::Duration interval,
+                                   core::TimePoint now) const {
+  if (Choose(now) != nullptr) age -= kPollInterval + kAnswerTimeout + kPollDelay;
+  return IsCurrent(age, interval);
+}
+
 void FeedSource::OnFailure(const std::string& name, core::TimePoint now) { failed_at_[name] = now; }
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/feed_source.h
+++ b/src/vanilladeck/membership/feed_source.h
@@ -47,10 +47,18 @@
     return age <= interval + interval / 4 + kReadTime;
   }
 
+  /// Returns false if the last store answer that this instance knows of, its own or that of the
+  /// reader it polls, is so old that other instances should be asked as well. What a reader knows
+  /// arrives with its next poll, so that an instance that polls one is allowed that much more.
+  [[nodiscard]] bool IsOwnStateCurrent(core::Duration age, core::Duration interval,
+                                       core::TimePoint now) const;
+
   /// Pause between two polls of a reader. A response without changes is small.
   static constexpr core::Duration kPollInterval = std::chrono::milliseconds(400);
   /// Within a region a response takes milliseconds.
   static constexpr core::Duration kAnswerTimeout = std::chrono::milliseconds(300);
+  /// Time by which a poll that is due may be late.
+  static constexpr core::Duration kPollDelay = std::chrono::milliseconds(100);
   /// Duration of a store read across regions.
   static constexpr core::Duration kReadTime = std::chrono::milliseconds(200);
   /// Readers assigned to each instance; the second is a fallback for when the first fails.
--- a/tests/membership/feed_source_test.cc
+++ b/tests/membership/feed_source_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "vanilladeck/membership/store_follower.h"
+
 namespace vanilladeck::membership {
 namespace {
 
@@ -52,5 +54,108 @@
   }
 }
 
+/// A follower whose calls are answered by a store without changes, or by `reader` if there is one.
+struct IdleFollower {
+  explicit IdleFollower(core::Duration poll_interval, core::Duration store_time,
+                        const StoreFollower* reader = nullptr)
+      : store_time(store_time),
+        reader(reader),
+        follower(Settings(poll_interval),
+                 {[](const store::Item&) {}, [](const std::string&) {}, {}, {}}) {}
+
+  static FollowerSettings Settings(core::Duration poll_interval) {
+    FollowerSettings settings;
+    settings.poll_interval = poll_interval;
+    settings.check_prefix = "op/";
+    return settings;
+  }
+
+  void Run(core::TimePoint now, bool tick) {
+    if (call && now >= answered) {
+      const bool more = !AsksReader();
+      Answer(now);
+      if (more) Send(now);
+    }
+    if (!tick) return;
+    follower.Tick(now);
+    if (!call) Send(now);
+  }
+  [[nodiscard]] bool AsksReader() const {
+    return reader != nullptr && StoreFollower::CanAskPeer(*call);
+  }
+  void Send(core::TimePoint now) {
+    call = follower.Next(now);
+    if (!call) return;
+    const auto* watch = std::get_if<store::WatchChanges>(&*call);
+    answered = now + store_time + (watch != nullptr ? watch->wait : core::Duration(0));
+    if (AsksReader()) answered = now + 5ms;
+  }
+  void Answer(core::TimePoint now) {
+    const bool reads_range = std::holds_alternative<store::ReadRange>(*call);
+    const bool asks_reader = AsksReader();
+    call.reset();
+    if (asks_reader) {
+      PeerChanges changes;
+      changes.revision = 10;
+      changes.age = now - reader->last_success();
+      follower.OnPeerChanges(changes, FeedSource::kPollInterval, now);
+    } else if (reads_range) {
+      follower.OnAnswer(
+          store::VersionedResult(store::VersionedAnswer(store::RangePage{{}, false, 10})), now);
+    } else {
+      follower.OnAnswer(store::VersionedResult(store::VersionedAnswer(store::Changes{{}, 10})),
+                        now);
+    }
+  }
+
+  core::Duration store_time;
+  const StoreFollower* reader;
+  StoreFollower follower;
+  std::optional<store::VersionedCall> call;
+  core::TimePoint answered;
+};
+
+// Guards against instances that ask others all the time although their reader and the store answer:
+// the time until the next poll of the reader counted as a missed answer of the store.
+TEST_CASE("an instance with a sound reader needs no other instance") {
+  const auto store_time = GENERATE(5ms, 120ms);
+  const auto poll_interval = GENERATE(1000ms, 1600ms);
+  CAPTURE(store_time.count(), poll_interval.count());
+  FeedSource source("edge-none");
+  source.SetPeers(Peers(20));
+  REQUIRE(source.Choose(At(0s)) != nullptr);
+  IdleFollower reader(poll_interval, store_time);
+  IdleFollower other(poll_interval, store_time, &reader.follower);
+  int overdue = 0;
+  for (auto time = 0ms; time < 120s; time += 5ms) {
+    const core::TimePoint now = At(time);
+    const bool tick = time % 100ms == 0ms;
+    reader.Run(now, tick);
+    other.Run(now, tick);
+    if (!tick || time < 5s) continue;
+    const core::Duration age = now - other.follower.last_success();
+    if (!source.IsOwnStateCurrent(age, poll_interval, now)) ++overdue;
+  }
+  CHECK(overdue == 0);
+}
+
+// Guards against an allowance for polls that delays the requests to others when it does not apply.
+TEST_CASE("an instance asks others soon after its reader or the store has failed") {
+  const core::Duration interval = 1s;
+  const auto oldest = [&](const FeedSource& source, core::TimePoint now) {
+    core::Duration age{0};
+    while (source.IsOwnStateCurrent(age + 1ms, interval, now)) age += 1ms;
+    return age;
+  };
+  FeedSource source("edge-none");
+  CHECK(oldest(source, At(0s)) <= 1450ms);  // Reads the store itself.
+  source.SetPeers(Peers(20));
+  CHECK(oldest(source, At(0s)) <= 2250ms);
+  CHECK(oldest(source, At(0s)) < FollowerSettings{}.outage_timeout);
+  for (int i = 0; i < 2; ++i) source.OnFailure(source.Choose(At(0s))->name, At(0s));
+  REQUIRE(source.Choose(At(1s)) == nullptr);
+  CHECK(oldest(source, At(1s)) <= 1450ms);
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
