--- a/tests/platform/refused_instance_test.cc
+++ b/tests/platform/refused_instance_test.cc
@@ -3,29 +3,17 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
-#include <nlohmann/json.hpp>
 
-#include "codec.h"
-#include "gateway/proxy_fixture.h"
-#include "names.h"
-#include "vanilladeck/gateway/gateway.h"
+#include "platform/instance_fixture.h"
 #include "vanilladeck/gateway/peer_request.h"
-#include "vanilladeck/http/endpoint.h"
 #include "vanilladeck/membership/change_log.h"
 #include "vanilladeck/membership/registration.h"
 
 namespace vanilladeck::platform {
 namespace {
 
+using testing::ScriptedServer;
 using namespace std::chrono_literals;
-using boost::asio::ip::tcp;
-using gateway::testing::ScriptedServer;
-
-tcp::endpoint FreeEndpoint() {
-  boost::asio::io_context io;
-  tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint();
-}
 
 std::string Policy(const std::string& version) {
   return nlohmann::json{{"version", version}, {"resources", nlohmann::json::array()}}.dump();
@@ -113,19 +101,10 @@
     Respond(connection, "200 OK", membership::EncodePeerChanges(changes));
   }
 
-  gateway::GatewaySettings Settings() const {
-    gateway::GatewaySettings settings;
-    settings.instance = "edge-1";
-    settings.failure_domain = "east-a";
-    settings.region = "east";
-    settings.region_of_domain["east-a"] = "east";
-    settings.clients = FreeEndpoint();
-    settings.readiness = FreeEndpoint();
-    settings.lookups = FreeEndpoint();
+  [[nodiscard]] gateway::GatewaySettings Settings() const {
+    gateway::GatewaySettings settings = testing::InstanceSettings();
     settings.store = *vanilladeck::http::ParseEndpoint(store.Address());
-    settings.peers = FreeEndpoint();
     settings.seeds = {*vanilladeck::http::ParseEndpoint(seed.Address())};
-    settings.names = Names();
     settings.follower.check_prefix = "op/";
     return settings;
   }
