--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -84,7 +84,7 @@
 std::vector<ServerPtr> ServerSet::TakeReturned() { return std::exchange(returned_, {}); }
 
 ServerPtr ServerSet::Renewed(const Server& server) {
-  const auto renewed = std::make_shared<Server>(server);
+  auto renewed = std::make_shared<Server>(server);
   renewed->serial = ++last_serial_;
   renewed->gone = false;
   renewed->in_flight = 0;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -360,7 +360,9 @@
         }
       }
       RC_ASSERT(listed == f.servers.size());
-      for (const auto& [address, starts] : usable) RC_ASSERT(starts.size() == 1);
+      for (const auto& [address, starts] : usable) {
+        RC_ASSERT(starts.size() == 1);
+      }
       // A server is out of use only because of a 421 or of a newer one at its address.
       for (const ServerPtr& it : waiting) {
         const auto starts = usable.find(it->report.address);
