--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,8 +35,10 @@
 constexpr core::Duration kDrainIdleTime = milliseconds(1200);
 // The process exits this long before the platform would kill it.
 constexpr core::Duration kExitMargin = milliseconds(250);
-// A peer is polled each 0.4 s and answers within 0.3 s; its listings take up to half a second.
-constexpr core::Duration kRelayTime = milliseconds(1200);
+// Time by which an instance that asks a peer is behind it, with half a second for the peer's
+// listing.
+constexpr core::Duration kRelayTime = membership::FeedSource::kPollInterval +
+                                      membership::FeedSource::kAnswerTimeout + milliseconds(500);
 // The instance's record is written again if the store has not listed it for this time.
 constexpr core::Duration kRecordMissingTimeout = milliseconds(2500);
 
