--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -108,7 +108,9 @@
   entry.position = ++position_;
   entry.revision = item.revision;
   // The items of the first listing are not changes.
-  if (complete_since_) entry.repeat_until = now + kRepeatTime;
+  if (complete_since_ && !repeated_prefix_.empty() && item.key.rfind(repeated_prefix_, 0) == 0) {
+    entry.repeat_until = now + kRepeatTime;
+  }
 }
 
 void ChangeLog::OnListed(store::Revision revision) noexcept {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -39,7 +39,10 @@
 /// Most writes only renew a server's report; they are stored but not relayed.
 class ChangeLog {
  public:
-  explicit ChangeLog(std::string epoch) : epoch_(std::move(epoch)) {}
+  /// Deltas by revision repeat the latest changes of keys with `repeated_prefix`, unless it is
+  /// empty.
+  explicit ChangeLog(std::string epoch, std::string repeated_prefix = {})
+      : epoch_(std::move(epoch)), repeated_prefix_(std::move(repeated_prefix)) {}
 
   /// `relay` is false for a change that other instances do not need.
   void Put(const store::Item& item, bool relay, core::TimePoint now);
@@ -52,7 +55,7 @@
 
   /// Returns the changes after `known`: a delta by log position, a delta by store revision if the
   /// instance read another log before, or a full snapshot if neither can be served. A delta by
-  /// revision repeats the latest changes, since the other log may have missed them.
+  /// revision repeats some changes, since the other log may have missed them.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
@@ -71,6 +74,7 @@
   void Prune(core::TimePoint now);
 
   std::string epoch_;
+  std::string repeated_prefix_;
   std::map<std::string, Entry> entries_;
   std::uint64_t position_ = 1;
   std::uint64_t oldest_position_ = 1;  ///< Removals up to this position may have been pruned.
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -282,7 +282,7 @@
     return changes;
   }
 
-  ChangeLog log{"b/1"};
+  ChangeLog log{"b/1", "op/"};
   StoreFollower follower;
   core::TimePoint now;
 };
