Log transfers, received bytes and the source of server events

New: event slow-transfer (0.2 s or longer from the first byte), bytes in peer-failed and store-call-failed, source in server-added, server-draining and server-removed, metrics vanilladeck_control_bytes_total and vanilladeck_policy_unconfirmed_seconds. No change of logic.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -16,6 +16,8 @@
 constexpr core::Duration kTickInterval = milliseconds(100);
 // Smallest change of a region's share that is logged.
 constexpr double kLoggedShareChange = 0.05;
+// Shortest transfer from the store or another instance that is logged.
+constexpr core::Duration kLoggedTransferTime = milliseconds(200);
 constexpr core::Duration kExpiryInterval = std::chrono::seconds(1);
 // A call between regions takes 0.12 s, a call to a slow store 0.4 s.
 constexpr core::Duration kStoreTimeout = milliseconds(1200);
@@ -194,34 +196,49 @@
   if (call && peer != nullptr && membership::StoreFollower::CanAskPeer(*call)) {
     QueryPeer(*peer);
   } else if (call) {
-    follower_channel_.Call(*call, kStoreTimeout,
-                           [this, call = *call](const store::VersionedResult& result) {
-                             CountCall(call, result);
-                             follower_.OnAnswer(result, core::RuntimeClock::now());
-                             context_.policy_as_of = follower_.current_as_of();
-                             // The next page, or the next watch after one without changes, follows
-                             // immediately.
-                             if (result) SendStoreCalls();
-                           });
+    follower_channel_.Call(
+        *call, kStoreTimeout,
+        [this, call = *call](const store::VersionedResult& result, const Transfer& transfer) {
+          CountCall(call, result, transfer);
+          follower_.OnAnswer(result, core::RuntimeClock::now());
+          context_.policy_as_of = follower_.current_as_of();
+          // The next page, or the next watch after one without changes, follows
+          // immediately.
+          if (result) SendStoreCalls();
+        });
   }
   if (auto lease_call = registration_.Next(now)) {
-    lease_channel_.Call(*lease_call, kStoreTimeout,
-                        [this, call = *lease_call](const store::VersionedResult& result) {
-                          CountCall(call, result);
-                          registration_.OnAnswer(result, core::RuntimeClock::now());
-                          if (result) SendStoreCalls();
-                        });
+    lease_channel_.Call(
+        *lease_call, kStoreTimeout,
+        [this, call = *lease_call](const store::VersionedResult& result, const Transfer& transfer) {
+          CountCall(call, result, transfer);
+          registration_.OnAnswer(result, core::RuntimeClock::now());
+          if (result) SendStoreCalls();
+        });
   }
 }
 
-void Gateway::CountCall(const store::VersionedCall& call, const store::VersionedResult& result) {
+void Gateway::CountTransfer(std::string_view source, std::string_view call,
+                            const Transfer& transfer) {
+  context_.metrics.control_bytes += transfer.bytes;
+  if (transfer.duration < kLoggedTransferTime) return;
+  events_.Write(StreamEvent::kSlowTransfer, {{"source", source},
+                                             {"call", call},
+                                             {"bytes", transfer.bytes},
+                                             {"ms", Ms(transfer.duration)}});
+}
+
+void Gateway::CountCall(const store::VersionedCall& call, const store::VersionedResult& result,
+                        const Transfer& transfer) {
   ++context_.metrics.store_calls[call.index()];
+  CountTransfer("store", store::kVersionedCallNames[call.index()], transfer);
   if (result) return;
   ++context_.metrics.store_errors[static_cast<std::size_t>(result.error().code)];
   events_.Write(StreamEvent::kStoreCallFailed,
                 {{"call", store::kVersionedCallNames[call.index()]},
                  {"error", store::kCallErrorNames[static_cast<std::size_t>(result.error().code)]},
-                 {"detail", result.error().detail}});
+                 {"detail", result.error().detail},
+                 {"bytes", transfer.bytes}});
 }
 
 void Gateway::OnItem(const store::Item& item) {
@@ -315,7 +332,8 @@
                         {"failure_domain", report.failure_domain},
                         {"sequence", report.sequence},
                         {"cold_ms", Ms(report.cold_left)},
-                        {"draining", report.state == steering::ServerState::kDraining}});
+                        {"draining", report.state == steering::ServerState::kDraining},
+                        {"source", SourceName()}});
 }
 
 void Gateway::LogReturned() {
@@ -345,7 +363,8 @@
   if (!context_.servers.OnRemoved(id)) return;
   LogReturned();
   context_.pool.CloseIdleConnections(*server);
-  events_.Write(StreamEvent::kServerRemoved, {{"server", id}, {"reason", reason}});
+  events_.Write(StreamEvent::kServerRemoved,
+                {{"server", id}, {"reason", reason}, {"source", SourceName()}});
 }
 
 void Gateway::ApplyPolicy(config::RoutingPolicy policy, store::Revision revision) {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -107,7 +107,10 @@
   void LogSplits();
   void UpdateReadiness();
   void DrainTick();
-  void CountCall(const store::VersionedCall& call, const store::VersionedResult& result);
+  /// Counts the bytes received from the store or an instance, and logs a transfer that was slow.
+  void CountTransfer(std::string_view source, std::string_view call, const Transfer& transfer);
+  void CountCall(const store::VersionedCall& call, const store::VersionedResult& result,
+                 const Transfer& transfer);
   void ServeLocalRequest(ClientSession& session, const Request& request);
   /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -117,6 +117,8 @@
   ProcessGauges gauges;
   gauges.policy_version = context_.routes ? context_.routes->version() : 0;
   gauges.policy_age_s = std::chrono::duration<double>(now - policy_applied_at_).count();
+  gauges.policy_unconfirmed_s =
+      std::chrono::duration<double>(now - follower_.current_as_of()).count();
   gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
   gauges.instances = instances_.size();
   gauges.servers = context_.servers.size();
--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -52,6 +52,7 @@
   std::array<std::uint64_t, 16> store_errors{};   ///< By `store::CallErrorCode`.
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
+  std::uint64_t control_bytes = 0;  ///< Received from the store and other instances.
   std::uint64_t lookups = 0;
   std::uint64_t lookups_refused = 0;
   std::uint64_t remote_lookups = 0;  ///< Lookups that named instances of other regions only.
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -59,6 +59,7 @@
 
 void Gateway::OnPeerResponse(const membership::FeedPeer& peer, const ExchangeOutcome& outcome) {
   const core::TimePoint now = core::RuntimeClock::now();
+  CountTransfer(peer.name, "changes", outcome.transfer);
   if (outcome.status == ExchangeStatus::kResponse && peer_connection_->reusable()) {
     peer_connection_->WatchIdle(nullptr);
   }
@@ -77,9 +78,10 @@
   }
   if (changes) reason = "state of the peer is too old";
   feed_source_.OnFailure(peer.name, now);
-  events_.Write(
-      StreamEvent::kPeerFailed,
-      {{"peer", peer.name}, {"reason", reason}, {"age_ms", changes ? Ms(changes->age) : 0}});
+  events_.Write(StreamEvent::kPeerFailed, {{"peer", peer.name},
+                                           {"reason", reason},
+                                           {"age_ms", changes ? Ms(changes->age) : 0},
+                                           {"bytes", outcome.transfer.bytes}});
   follower_.OnPeerFailed(now);
   SendStoreCalls();
 }
@@ -141,6 +143,7 @@
 
 void Gateway::OnFallbackResponse(const std::string& name, const ExchangeOutcome& outcome) {
   const core::TimePoint now = core::RuntimeClock::now();
+  CountTransfer(name, "changes", outcome.transfer);
   std::optional<membership::PeerChanges> changes;
   std::string reason = outcome.detail;
   if (outcome.status == ExchangeStatus::kResponse) {
@@ -152,7 +155,9 @@
   }
   if (!changes) {
     feed_source_.OnFailure(name, now);
-    events_.Write(StreamEvent::kPeerFailed, {{"peer", name}, {"reason", reason}, {"age_ms", 0}});
+    events_.Write(
+        StreamEvent::kPeerFailed,
+        {{"peer", name}, {"reason", reason}, {"age_ms", 0}, {"bytes", outcome.transfer.bytes}});
     return;
   }
   if (!membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -75,11 +75,13 @@
   const auto value = [&out](std::string_view name, double n) { out << name << ' ' << n << '\n'; };
   value("vanilladeck_repeats_total", static_cast<double>(metrics.retries));
   value("vanilladeck_repeats_denied_total", static_cast<double>(metrics.retries_denied));
+  value("vanilladeck_control_bytes_total", static_cast<double>(metrics.control_bytes));
   value("vanilladeck_lookups_total", static_cast<double>(metrics.lookups));
   value("vanilladeck_lookups_refused_total", static_cast<double>(metrics.lookups_refused));
   value("vanilladeck_remote_lookups_total", static_cast<double>(metrics.remote_lookups));
   value("vanilladeck_policy_version", static_cast<double>(gauges.policy_version));
   value("vanilladeck_policy_age_seconds", gauges.policy_age_s);
+  value("vanilladeck_policy_unconfirmed_seconds", gauges.policy_unconfirmed_s);
   value("vanilladeck_store_silence_seconds", gauges.store_silence_s);
   value("vanilladeck_instances", static_cast<double>(gauges.instances));
   value("vanilladeck_servers", static_cast<double>(gauges.servers));
--- a/src/vanilladeck/gateway/metrics_text.h
+++ b/src/vanilladeck/gateway/metrics_text.h
@@ -10,7 +10,8 @@
 struct ProcessGauges {
   std::uint64_t policy_version = 0;
   double policy_age_s = 0;
-  double store_silence_s = 0;  ///< Time since the store's last response.
+  double policy_unconfirmed_s = 0;  ///< Since the policy was known to be the newest.
+  double store_silence_s = 0;       ///< Time since the store's last response.
   std::uint64_t instances = 0;
   std::uint64_t servers = 0;
   std::uint64_t usable_servers = 0;
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -39,14 +39,15 @@
   if (connection_) connection_->Cancel();
   connection_ =
       std::make_shared<UpstreamConnection>(context_, deadlines_, budget_, UpstreamRole::kControl);
-  connection_->Connect(store_, std::min(deadline, now + kConnectTimeout),
-                       [this, call, deadline, done](boost::system::error_code ec) {
-                         if (ec) {
-                           done(store::CallError{store::CallErrorCode::kUnreachable, ec.message()});
-                           return;
-                         }
-                         Send(call, deadline, done);
-                       });
+  connection_->Connect(
+      store_, std::min(deadline, now + kConnectTimeout),
+      [this, call, deadline, done](boost::system::error_code ec) {
+        if (ec) {
+          done(store::CallError{store::CallErrorCode::kUnreachable, ec.message()}, {});
+          return;
+        }
+        Send(call, deadline, done);
+      });
 }
 
 void StoreChannel::Send(const store::VersionedCall& call, core::TimePoint deadline,
@@ -59,10 +60,12 @@
         if (outcome.status != ExchangeStatus::kResponse) {
           const auto name = kExchangeStatusNames[static_cast<std::size_t>(outcome.status)];
           done(store::CallError{store::CallErrorCode::kNoAnswer,
-                                std::string(name) + ": " + outcome.detail});
+                                std::string(name) + ": " + outcome.detail},
+               outcome.transfer);
           return;
         }
-        done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body()));
+        done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body()),
+             outcome.transfer);
       });
 }
 
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -13,7 +13,7 @@
 /// Sends calls to the store over one persistent connection, one call at a time.
 class StoreChannel {
  public:
-  using Done = std::function<void(const store::VersionedResult&)>;
+  using Done = std::function<void(const store::VersionedResult&, const Transfer&)>;
 
   StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines, core::ByteBudgetPtr budget,
                boost::asio::ip::tcp::endpoint store, std::string host,
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -78,7 +78,7 @@
   reusable_ = false;
   interim_responses_ = 0;
   dropped_responses_ = 0;
-  any_byte_received_ = false;
+  bytes_received_ = 0;
   writing_ = true;
   reader_.Reset();
   reader_.Start(limits_, is_head_);
@@ -129,7 +129,8 @@
     Finish(ExchangeStatus::kClosed, ec.message());
     return;
   }
-  any_byte_received_ = true;
+  if (bytes_received_ == 0) first_byte_at_ = core::RuntimeClock::now();
+  bytes_received_ += n;
   reader_.Append({buf_.data(), n});
   OnReadStatus(reader_.Parse());
 }
@@ -196,7 +197,9 @@
   deadlines_->Remove(deadline_);
   ExchangeOutcome outcome;
   outcome.status = status;
-  outcome.any_byte_received = any_byte_received_;
+  if (bytes_received_ > 0) {
+    outcome.transfer = {bytes_received_, core::RuntimeClock::now() - first_byte_at_};
+  }
   outcome.detail = std::move(detail);
   if (status == ExchangeStatus::kResponse) outcome.response = reader_.Release();
   reader_.Reset();
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -35,10 +35,16 @@
   kControl,  ///< The store or another instance; its messages have priority over all others.
 };
 
+/// The received part of a response.
+struct Transfer {
+  std::size_t bytes = 0;
+  core::Duration duration{0};  ///< Since the first byte.
+};
+
 struct ExchangeOutcome {
   ExchangeStatus status = ExchangeStatus::kClosed;
-  Response response;               ///< Set for `kResponse`.
-  bool any_byte_received = false;  ///< Part of a response arrived.
+  Response response;  ///< Set for `kResponse`.
+  Transfer transfer;
   std::string detail;
 };
 
@@ -103,7 +109,8 @@
   bool reading_ = false;
   bool is_head_ = false;
   bool reusable_ = false;
-  bool any_byte_received_ = false;
+  std::size_t bytes_received_ = 0;
+  core::TimePoint first_byte_at_;
   int interim_responses_ = 0;
   int dropped_responses_ = 0;
   core::ByteBudget::Account account_;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -28,6 +28,7 @@
   kStoreRegained,
   kStoreCallFailed,
   kPeerFailed,
+  kSlowTransfer,
   kSeedState,
   kEntryRejected,
   kServerAdded,
@@ -48,7 +49,7 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 33> kStreamEventNames{
+inline constexpr std::array<std::string_view, 34> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "listener-failed", "handler-failed",
@@ -56,16 +57,16 @@
     "policy",          "policy-rejected",
     "policy-outdated", "store-lost",
     "store-regained",  "store-call-failed",
-    "peer-failed",     "seed-state",
-    "entry-rejected",  "server-added",
-    "server-draining", "server-removed",
-    "server-moved",    "address-shared",
-    "server-ejected",  "evacuation",
-    "fleet",           "region-split",
-    "request",         "refused",
-    "failed",          "attempt",
-    "remote-lookup",   "lookup-refused",
-    "dropped"};
+    "peer-failed",     "slow-transfer",
+    "seed-state",      "entry-rejected",
+    "server-added",    "server-draining",
+    "server-removed",  "server-moved",
+    "address-shared",  "server-ejected",
+    "evacuation",      "fleet",
+    "region-split",    "request",
+    "refused",         "failed",
+    "attempt",         "remote-lookup",
+    "lookup-refused",  "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< When full, events are dropped and counted.
