Tests of large policies on slow links, failing on this code

Two real instances on loopback, one of them behind a relay of 250 KB/s, with a scripted store. Catch2's tag [!shouldfail] turns the run red as soon as one of them passes.

--- /dev/null
+++ b/tests/platform/large_policy_test.cc
@@ -0,0 +1,182 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+
+#include "platform/scripted_store.h"
+#include "platform/slow_link.h"
+#include "vanilladeck/membership/feed_source.h"
+#include "vanilladeck/membership/registration.h"
+
+namespace vanilladeck::platform {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+constexpr int kInstances = 6;
+// A share of a 10 Mbit/s link that other instances and clients leave.
+constexpr double kLinkBytesPerSecond = 250'000;
+// `bounds.configS` and `bounds.drainS` of the small deployments.
+constexpr core::Duration kBound = 2500ms;
+constexpr std::size_t kSmallPolicyBytes = 10'000;
+// Part of the target of a call that checks the operators' keys.
+constexpr const char* kCheck = "serializable=1";
+
+std::string LargePolicy(std::uint64_t version) {
+  std::vector<nlohmann::json> resources;
+  for (int i = 0; i < 1400; ++i) {
+    resources.push_back(RouteResource("a.example", "/route" + std::to_string(i * 7919) + "/", {}));
+  }
+  auto policy = nlohmann::json::parse(PolicyText(resources));
+  std::array<char, 9> text{};
+  (void)std::snprintf(text.data(), text.size(), "%08x", static_cast<unsigned>(version));
+  policy["version"] = text.data();
+  return policy.dump();
+}
+
+std::string SmallPolicy() { return PolicyText({RouteResource("a.example", "/x/", {})}); }
+
+std::string Server(const std::string& state, int sequence) {
+  auto server = nlohmann::json::parse(ServerText());
+  server["status"]["state"] = state;
+  server["status"]["seq"] = sequence;
+  return server.dump();
+}
+
+struct LoggedGateway {
+  LoggedGateway(boost::asio::io_context& io, const gateway::GatewaySettings& settings)
+      : log(std::tmpfile()),
+        events(fileno(log), settings.instance),
+        codec({"east-a"}),
+        instance(io, settings, codec, events) {}
+  ~LoggedGateway() { (void)std::fclose(log); }
+  LoggedGateway(const LoggedGateway&) = delete;
+  LoggedGateway& operator=(const LoggedGateway&) = delete;
+
+  [[nodiscard]] bool Logged(const std::string& text) const {
+    std::string events_text(1U << 20U, '\0');
+    const ssize_t n = pread(fileno(log), events_text.data(), events_text.size(), 0);
+    events_text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return events_text.find(text) != std::string::npos;
+  }
+  [[nodiscard]] bool HasPolicy(std::uint64_t version) const {
+    return Logged("\"version\":" + std::to_string(version) + ",\"revision\"");
+  }
+  [[nodiscard]] bool KnowsDraining() const { return Logged("\"event\":\"server-draining\""); }
+
+  std::FILE* log;
+  telemetry::EventStream events;
+  Codec codec;
+  gateway::Gateway instance;
+};
+
+/// An instance on a slow link that gets changes from another one, which reads the store. Other
+/// instances are only listed.
+struct RelayFixture {
+  explicit RelayFixture(const std::string& policy) : store(io), link(io, kLinkBytesPerSecond) {
+    store.Put("op/config", policy);
+    store.Put("servers/i-1", Server("ready", 4));
+    const auto [reader_name, asking_name] = Names();
+    gateway::GatewaySettings reader_settings = Settings(reader_name);
+    reader_settings.store = store.endpoint();
+    gateway::GatewaySettings asking_settings = Settings(asking_name);
+    asking_settings.store = link.Relay(store.endpoint());
+    const auto relay = link.Relay(reader_settings.peers);
+    for (int i = 1; i <= kInstances; ++i) {
+      const std::string name = "edge-" + std::to_string(i);
+      store.Put("vanilladeck/instances/" + name,
+                membership::EncodeInstance({name, "127.0.0.1:1", "east-a", "east", true,
+                                            vanilladeck::http::EndpointText(relay)}));
+    }
+    reader = std::make_unique<LoggedGateway>(io, reader_settings);
+    asking = std::make_unique<LoggedGateway>(io, asking_settings);
+    reader->instance.Start();
+    REQUIRE(RunUntil([this] { return reader->instance.Ready(); }, 5s));
+    asking->instance.Start();
+    if (policy.size() > kSmallPolicyBytes) return;
+    REQUIRE(RunUntil([this] { return asking->instance.Ready(); }, 5s));
+  }
+
+  /// Names of an instance that reads the store and of one that asks a reader.
+  static std::pair<std::string, std::string> Names() {
+    std::vector<membership::FeedPeer> peers;
+    for (int i = 1; i <= kInstances; ++i) {
+      peers.push_back({"edge-" + std::to_string(i), "127.0.0.1:1"});
+    }
+    std::pair<std::string, std::string> names;
+    for (const auto& it : peers) {
+      membership::FeedSource source(it.name);
+      source.SetPeers(peers);
+      const bool reads_store = source.Choose(core::RuntimeClock::now()) == nullptr;
+      (reads_store ? names.first : names.second) = it.name;
+    }
+    return names;
+  }
+
+  static gateway::GatewaySettings Settings(const std::string& name) {
+    gateway::GatewaySettings settings = InstanceSettings();
+    settings.instance = name;
+    settings.follower.check_prefix = "op/";
+    return settings;
+  }
+
+  template <class Predicate>
+  bool RunUntil(Predicate predicate, core::Duration limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!predicate() && std::chrono::steady_clock::now() < end) io.run_for(20ms);
+    return predicate();
+  }
+
+  boost::asio::io_context io;
+  ScriptedStore store;
+  SlowLink link;
+  std::unique_ptr<LoggedGateway> reader;
+  std::unique_ptr<LoggedGateway> asking;
+};
+
+// Guards against a policy that does not come into force in time: an instance discards a response
+// that takes longer than a fixed time and starts again at another source.
+TEST_CASE("a large policy reaches an instance on a slow link in time", "[!shouldfail]") {
+  RelayFixture f(SmallPolicy());
+  f.store.Put("op/config", LargePolicy(13));
+  CHECK(f.RunUntil([&] { return f.asking->HasPolicy(13); }, kBound));
+}
+
+// Guards against an instance that never becomes ready: its listing takes longer than a call may.
+TEST_CASE("an instance on a slow link starts with a large policy", "[!shouldfail]") {
+  RelayFixture f(LargePolicy(12));
+  CHECK(f.RunUntil([&] { return f.asking->instance.Ready(); }, 5s));
+}
+
+// Guards against requests to a server that has left: its report is behind a large policy in the
+// same response.
+TEST_CASE("a server's leaving is known while a large policy is in transfer", "[!shouldfail]") {
+  RelayFixture f(SmallPolicy());
+  f.store.Put("op/config", LargePolicy(13));
+  f.store.Put("servers/i-1", Server("draining", 5));
+  CHECK(f.RunUntil([&] { return f.asking->KnowsDraining(); }, kBound));
+}
+
+// Guards against requests to a server that has left although no policy changes: an instance reads
+// no changes while it reads the operators' keys to check them.
+TEST_CASE("a server's leaving is known while the policy is checked", "[!shouldfail]") {
+  RelayFixture f(SmallPolicy());
+  f.store.hold_checks = true;
+  const std::size_t checks = f.store.RequestsWith(kCheck);
+  REQUIRE(f.RunUntil([&] { return f.store.RequestsWith(kCheck) > checks; }, 5s));
+  f.store.Put("servers/i-1", Server("draining", 5));
+  CHECK(f.RunUntil([&] { return f.reader->KnowsDraining(); }, 500ms));
+}
+
+// Guards against links that are full of transfers of a policy that has not changed.
+TEST_CASE("an instance that asks a reader does not read a known policy again", "[!shouldfail]") {
+  RelayFixture f(SmallPolicy());
+  f.store.Put("op/config", LargePolicy(13));
+  CHECK(f.RunUntil([&] { return f.asking->HasPolicy(13); }, 15s));
+  const std::size_t bytes = f.link.bytes();
+  (void)f.RunUntil([] { return false; }, 4s);
+  CHECK(f.link.bytes() - bytes < 50'000);
+}
+
+}  // namespace
+}  // namespace vanilladeck::platform
--- /dev/null
+++ b/tests/platform/scripted_store.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/instance_fixture.h"
+
+namespace vanilladeck::platform::testing {
+
+/// The platform's store as far as an instance reads it: listings and watches. Leases are refused.
+class ScriptedStore {
+ public:
+  explicit ScriptedStore(boost::asio::io_context& io)
+      : io_(io),
+        server_(io, [this](const ScriptedServer::ConnectionPtr& connection,
+                           const std::string& request) { Serve(connection, request); }) {}
+
+  void Put(const std::string& key, const std::string& value) {
+    items_[key] = {value, ++revision_};
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& it : waiting) RespondToWatch(it);
+  }
+
+  bool hold_checks = false;  ///< Reads that may be stale get no response.
+
+  [[nodiscard]] tcp::endpoint endpoint() const {
+    return *vanilladeck::http::ParseEndpoint(server_.Address());
+  }
+  /// Number of requests so far whose target contains `text`.
+  [[nodiscard]] std::size_t RequestsWith(const std::string& text) const {
+    return static_cast<std::size_t>(
+        std::count_if(server_.requests.begin(), server_.requests.end(),
+                      [&](const std::string& it) { return it.find(text) != std::string::npos; }));
+  }
+
+ private:
+  struct StoredItem {
+    std::string value;
+    store::Revision revision = 0;
+  };
+  struct Watch {
+    ScriptedServer::ConnectionPtr connection;
+    store::Revision after = 0;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+
+  static std::string Parameter(const std::string& request, const std::string& name) {
+    const auto at = request.find(name + "=");
+    if (at == std::string::npos) return {};
+    const auto begin = at + name.size() + 1;
+    return request.substr(begin, request.find_first_of("& ", begin) - begin);
+  }
+
+  static void Respond(const ScriptedServer::ConnectionPtr& connection, const std::string& status,
+                      const std::string& body) {
+    connection->Write("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body);
+  }
+
+  [[nodiscard]] nlohmann::json ItemsAfter(const std::string& prefix, store::Revision after) const {
+    auto list = nlohmann::json::array();
+    for (const auto& [key, item] : items_) {
+      if (key.rfind(prefix, 0) != 0 || item.revision <= after) continue;
+      const auto put =
+          nlohmann::json::parse(Codec({}).Encode(store::PutItem{key, item.value, 0}).body);
+      list.push_back({{"key", key}, {"value", put["setKeys"][0]["value"]}, {"rev", item.revision}});
+    }
+    return list;
+  }
+
+  void Serve(const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+    if (request.find("/-/kv-range") != std::string::npos) {
+      if (hold_checks && request.find("serializable=1") != std::string::npos) return;
+      Respond(connection, "200 OK",
+              nlohmann::json{{"items", ItemsAfter(Parameter(request, "prefix"), 0)},
+                             {"hasMore", false},
+                             {"currentRev", revision_}}
+                  .dump());
+    } else if (request.find("/-/kv-watch") != std::string::npos) {
+      Watch watch{connection, std::stoll(Parameter(request, "after")),
+                  std::make_shared<boost::asio::steady_timer>(io_)};
+      if (watch.after < revision_) {
+        RespondToWatch(watch);
+        return;
+      }
+      watch.timer->expires_after(
+          std::chrono::milliseconds(std::stoll(Parameter(request, "waitMs"))));
+      watch.timer->async_wait([this, watch](boost::system::error_code ec) {
+        if (ec) return;
+        std::erase_if(waiting_, [&](const Watch& it) { return it.timer == watch.timer; });
+        RespondToWatch(watch);
+      });
+      waiting_.push_back(watch);
+    } else {
+      Respond(connection, "503 Service Unavailable", "");
+    }
+  }
+
+  void RespondToWatch(const Watch& watch) {
+    watch.timer->cancel();
+    Respond(
+        watch.connection, "200 OK",
+        nlohmann::json{{"events", ItemsAfter("", watch.after)}, {"currentRev", revision_}}.dump());
+  }
+
+  boost::asio::io_context& io_;
+  std::map<std::string, StoredItem> items_;
+  store::Revision revision_ = 10;
+  std::vector<Watch> waiting_;
+  ScriptedServer server_;
+};
+
+}  // namespace vanilladeck::platform::testing
