--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -16,6 +16,8 @@
 constexpr int kInstances = 6;
 // A share of a 10 Mbit/s link that other instances and clients leave.
 constexpr double kLinkBytesPerSecond = 250'000;
+// Carries a large policy in about 3 s, longer than a store may be silent.
+constexpr double kDirectLinkBytesPerSecond = 150'000;
 // `bounds.configS` and `bounds.drainS` of the small deployments.
 constexpr core::Duration kBound = 2500ms;
 constexpr std::size_t kSmallPolicyBytes = 10'000;
@@ -70,16 +72,35 @@
   gateway::Gateway instance;
 };
 
+struct Fixture {
+  static gateway::GatewaySettings SettingsOf(const std::string& name) {
+    gateway::GatewaySettings settings = InstanceSettings();
+    settings.instance = name;
+    settings.follower.check_prefix = "op/";
+    return settings;
+  }
+
+  template <class Predicate>
+  bool RunUntil(Predicate predicate, core::Duration limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!predicate() && std::chrono::steady_clock::now() < end) io.run_for(20ms);
+    return predicate();
+  }
+
+  boost::asio::io_context io;
+  ScriptedStore store{io};
+};
+
 /// An instance on a slow link that gets changes from another one, which reads the store. Other
 /// instances are only listed.
-struct RelayFixture {
-  explicit RelayFixture(const std::string& policy) : store(io), link(io, kLinkBytesPerSecond) {
+struct RelayFixture : Fixture {
+  explicit RelayFixture(const std::string& policy) : link(io, kLinkBytesPerSecond) {
     store.Put("op/config", policy);
     store.Put("servers/i-1", Server("ready", 4));
     const auto [reader_name, asking_name] = Names();
-    gateway::GatewaySettings reader_settings = Settings(reader_name);
+    gateway::GatewaySettings reader_settings = SettingsOf(reader_name);
     reader_settings.store = store.endpoint();
-    gateway::GatewaySettings asking_settings = Settings(asking_name);
+    gateway::GatewaySettings asking_settings = SettingsOf(asking_name);
     asking_settings.store = link.Relay(store.endpoint());
     const auto relay = link.Relay(reader_settings.peers);
     for (int i = 1; i <= kInstances; ++i) {
@@ -113,25 +134,28 @@
     return names;
   }
 
-  static gateway::GatewaySettings Settings(const std::string& name) {
-    gateway::GatewaySettings settings = InstanceSettings();
-    settings.instance = name;
-    settings.follower.check_prefix = "op/";
-    return settings;
+  SlowLink link;
+  std::unique_ptr<LoggedGateway> reader;
+  std::unique_ptr<LoggedGateway> asking;
+};
+
+/// An instance on a slow link that reads the store itself.
+struct DirectFixture : Fixture {
+  DirectFixture() : link(io, kDirectLinkBytesPerSecond), instance(io, Settings()) {
+    store.Put("op/config", SmallPolicy());
+    store.Put("servers/i-1", Server("ready", 4));
+    instance.instance.Start();
+    REQUIRE(RunUntil([this] { return instance.instance.Ready(); }, 5s));
   }
 
-  template <class Predicate>
-  bool RunUntil(Predicate predicate, core::Duration limit) {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!predicate() && std::chrono::steady_clock::now() < end) io.run_for(20ms);
-    return predicate();
+  gateway::GatewaySettings Settings() {
+    gateway::GatewaySettings settings = SettingsOf("edge-1");
+    settings.store = link.Relay(store.endpoint());
+    return settings;
   }
 
-  boost::asio::io_context io;
-  ScriptedStore store;
   SlowLink link;
-  std::unique_ptr<LoggedGateway> reader;
-  std::unique_ptr<LoggedGateway> asking;
+  LoggedGateway instance;
 };
 
 // Guards against a policy that does not come into force in time: an instance discards a response
@@ -168,6 +192,16 @@
   CHECK(f.RunUntil([&] { return f.reader->KnowsDraining(); }, 500ms));
 }
 
+// Guards against requests to a server that has left: removals are deferred after an outage of the
+// store, for which a slow transfer was taken.
+TEST_CASE("a removal that arrives with a slow transfer is not deferred", "[!shouldfail]") {
+  DirectFixture f;
+  f.store.Remove("servers/i-1");
+  f.store.Put("op/config", LargePolicy(13));
+  CHECK(f.RunUntil([&] { return f.instance.HasPolicy(13); }, 6s));
+  CHECK(f.RunUntil([&] { return f.instance.Logged("\"event\":\"server-removed\""); }, 500ms));
+}
+
 // Guards against links that are full of transfers of a policy that has not changed.
 TEST_CASE("an instance that asks a reader does not read a known policy again", "[!shouldfail]") {
   RelayFixture f(SmallPolicy());
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -20,9 +20,13 @@
 
   void Put(const std::string& key, const std::string& value) {
     items_[key] = {value, ++revision_};
-    const auto waiting = std::move(waiting_);
-    waiting_.clear();
-    for (const auto& it : waiting) RespondToWatch(it);
+    Notify();
+  }
+
+  /// Removes an item; open watches are told with the next `Put`.
+  void Remove(const std::string& key) {
+    items_.erase(key);
+    removals_[key] = ++revision_;
   }
 
   bool hold_checks = false;  ///< Reads that may be stale get no response.
@@ -38,6 +42,12 @@
   }
 
  private:
+  void Notify() {
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& it : waiting) RespondToWatch(it);
+  }
+
   struct StoredItem {
     std::string value;
     store::Revision revision = 0;
@@ -102,13 +112,18 @@
 
   void RespondToWatch(const Watch& watch) {
     watch.timer->cancel();
-    Respond(
-        watch.connection, "200 OK",
-        nlohmann::json{{"events", ItemsAfter("", watch.after)}, {"currentRev", revision_}}.dump());
+    auto events = ItemsAfter("", watch.after);
+    for (const auto& [key, revision] : removals_) {
+      if (revision > watch.after)
+        events.push_back({{"key", key}, {"rev", revision}, {"tombstone", true}});
+    }
+    Respond(watch.connection, "200 OK",
+            nlohmann::json{{"events", events}, {"currentRev", revision_}}.dump());
   }
 
   boost::asio::io_context& io_;
   std::map<std::string, StoredItem> items_;
+  std::map<std::string, store::Revision> removals_;
   store::Revision revision_ = 10;
   std::vector<Watch> waiting_;
   ScriptedServer server_;
