Extend the deadline of a control transfer while bytes arrive

Callers saw requests handled by an older policy (CONFIG). Cause: a poll of a reader had 0.3 s, a call to the store 1.2 s and a query of another instance 1 s for the whole response, whatever its size. A policy of 1,400 routes takes longer on a link of 10 Mbit/s that is also used otherwise; what had arrived was discarded and read again from another source, so that links were full of transfers that never ended. Change: on connections to the store and to instances the deadline moves on while bytes arrive, up to 6 s for an exchange; 0.6 s without a byte end it. A fallback query in progress is not given up for the next one. Times to the first byte are unchanged. Ruled out: longer fixed times, since they would also delay the detection of an instance that does not answer. The test of a server's leaving behind a policy gets a narrower link, since this change alone passed it by chance after 2.5 s; it fails on this code.

--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -146,6 +146,7 @@
   core::TimePoint next_listener_attempt_;
   std::uint64_t logged_evictions_ = 0;
   std::shared_ptr<UpstreamConnection> fallback_connection_;
+  bool fallback_in_flight_ = false;
   std::size_t next_seed_ = 0;
   bool seed_asked_last_ = false;
   core::TimePoint next_fallback_query_;  ///< The clock's epoch until the first tick.
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -91,10 +91,11 @@
                                                       settings_.follower.poll_interval, now);
   if (follower_.listed() && current) {
     fallback_connection_ = nullptr;
+    fallback_in_flight_ = false;
     return;
   }
   if (next_fallback_query_ == core::TimePoint{}) next_fallback_query_ = now + kSeedStartDelay;
-  if (now < next_fallback_query_) return;
+  if (now < next_fallback_query_ || fallback_in_flight_) return;
   next_fallback_query_ = now + kFallbackInterval;
   std::string name;
   std::optional<boost::asio::ip::tcp::endpoint> endpoint;
@@ -117,7 +118,7 @@
     name = http::EndpointText(*endpoint);
   }
   if (!endpoint) return;
-  if (fallback_connection_) fallback_connection_->Cancel();
+  fallback_in_flight_ = true;
   fallback_connection_ = std::make_shared<UpstreamConnection>(
       io_, context_.deadlines, context_.messages, UpstreamRole::kControl);
   const core::TimePoint deadline = now + kFallbackInterval;
@@ -143,6 +144,7 @@
 
 void Gateway::OnFallbackResponse(const std::string& name, const ExchangeOutcome& outcome) {
   const core::TimePoint now = core::RuntimeClock::now();
+  fallback_in_flight_ = false;
   CountTransfer(name, "changes", outcome.transfer);
   std::optional<membership::PeerChanges> changes;
   std::string reason = outcome.detail;
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -83,7 +83,8 @@
   reader_.Reset();
   reader_.Start(limits_, is_head_);
   account_.SetEvictable(role_ == UpstreamRole::kServer);
-  deadline_ = deadlines_->Add(deadline, [this] { Finish(ExchangeStatus::kTimeout, "deadline"); });
+  sent_at_ = core::RuntimeClock::now();
+  SetDeadline(deadline);
   boost::asio::async_write(socket_, boost::asio::buffer(request_),
                            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
                              self->writing_ = false;
@@ -97,6 +98,18 @@
   if (!reading_) Read();
 }
 
+void UpstreamConnection::SetDeadline(core::TimePoint deadline) {
+  deadlines_->Remove(deadline_);
+  deadline_at_ = deadline;
+  deadline_ = deadlines_->Add(deadline, [this] { Finish(ExchangeStatus::kTimeout, "deadline"); });
+}
+
+void UpstreamConnection::ExtendDeadline() {
+  const core::TimePoint extended =
+      std::min(core::RuntimeClock::now() + kStallTimeout, sent_at_ + kMaxTransferTime);
+  if (extended > deadline_at_) SetDeadline(extended);
+}
+
 void UpstreamConnection::Read() {
   reading_ = true;
   socket_.async_read_some(boost::asio::buffer(buf_),
@@ -131,6 +144,7 @@
   }
   if (bytes_received_ == 0) first_byte_at_ = core::RuntimeClock::now();
   bytes_received_ += n;
+  if (role_ == UpstreamRole::kControl) ExtendDeadline();
   reader_.Append({buf_.data(), n});
   OnReadStatus(reader_.Parse());
 }
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -69,10 +69,18 @@
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint, core::TimePoint deadline,
                ConnectDone done);
 
-  /// `done` runs exactly once, also after `Cancel`.
+  /// `done` runs exactly once, also after `Cancel`. On a control connection the deadline is
+  /// extended while bytes arrive, within `kMaxTransferTime`.
   void Exchange(std::string request, bool is_head, core::TimePoint deadline, ResponseFilter filter,
                 ExchangeDone done);
 
+  /// Longest time without a byte before a transfer from the store or another instance ends; covers
+  /// the retransmission of a lost packet.
+  static constexpr core::Duration kStallTimeout = std::chrono::milliseconds(600);
+  /// Bound on an exchange with a control peer that keeps sending. The largest policy that the store
+  /// takes, 1.4 MB with its encoding, arrives in half of this time on a link of 4 Mbit/s.
+  static constexpr core::Duration kMaxTransferTime = std::chrono::seconds(6);
+
   /// Closes the connection and ends the current exchange.
   void Cancel();
 
@@ -90,7 +98,9 @@
  private:
   void Read();
   void OnRead(boost::system::error_code ec, std::size_t n);
-  void Parse();
+  void SetDeadline(core::TimePoint deadline);
+  /// Moves the deadline after bytes have arrived.
+  void ExtendDeadline();
   void OnReadStatus(ReadStatus status);
   enum class Match : std::uint8_t { kMatching, kSkipped, kUnexpected };
   /// Whether the response ends the exchange or is skipped.
@@ -104,12 +114,14 @@
   UpstreamRole role_;
   MessageLimits limits_;
   Deadlines::Id deadline_ = 0;
+  core::TimePoint deadline_at_;
   std::string request_;
   bool writing_ = false;
   bool reading_ = false;
   bool is_head_ = false;
   bool reusable_ = false;
   std::size_t bytes_received_ = 0;
+  core::TimePoint sent_at_;
   core::TimePoint first_byte_at_;
   int interim_responses_ = 0;
   int dropped_responses_ = 0;
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -18,6 +18,8 @@
 constexpr double kLinkBytesPerSecond = 250'000;
 // Carries a large policy in about 3 s, longer than a store may be silent.
 constexpr double kDirectLinkBytesPerSecond = 150'000;
+// Carries a large policy in longer than `kBound`.
+constexpr double kNarrowLinkBytesPerSecond = 100'000;
 // `bounds.configS` and `bounds.drainS` of the small deployments.
 constexpr core::Duration kBound = 2500ms;
 constexpr std::size_t kSmallPolicyBytes = 10'000;
@@ -94,7 +96,8 @@
 /// An instance on a slow link that gets changes from another one, which reads the store. Other
 /// instances are only listed.
 struct RelayFixture : Fixture {
-  explicit RelayFixture(const std::string& policy) : link(io, kLinkBytesPerSecond) {
+  explicit RelayFixture(const std::string& policy, double bytes_per_second = kLinkBytesPerSecond)
+      : link(io, bytes_per_second) {
     store.Put("op/config", policy);
     store.Put("servers/i-1", Server("ready", 4));
     const auto [reader_name, asking_name] = Names();
@@ -160,14 +163,14 @@
 
 // Guards against a policy that does not come into force in time: an instance discards a response
 // that takes longer than a fixed time and starts again at another source.
-TEST_CASE("a large policy reaches an instance on a slow link in time", "[!shouldfail]") {
+TEST_CASE("a large policy reaches an instance on a slow link in time") {
   RelayFixture f(SmallPolicy());
   f.store.Put("op/config", LargePolicy(13));
   CHECK(f.RunUntil([&] { return f.asking->HasPolicy(13); }, kBound));
 }
 
 // Guards against an instance that never becomes ready: its listing takes longer than a call may.
-TEST_CASE("an instance on a slow link starts with a large policy", "[!shouldfail]") {
+TEST_CASE("an instance on a slow link starts with a large policy") {
   RelayFixture f(LargePolicy(12));
   CHECK(f.RunUntil([&] { return f.asking->instance.Ready(); }, 5s));
 }
@@ -175,7 +178,7 @@
 // Guards against requests to a server that has left: its report is behind a large policy in the
 // same response.
 TEST_CASE("a server's leaving is known while a large policy is in transfer", "[!shouldfail]") {
-  RelayFixture f(SmallPolicy());
+  RelayFixture f(SmallPolicy(), kNarrowLinkBytesPerSecond);
   f.store.Put("op/config", LargePolicy(13));
   f.store.Put("servers/i-1", Server("draining", 5));
   CHECK(f.RunUntil([&] { return f.asking->KnowsDraining(); }, kBound));
