Choose the instances with the fastest links as readers

Cause: readers were chosen by a hash of their names; on the grown deployments most have links of 10 Mbit/s, which a policy of 0.4 MB or more occupies for 0.4 s on the way from the store, and once more for the instances that read it. Change: instances publish the bandwidth of their links; the fastest ones of a region are its readers, equal ones by the hash as before. Instances of an earlier version count as the slowest. Test: 'the instances with the fastest links are the readers'.

--- a/src/vanilladeck/gateway/context.h
+++ b/src/vanilladeck/gateway/context.h
@@ -33,6 +33,7 @@
 struct ProcessLimits {
   std::uint64_t memory_bytes = 256U << 20U;  ///< The platform kills a process that uses more.
   std::uint32_t descriptors = 4096;
+  double link_mbps = 0;  ///< Bandwidth of the machine's link in Mbit/s; 0 if unknown.
 
   /// Limit on the bytes of HTTP messages held by all readers and writers together. Strings that
   /// grow by doubling may occupy twice their size, and socket buffers and the program itself need
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -174,7 +174,7 @@
   std::vector<membership::FeedPeer> peers;
   for (const auto& [name, record] : instances_) {
     if (record.region != settings_.region || !record.ready || record.peer_address.empty()) continue;
-    peers.push_back({name, record.peer_address});
+    peers.push_back({name, record.peer_address, record.link_mbps});
   }
   for (auto it = peer_positions_.begin(); it != peer_positions_.end();) {
     it = instances_.count(it->first) == 0 ? peer_positions_.erase(it) : std::next(it);
--- a/src/vanilladeck/membership/feed_source.cc
+++ b/src/vanilladeck/membership/feed_source.cc
@@ -25,6 +25,8 @@
     return;
   }
   std::sort(peers.begin(), peers.end(), [](const FeedPeer& a, const FeedPeer& b) {
+    // A reader sends each change to many instances.
+    if (a.link_mbps != b.link_mbps) return a.link_mbps > b.link_mbps;
     return core::Hash64(a.name) < core::Hash64(b.name);
   });
   peers.resize(ReaderCount(peers.size()));
--- a/src/vanilladeck/membership/feed_source.h
+++ b/src/vanilladeck/membership/feed_source.h
@@ -11,16 +11,18 @@
 /// An instance in the same region that can relay changes.
 struct FeedPeer {
   std::string name;
-  std::string address;  ///< "IP:port" of its peer listener.
+  std::string address;   ///< "IP:port" of its peer listener.
+  double link_mbps = 0;  ///< Bandwidth of its link in Mbit/s; 0 if unknown.
 };
 
 /// Selects where an instance gets changes from: the store or another instance of its region.
 ///
-/// Only the readers of a region read the store; they are the first few instances by the hash of
-/// their names, so that all instances agree on them without coordination and the number of store
-/// calls grows more slowly than the number of instances. A reader that fails or lags is skipped for
-/// a back-off period; an instance without a usable reader reads the store itself. An instance that
-/// the store does not answer asks any other one as well.
+/// Only the readers of a region read the store; they are the instances with the fastest links,
+/// among equal ones the first by the hash of their names, so that all instances agree on them
+/// without coordination and the number of store calls grows more slowly than the number of
+/// instances. A reader that fails or lags is skipped for a back-off period; an instance without a
+/// usable reader reads the store itself. An instance that the store does not answer asks any other
+/// one as well.
 class FeedSource {
  public:
   explicit FeedSource(std::string own_name) : own_name_(std::move(own_name)) {}
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -9,7 +9,8 @@
                         {"failure_domain", record.failure_domain},
                         {"region", record.region},
                         {"ready", record.ready},
-                        {"peer_address", record.peer_address}}
+                        {"peer_address", record.peer_address},
+                        {"link_mbps", record.link_mbps}}
       .dump();
 }
 
@@ -27,7 +28,12 @@
                         text("failure_domain"),
                         text("region"),
                         ready->get<bool>(),
-                        text("peer_address")};
+                        text("peer_address"),
+                        0};
+  // Instances of an earlier version do not state it.
+  if (const auto link = json.find("link_mbps"); link != json.end() && link->is_number()) {
+    record.link_mbps = link->get<double>();
+  }
   if (record.address.empty() || record.region.empty()) return std::nullopt;
   return record;
 }
--- a/src/vanilladeck/membership/registration.h
+++ b/src/vanilladeck/membership/registration.h
@@ -17,6 +17,7 @@
   bool ready = false;
   std::string
       peer_address;  ///< Listener for requests of other instances, "IP:port"; empty if disabled.
+  double link_mbps = 0;  ///< Bandwidth of the instance's link in Mbit/s; 0 if unknown.
 
   [[nodiscard]] bool operator==(const InstanceRecord& other) const = default;
 };
--- a/tests/membership/feed_source_test.cc
+++ b/tests/membership/feed_source_test.cc
@@ -19,6 +19,26 @@
   return peers;
 }
 
+// Guards against readers whose links cannot carry the changes of their region.
+TEST_CASE("the instances with the fastest links are the readers") {
+  auto peers = Peers(20);
+  const std::set<std::string> fast{"edge-3", "edge-17"};
+  for (FeedPeer& it : peers) it.link_mbps = fast.count(it.name) > 0 ? 200 : 10;
+  for (const FeedPeer& it : peers) {
+    FeedSource source(it.name);
+    source.SetPeers(peers);
+    const FeedPeer* reader = source.Choose(At(0s));
+    CHECK((reader == nullptr) == (fast.count(it.name) > 0));
+    if (reader == nullptr) continue;
+    CHECK(fast.count(reader->name) > 0);
+    // The second one is asked after a failure of the first.
+    source.OnFailure(reader->name, At(0s));
+    const FeedPeer* second = source.Choose(At(0s));
+    REQUIRE(second != nullptr);
+    CHECK(fast.count(second->name) > 0);
+  }
+}
+
 // Guards against an instance that asks the same unusable ones for ever: once their back-off periods
 // had expired, they came before all that it had not asked yet.
 TEST_CASE("without the store an instance passes over any number of unusable ones") {
