Log the limits that servers state, and the timeline of LIMIT

The platform's servers name in a header how many requests a second they take from all instances together. No change of logic.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -62,6 +63,15 @@
   return n;
 }
 
+/// Parses a decimal number of requests per second; none if it is absent, malformed or negative.
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), rate);
+  if (ec != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  if (!std::isfinite(rate) || rate < 0) return std::nullopt;
+  return rate;
+}
+
 std::int64_t Ms(core::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
@@ -318,6 +328,17 @@
                               static_cast<std::uint32_t>(*slots)};
 }
 
+void ProxiedRequest::NoteServerLimit(const Response& response) {
+  const std::optional<double> limit = ParseRate(FieldValue(response, context_.names.server_limit));
+  if (limit == server_->limit) return;
+  server_->limit = limit;
+  context_.events.Write(StreamEvent::kServerLimit, {{"server", server_->report.id},
+                                                    {"service", server_->report.service},
+                                                    {"region", server_->region},
+                                                    {"limited", limit.has_value()},
+                                                    {"per_s", limit.value_or(0)}});
+}
+
 void ProxiedRequest::EndAttempt(AttemptEnd end, const std::string& detail,
                                 const std::optional<steering::ServerLoad>& load) {
   const core::TimePoint now = core::RuntimeClock::now();
@@ -370,6 +391,7 @@
 void ProxiedRequest::OnResponse(const Response& response) {
   const unsigned status = response.result_int();
   const auto load = ParseServerLoad(response);
+  if (status != kMisdirected) NoteServerLimit(response);
   if (status == kMisdirected || response.count(context_.names.not_run) > 0) {
     if (status == kMisdirected) context_.servers.OnMisdirected(*server_);
     EndAttempt(status == kMisdirected ? AttemptEnd::kUnreachable : AttemptEnd::kShed,
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -54,6 +54,8 @@
   [[nodiscard]] std::string UpstreamRequestText(core::TimePoint now) const;
   [[nodiscard]] bool BelongsToRequest(const Response& response) const;
   [[nodiscard]] std::optional<steering::ServerLoad> ParseServerLoad(const Response& response) const;
+  /// Notes the rate that the server accepts, which each of its responses states anew.
+  void NoteServerLimit(const Response& response);
 
   void Forward(const Response& response);
   void Refuse(std::string_view reason);
--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "vanilladeck/core/runtime_clock.h"
@@ -49,6 +50,9 @@
   double failure_rate = 0;         ///< Share of failed attempts, smoothed.
   core::TimePoint outcome_at;      ///< Last update of `latency_ratio` and `failure_rate`.
 
+  /// Requests per second that the server accepts from all instances together, as last stated.
+  std::optional<double> limit;
+
   std::uint32_t consecutive_failures = 0;
   core::TimePoint ejected_until;
   std::deque<core::TimePoint> cold_sends;  ///< Send times within the last second while cold.
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -37,6 +37,7 @@
   kServerMoved,
   kAddressShared,
   kServerEjected,
+  kServerLimit,
   kEvacuation,
   kFleet,
   kRegionSplit,
@@ -49,7 +50,7 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 34> kStreamEventNames{
+inline constexpr std::array<std::string_view, 35> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "listener-failed", "handler-failed",
@@ -62,11 +63,12 @@
     "server-added",    "server-draining",
     "server-removed",  "server-moved",
     "address-shared",  "server-ejected",
-    "evacuation",      "fleet",
-    "region-split",    "request",
-    "refused",         "failed",
-    "attempt",         "remote-lookup",
-    "lookup-refused",  "dropped"};
+    "server-limit",    "evacuation",
+    "fleet",           "region-split",
+    "request",         "refused",
+    "failed",          "attempt",
+    "remote-lookup",   "lookup-refused",
+    "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< When full, events are dropped and counted.
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -288,6 +288,7 @@
     names.response_digest = "Seal";
     names.expected_server = "Expected-Server";
     names.server_load = "Load";
+    names.server_limit = "Limit";
     names.not_run = "Not-Run";
     names.server_id = "Server-Id";
     return names;
