Relay the limits of servers with the polls of readers

Change: a poll of a reader carries the limits that the asking instance states, and the response those of the others, so that they reach a region within two polls (0.8 s). Test: 'limits reach the other instances of a region with their polls'.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -205,6 +205,8 @@
   if (call && peer != nullptr && membership::StoreFollower::CanAskPeer(*call)) {
     QueryPeer(*peer);
   } else if (call) {
+    // Without a reader the limits arrive with the records of the instances.
+    context_.server_limits.OnStated(std::string(kRelay), {}, now);
     follower_channel_.Call(
         *call, kStoreTimeout,
         [this, call = *call](const store::VersionedResult& result, const Transfer& transfer) {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "vanilladeck/gateway/context.h"
 #include "vanilladeck/gateway/listener.h"
 #include "vanilladeck/gateway/peer_channel.h"
+#include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/gateway/platform_port.h"
 #include "vanilladeck/gateway/store_channel.h"
 #include "vanilladeck/membership/change_log.h"
@@ -67,6 +68,9 @@
   [[nodiscard]] bool Ready() const noexcept;
 
  private:
+  /// Stands for the reader that relays the limits that others state; no instance has this name.
+  static constexpr std::string_view kRelay{};
+
   /// A listener and its endpoint.
   struct Binding {
     Listener& listener;
@@ -81,6 +85,7 @@
   void LogEvictions();
   void SendStoreCalls();
   void QueryPeer(const membership::FeedPeer& peer);
+  [[nodiscard]] PeerSender Sender() const;
   /// Queries another instance while the store does not answer this one: a seed for its state before
   /// the first listing, a known instance for changes.
   void QueryFallback(core::TimePoint now);
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -101,6 +101,11 @@
     }
     const core::TimePoint now = core::RuntimeClock::now();
     membership::PeerChanges changes = change_log_.Since(*known, now);
+    if (const auto sender = DecodePeerSender(request)) {
+      // Its record in the store states the same, but arrives later.
+      context_.server_limits.OnStated(sender->name, sender->server_limits, now);
+      changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
+    }
     changes.revision = follower_.revision();
     changes.age = now - follower_.last_success();
     changes.behind = now - follower_.current_as_of();
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -24,13 +24,17 @@
 
 }  // namespace
 
+PeerSender Gateway::Sender() const {
+  return {settings_.instance, context_.server_limits.Stated(core::RuntimeClock::now())};
+}
+
 void Gateway::QueryPeer(const membership::FeedPeer& peer) {
   membership::PeerPosition& known = peer_positions_[peer.name];
   known.revision = follower_.revision();
   const core::TimePoint deadline =
       core::RuntimeClock::now() + membership::FeedSource::kAnswerTimeout;
   peer_channel_.Call(
-      peer, EncodePeerRequest(known), deadline,
+      peer, EncodePeerRequest(known, Sender()), deadline,
       [this, peer](const ExchangeOutcome& outcome) { OnPeerResponse(peer, outcome); });
 }
 
@@ -47,6 +51,7 @@
       membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
     peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
+    context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
     context_.policy_as_of = follower_.current_as_of();
     ReadAwaitedItem(peer);
     return;
@@ -120,7 +125,7 @@
     return;
   }
   fallback_channel_.Call(
-      peer, EncodePeerRequest(known), now + kFallbackInterval,
+      peer, EncodePeerRequest(known, Sender()), now + kFallbackInterval,
       [this, peer](const ExchangeOutcome& outcome) { OnFallbackResponse(peer, outcome); });
 }
 
--- a/src/vanilladeck/gateway/peer_request.cc
+++ b/src/vanilladeck/gateway/peer_request.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "vanilladeck/core/deflate.h"
+#include "vanilladeck/core/json.h"
 
 namespace vanilladeck::gateway {
 namespace {
@@ -13,6 +14,10 @@
 constexpr std::string_view kItemPath = "/peer/item?key=";
 constexpr std::string_view kItemRevision = "Item-Revision";
 constexpr std::string_view kHexDigits = "0123456789abcdef";
+constexpr std::string_view kInstance = "Instance";
+constexpr std::string_view kServerLimits = "Server-Limits";
+// Half of what the receiver accepts as the header section of a request.
+constexpr std::size_t kMaxLimitsBytes = 8192;
 
 template <class Number>
 bool ParseWhole(std::string_view text, Number& number) {
@@ -22,12 +27,35 @@
 
 }  // namespace
 
-std::string EncodePeerRequest(const membership::PeerPosition& known) {
+std::string EncodePeerRequest(const membership::PeerPosition& known, const PeerSender& sender) {
   std::string text = "GET ";
   text.append(kPath).append(std::to_string(known.position));
   text.append(kRevision).append(std::to_string(known.revision));
-  text.append(kEpoch).append(known.epoch);
-  return text + " HTTP/1.1\r\nHost: peer\r\n\r\n";
+  text.append(kEpoch).append(known.epoch).append(" HTTP/1.1\r\nHost: peer\r\n");
+  text.append(kInstance).append(": ").append(sender.name).append("\r\n");
+  const std::string limits = nlohmann::json(sender.server_limits)
+                                 .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  if (limits.size() <= kMaxLimitsBytes) {
+    text.append(kServerLimits).append(": ").append(limits).append("\r\n");
+  }
+  return text + "\r\n";
+}
+
+std::optional<PeerSender> DecodePeerSender(const MessageReader<true>::Message& request) {
+  const auto name = request.find(kInstance);
+  const auto limits = request.find(kServerLimits);
+  if (name == request.end() || limits == request.end()) return std::nullopt;
+  PeerSender sender;
+  sender.name.assign(name->value().data(), name->value().size());
+  const auto json = core::ParseJson({limits->value().data(), limits->value().size()});
+  // An empty map is encoded as null.
+  if (json.is_null()) return sender;
+  if (!json.is_object()) return std::nullopt;
+  for (const auto& [server, limit] : json.items()) {
+    if (!limit.is_number() || limit.get<double>() < 0) return std::nullopt;
+    sender.server_limits.emplace(server, limit.get<double>());
+  }
+  return sender;
 }
 
 std::string EncodeItemRequest(std::string_view key) {
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,8 +10,19 @@
 
 namespace vanilladeck::gateway {
 
+/// The instance that sends a request, with the limits of servers that it states.
+struct PeerSender {
+  std::string name;
+  std::map<std::string, double> server_limits;
+};
+
 /// Builds the HTTP request for the changes of a peer since `known`.
-[[nodiscard]] std::string EncodePeerRequest(const membership::PeerPosition& known);
+[[nodiscard]] std::string EncodePeerRequest(const membership::PeerPosition& known,
+                                            const PeerSender& sender);
+
+/// Returns none if the request does not state a sender.
+[[nodiscard]] std::optional<PeerSender> DecodePeerSender(
+    const MessageReader<true>::Message& request);
 
 /// Returns none if `target` is another resource or malformed.
 [[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target);
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -192,7 +192,7 @@
   load_when_sent_ = server_->Load(now);
   sent_at_ = now;
   context_.servers.OnSent(*server_, now);
-  context_.server_limits.OnSent(server_->report.id, now);
+  context_.server_limits.OnSent(server_->report.id);
   if (deadline_id_ == 0) {
     deadline_id_ = context_.deadlines->Add(deadline_, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->OnDeadline();
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -61,6 +61,7 @@
                          {"changes", std::move(list)},
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
+  if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
   } catch (const nlohmann::json::type_error&) {
@@ -119,6 +120,13 @@
       changes.references.push_back(std::move(*reference));
     }
   }
+  if (const auto limits = field("server_limits"); limits != json.end()) {
+    if (!limits->is_object()) return std::nullopt;
+    for (const auto& [server, limit] : limits->items()) {
+      if (!limit.is_number() || limit.get<double>() < 0) return std::nullopt;
+      changes.server_limits.emplace(server, limit.get<double>());
+    }
+  }
   if (const auto checked = field("checked"); checked != json.end()) {
     if (!checked->is_string()) return std::nullopt;
     changes.checked_prefix = checked->get<std::string>();
--- a/src/vanilladeck/steering/server_limits.cc
+++ b/src/vanilladeck/steering/server_limits.cc
@@ -31,7 +31,9 @@
   if (limits.empty()) {
     if (stated_.erase(instance) == 0) return;
   } else {
-    stated_[instance] = std::move(limits);
+    Limits& stated = stated_[instance];
+    if (stated == limits) return;
+    stated = std::move(limits);
   }
   for (auto it = statements_.begin(); it != statements_.end();) {
     Statement& statement = it->second;
@@ -128,7 +130,7 @@
   return entry.tokens >= 1;
 }
 
-void ServerLimits::OnSent(const std::string& server, core::TimePoint now) {
+void ServerLimits::OnSent(const std::string& server) {
   const auto it = entries_.find(server);
   if (it != entries_.end()) it->second.tokens = std::max(0.0, it->second.tokens - 1);
 }
@@ -142,4 +144,17 @@
   return limits;
 }
 
+ServerLimits::Limits ServerLimits::RelayedTo(const std::string& instance,
+                                             core::TimePoint now) const {
+  Limits limits = Stated(now);
+  for (const auto& [name, of_instance] : stated_) {
+    if (name == instance) continue;
+    for (const auto& [server, limit] : of_instance) {
+      const auto [it, added] = limits.try_emplace(server, limit);
+      if (!added) it->second = std::min(it->second, limit);
+    }
+  }
+  return limits;
+}
+
 }  // namespace vanilladeck::steering
--- a/src/vanilladeck/steering/server_limits.h
+++ b/src/vanilladeck/steering/server_limits.h
@@ -38,10 +38,12 @@
   [[nodiscard]] bool Allows(const std::string& server, const std::string& region,
                             core::TimePoint now);
   /// Records a request that is sent to the server.
-  void OnSent(const std::string& server, core::TimePoint now);
+  void OnSent(const std::string& server);
 
   /// Limits that this instance states to the others.
   [[nodiscard]] Limits Stated(core::TimePoint now) const;
+  /// Limits that this instance and others but `instance` state, to be relayed to that one.
+  [[nodiscard]] Limits RelayedTo(const std::string& instance, core::TimePoint now) const;
 
   /// How long a response counts at a sender, which may send again at any time and so gets the next.
   static constexpr core::Duration kSenderLifetime = std::chrono::seconds(60);
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -114,12 +114,14 @@
   sent.revision = 9;
   sent.age = 250ms;
   sent.behind = 1500ms;
+  sent.server_limits = {{"i-1", 2.5}};
   const std::string text = EncodePeerChanges(sent);
   const auto read = DecodePeerChanges(text);
   REQUIRE(read.has_value());
   CHECK(read->revision == 9);
   CHECK(read->age == 250ms);
   CHECK(read->behind == 1500ms);
+  CHECK(read->server_limits == sent.server_limits);
   REQUIRE(read->changes.size() == 2);
   CHECK(read->changes[0].item.value == "{\"version\":\"0000000c\"}");
   for (std::size_t n = 0; n < text.size(); n += 7) {
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -57,11 +57,14 @@
   LoggedGateway(const LoggedGateway&) = delete;
   LoggedGateway& operator=(const LoggedGateway&) = delete;
 
+  [[nodiscard]] std::string Events() const {
+    std::string text(1U << 20U, '\0');
+    const ssize_t n = pread(fileno(log), text.data(), text.size(), 0);
+    text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return text;
+  }
   [[nodiscard]] bool Logged(const std::string& text) const {
-    std::string events_text(1U << 20U, '\0');
-    const ssize_t n = pread(fileno(log), events_text.data(), events_text.size(), 0);
-    events_text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
-    return events_text.find(text) != std::string::npos;
+    return Events().find(text) != std::string::npos;
   }
   [[nodiscard]] bool HasPolicy(std::uint64_t version) const {
     return Logged("\"version\":" + std::to_string(version) + ",\"revision\"");
@@ -113,7 +116,9 @@
     REQUIRE(RunUntil([this] { return reader->instance.Ready(); }, 5s));
     asking->instance.Start();
     if (policy.size() > kSmallPolicyBytes) return;
-    REQUIRE(RunUntil([this] { return asking->instance.Ready(); }, 5s));
+    const bool ready = RunUntil([this] { return asking->instance.Ready(); }, 5s);
+    INFO(asking->Events());
+    REQUIRE(ready);
   }
 
   /// Lists all instances with one address for requests of other instances.
--- a/tests/steering/server_limits_test.cc
+++ b/tests/steering/server_limits_test.cc
@@ -12,15 +12,17 @@
 using testing::PickerFixture;
 using namespace std::chrono_literals;
 
-constexpr int kEast = 20;
-constexpr int kWest = 6;
+constexpr std::size_t kEast = 20;
+constexpr std::size_t kWest = 6;
 
 /// Instances of two regions that send to one server of region "east".
 struct Fleet {
   /// Each instance has a request for the server in each step of 50 ms with probability `demand`.
   explicit Fleet(double rate, double demand = 1) : limit(rate), has_request(demand) {
-    for (int i = 0; i < kEast; ++i) names["east"].push_back("edge-east-" + std::to_string(i));
-    for (int i = 0; i < kWest; ++i) names["west"].push_back("edge-west-" + std::to_string(i));
+    for (std::size_t i = 0; i < kEast; ++i)
+      names["east"].push_back("edge-east-" + std::to_string(i));
+    for (std::size_t i = 0; i < kWest; ++i)
+      names["west"].push_back("edge-west-" + std::to_string(i));
     for (const auto& [region, in_region] : names) {
       for (const std::string& it : in_region) {
         instances.push_back({ServerLimits(it), it, false, {}, {}});
@@ -49,7 +51,7 @@
       // A picker asks for every server of the service, also if the request goes to another one.
       const bool allowed = it.limits.Allows("i-1", "east", now);
       if (!allowed || it.idle || !has_request(random)) continue;
-      it.limits.OnSent("i-1", now);
+      it.limits.OnSent("i-1");
       it.responses.push_back(now + 200ms);
       ++sends;
       if (it.told_at && now - *it.told_at >= 500ms) counted.push_back(now);
@@ -117,7 +119,7 @@
 // the server has no request for it.
 TEST_CASE("the sum holds while the sender has no request for the server") {
   // One of them is the sender.
-  const std::size_t idle = GENERATE(range(0, kEast));
+  const std::size_t idle = GENERATE(range(std::size_t{0}, kEast));
   CAPTURE(idle);
   Fleet fleet(1.7, 0.05);
   fleet.instances[idle].idle = true;
@@ -130,11 +132,11 @@
   Fleet fleet(3.5);
   fleet.StepFor(8s);
   // Every second the first half of the instances loses sight of another one of the region.
-  for (int i = 0; i < 10; ++i) {
+  for (std::size_t lost = 0; lost < kEast; lost += 2) {
     auto names = fleet.names;
-    names["east"].erase(names["east"].begin() + 2 * i);
+    std::erase(names["east"], fleet.instances[lost].name);
     for (std::size_t k = 0; k < fleet.instances.size(); ++k) {
-      if (k != static_cast<std::size_t>(2 * i)) {
+      if (k != lost) {
         fleet.instances[k].limits.SetInstances(k < fleet.instances.size() / 2 ? names
                                                                               : fleet.names);
       }
@@ -176,6 +178,23 @@
   CHECK(limits.Allows("i-1", "east", now + 84s));
 }
 
+// Guards against limits that instances learn of only by the store, after seconds: a sum over many
+// instances that each send a few requests first exceeds a small limit.
+TEST_CASE("limits reach the other instances of a region with their polls") {
+  ServerLimits reader("edge-1");
+  const core::TimePoint now(1000s);
+  reader.OnStated("edge-2", {{"i-1", 3.5}, {"i-2", 1}}, now);
+  reader.OnStated("edge-3", {{"i-1", 2}}, now);
+  reader.SetInstances({{"east", {"edge-1"}}});
+  reader.OnResponse("i-3", "east", 7, now);
+  using Limits = ServerLimits::Limits;
+  CHECK(reader.RelayedTo("edge-4", now) == Limits{{"i-1", 2}, {"i-2", 1}, {"i-3", 7}});
+  // An instance does not get back what only it states.
+  CHECK(reader.RelayedTo("edge-2", now) == Limits{{"i-1", 2}, {"i-3", 7}});
+  reader.OnStated("edge-2", {}, now);
+  CHECK(reader.RelayedTo("edge-4", now) == Limits{{"i-1", 2}, {"i-3", 7}});
+}
+
 // Guards against requests that are refused although servers without a limit have room.
 TEST_CASE("limited servers leave their places in the order to others") {
   PickerFixture f;
