Do not take a failed check for one that takes long

Found on reading: a check that timed out after 1.2 s, as in an outage of the store, set the interval of checks to 12 s, so that a change which the watch left out would be found that late. The interval now follows successful checks only; after a failed one the next follows after the usual 3 s. Test: 'a failed check does not delay the next one'.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -73,8 +73,11 @@
 
 void StoreFollower::OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now) {
   checking_ = false;
+  if (!result) {
+    last_check_ = now;
+    return;
+  }
   check_duration_ = now - last_check_;
-  if (!result) return;
   NoteReachable(now);
   if (const auto* page = std::get_if<store::RangePage>(&result.value())) OnCheck(*page, now);
 }
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -217,6 +217,20 @@
   }
 }
 
+// Guards against a change that is found late after an outage, since a call that timed out counted
+// as a check that takes long.
+TEST_CASE("a failed check does not delay the next one") {
+  Fixture f;
+  f.List({}, 10);
+  (void)f.NextCheck();
+  f.now += 1200ms;
+  const core::TimePoint failed = f.now;
+  f.follower.OnCheckAnswer(VersionedResult(CallError{CallErrorCode::kNoAnswer, ""}), f.now);
+  (void)f.NextCheck();
+  CHECK(f.now - failed >= 3s);
+  CHECK(f.now - failed <= 3100ms);
+}
+
 TEST_CASE("without an outage a removal is applied at once") {
   Fixture f;
   f.List({{"servers/a", "", 1}}, 10);
