Test of malformed limits of servers

Values that are no number of at least 0 count as no limit; the test covers text, signs, infinities and overflow.

--- a/src/vanilladeck/gateway/compressed_items.cc
+++ b/src/vanilladeck/gateway/compressed_items.cc
@@ -1,7 +1,5 @@
 #include "vanilladeck/gateway/compressed_items.h"
 
-#include <algorithm>
-
 #include "vanilladeck/core/deflate.h"
 
 namespace vanilladeck::gateway {
--- a/tests/gateway/server_limit_test.cc
+++ b/tests/gateway/server_limit_test.cc
@@ -56,5 +56,24 @@
   CHECK(static_cast<double>(limited.ArrivalsSince(known)) <= 1.5 * 2.5 * seconds + 5);
 }
 
+// Guards against values that would stop all requests to a server, or be taken for a huge limit.
+TEST_CASE("a limit that is not a number of at least 0 is none") {
+  ProxyFixture f;
+  LimitedServer server(f, "i-1", "");
+  const auto limit_for = [&](const std::string& value) {
+    server.limit = value;
+    (void)f.Fetch("GET", "/read/1", "id");
+    return f.context.servers.Find("i-1")->limit;
+  };
+  for (const char* it : {"x", "-1", "1.5x", "nan", "inf", "1e999", "1,5", "0x10"}) {
+    CAPTURE(it);
+    CHECK_FALSE(limit_for(it).has_value());
+  }
+  CHECK(f.context.server_limits.Stated(core::RuntimeClock::now()).empty());
+  CHECK(limit_for("2.5") == 2.5);
+  // The next request waits for its part of the limit, so it is refused at once.
+  CHECK(ProxyFixture::StatusOf(f.Fetch("GET", "/read/1", "id")) == "503");
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
