--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -14,6 +14,7 @@
 using namespace testing;  // NOLINT(google-build-using-namespace)
 
 constexpr int kInstances = 6;
+constexpr int kRoutes = 1400;
 // A share of a 10 Mbit/s link that other instances and clients leave.
 constexpr double kLinkBytesPerSecond = 250'000;
 // Carries a large policy in about 3 s, longer than a store may be silent.
@@ -28,7 +29,8 @@
 
 std::string LargePolicy(std::uint64_t version) {
   std::vector<nlohmann::json> resources;
-  for (int i = 0; i < 1400; ++i) {
+  resources.reserve(kRoutes);
+  for (int i = 0; i < kRoutes; ++i) {
     resources.push_back(RouteResource("a.example", "/route" + std::to_string(i * 7919) + "/", {}));
   }
   auto policy = nlohmann::json::parse(PolicyText(resources));
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -114,8 +114,9 @@
     watch.timer->cancel();
     auto events = ItemsAfter("", watch.after);
     for (const auto& [key, revision] : removals_) {
-      if (revision > watch.after)
+      if (revision > watch.after) {
         events.push_back({{"key", key}, {"rev", revision}, {"tombstone", true}});
+      }
     }
     Respond(watch.connection, "200 OK",
             nlohmann::json{{"events", events}, {"currentRev", revision_}}.dump());
--- a/tests/steering/server_limits_test.cc
+++ b/tests/steering/server_limits_test.cc
@@ -19,10 +19,12 @@
 struct Fleet {
   /// Each instance has a request for the server in each step of 50 ms with probability `demand`.
   explicit Fleet(double rate, double demand = 1) : limit(rate), has_request(demand) {
-    for (std::size_t i = 0; i < kEast; ++i)
+    for (std::size_t i = 0; i < kEast; ++i) {
       names["east"].push_back("edge-east-" + std::to_string(i));
-    for (std::size_t i = 0; i < kWest; ++i)
+    }
+    for (std::size_t i = 0; i < kWest; ++i) {
       names["west"].push_back("edge-west-" + std::to_string(i));
+    }
     for (const auto& [region, in_region] : names) {
       for (const std::string& it : in_region) {
         instances.push_back({ServerLimits(it), it, false, {}, {}});
