Renew the lease of an instance's record while the record changes

Cause: a write of the record was counted as a renewal of its lease, and a due write went before a due renewal. While limits of servers change each second, the record is written each second and the lease is never renewed; it ends after 3 s, the record of a live instance is removed, and with it the limits that the instance states and its name in lookups.

Fix: a due renewal goes first, and only grants and renewals count, from their sending, since the lease runs from the call's arrival.

Both tests failed before (no renewal within 2 s; none due 1 s after a renewal that took 1 s to be answered).

--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -83,20 +83,23 @@
       // An instance that is not ready is not registered: one write per start instead of two.
       if (!record_.ready) return std::nullopt;
       in_flight_ = true;
+      renewal_sent_ = now;
       return store::GrantLease{settings_.ttl};
     case State::kLeased:
       in_flight_ = true;
       record_changed_ = false;
       return store::PutItem{Key(), EncodeInstance(record_), lease_};
     case State::kRegistered:
-      if (record_changed_) {
+      // A write does not renew the lease, so that a due renewal goes first.
+      if (now - renewed_ >= settings_.renew_interval) {
         in_flight_ = true;
-        record_changed_ = false;
-        return store::PutItem{Key(), EncodeInstance(record_), lease_};
+        renewal_sent_ = now;
+        return store::RenewLease{lease_};
       }
-      if (now - renewed_ < settings_.renew_interval) return std::nullopt;
+      if (!record_changed_) return std::nullopt;
       in_flight_ = true;
-      return store::RenewLease{lease_};
+      record_changed_ = false;
+      return store::PutItem{Key(), EncodeInstance(record_), lease_};
     case State::kWithdrawing:
       in_flight_ = true;
       deleting_ = true;
@@ -127,7 +130,7 @@
   if (const auto* granted = std::get_if<store::LeaseGranted>(&result.value())) {
     if (state_ != State::kNoLease) return;
     lease_ = granted->lease;
-    renewed_ = now;
+    renewed_ = renewal_sent_;
     state_ = State::kLeased;
     return;
   }
@@ -136,7 +139,8 @@
       state_ = State::kRegistered;
       break;
     case State::kRegistered:
-      renewed_ = now;
+      // The lease runs from the arrival of the call that granted or renewed it last.
+      renewed_ = renewal_sent_;
       break;
     case State::kWithdrawing:
       state_ = State::kWithdrawn;
--- a/src/vanilladeck/membership/registration.h
+++ b/src/vanilladeck/membership/registration.h
@@ -71,7 +71,8 @@
   bool record_changed_ = false;
   std::int64_t lease_ = 0;
   core::TimePoint due_;
-  core::TimePoint renewed_;
+  core::TimePoint renewal_sent_;  ///< Last call that granted or renewed the lease.
+  core::TimePoint renewed_;       ///< Sending time of the last one that succeeded.
   core::TimePoint limits_due_;
 };
 
--- a/tests/membership/registration_test.cc
+++ b/tests/membership/registration_test.cc
@@ -72,6 +72,40 @@
   (void)f.Expect<store::GrantLease>();
 }
 
+// Guards against a live instance whose record ends: a write of the record does not renew its lease,
+// and limits that change every second left no time for renewals.
+TEST_CASE("the lease is renewed in time while the record changes all the time") {
+  Fixture f;
+  (void)f.Expect<store::GrantLease>();
+  core::TimePoint renewed = f.now;
+  f.Answer(store::LeaseGranted{7, 3000ms});
+  bool wrote_limits = false;
+  for (int i = 0; i < 200; ++i) {
+    f.registration.SetServerLimits({{"i-1", i}}, f.now);
+    if (const auto call = f.registration.Next(f.now)) {
+      if (std::holds_alternative<store::RenewLease>(*call)) renewed = f.now;
+      wrote_limits = wrote_limits || (i > 10 && std::holds_alternative<store::PutItem>(*call));
+      f.now += 100ms;
+      f.Answer(store::Done{});
+    }
+    f.now += 100ms;
+    REQUIRE(f.now - renewed < 2000ms);
+  }
+  CHECK(wrote_limits);
+}
+
+// Guards against a lease that ends during a slow call: it runs from the arrival of the renewal, not
+// from that of its answer.
+TEST_CASE("the next renewal is due after the last one was sent, not answered") {
+  Fixture f;
+  f.Register();
+  f.now += 1100ms;
+  (void)f.Expect<store::RenewLease>();
+  f.now += 1000ms;
+  f.Answer(store::Done{});
+  (void)f.Expect<store::RenewLease>();
+}
+
 // Guards against two writes per start, since all instances of a fleet may start at once.
 TEST_CASE("an instance registers once, when it is ready") {
   Registration registration({}, Record());
