Tell instances that ask a reader that the reader hears the store

Callers could see: requests to a server that has left.

Cause, by reading: a reader that receives a large response knows by its bytes that the store is reachable, but passes on only the age of its last complete answer. Readers' answers older than 1.45 s are rejected, the store's own answer to the asking instance arrives up to a second later, and 2.5 s without an answer count as an outage.

Fix: readers state when they heard the store last, and an asking instance counts it, also if it rejects the state. The test fails without the call (an outage after 2.5 s).

--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -47,6 +47,7 @@
     changes = membership::DecodePeerChanges(outcome.response.body());
     if (!changes) reason = "malformed";
   }
+  if (changes) follower_.OnPeerHeardStore(now - changes->unheard);
   if (changes &&
       membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
     peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
@@ -162,6 +163,7 @@
   if (instances_.count(name) > 0) {
     peer_positions_[name] = {changes->epoch, changes->position, changes->revision};
   }
+  follower_.OnPeerHeardStore(now - changes->unheard);
   follower_.OnFallbackChanges(*changes, now);
   context_.policy_as_of = follower_.current_as_of();
   ReadAwaitedItem(peer);
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -58,6 +58,7 @@
                          {"revision", changes.revision},
                          {"age_ms", ms(changes.age)},
                          {"behind_ms", ms(changes.behind)},
+                         {"unheard_ms", ms(changes.unheard)},
                          {"changes", std::move(list)},
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
@@ -100,6 +101,12 @@
   changes.revision = revision->get<store::Revision>();
   changes.age = std::chrono::milliseconds(age->get<std::int64_t>());
   changes.behind = std::chrono::milliseconds(behind->get<std::int64_t>());
+  changes.unheard = changes.age;
+  // Instances of an earlier version do not state it.
+  if (const auto unheard = field("unheard_ms"); unheard != json.end()) {
+    if (!unheard->is_number_integer()) return std::nullopt;
+    changes.unheard = std::chrono::milliseconds(unheard->get<std::int64_t>());
+  }
   for (const auto& it : *list) {
     auto reference = ReferenceOf(it);
     if (!reference) return std::nullopt;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -33,6 +33,9 @@
   store::Revision revision = 0;  ///< Store revision up to which all changes are included.
   core::Duration age{0};         ///< Time since the store last answered the sender.
   core::Duration behind{0};      ///< Time for which the sender may have missed changes.
+  /// Time since any part of a response of the store reached the sender; less than `age` while a
+  /// large response arrives.
+  core::Duration unheard{0};
   std::vector<store::Change> changes;
   /// Items with large values, which are read separately by those that lack them, so that they delay
   /// no change, and all items with `checked_prefix`.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -86,6 +86,10 @@
   if (in_flight_) NoteReachable(now);
 }
 
+void StoreFollower::OnPeerHeardStore(core::TimePoint at) {
+  if (started_ && at > last_heard_) NoteReachable(at);
+}
+
 void StoreFollower::NoteSuccess(core::TimePoint now) {
   last_success_ = now;
   NoteReachable(now);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -76,6 +76,10 @@
   /// although the response may take long.
   void OnProgress(core::TimePoint now);
 
+  /// A peer received part of a response of the store at `at`: the store is reachable, also if the
+  /// peer's state is too old to be used.
+  void OnPeerHeardStore(core::TimePoint at);
+
   /// Applies changes relayed by a peer, in place of `OnAnswer`; the next call is due `pause` later.
   void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
   /// Applies the state or changes of another instance that was asked because the store does not
@@ -101,6 +105,8 @@
   [[nodiscard]] bool listed() const noexcept { return listed_once_; }
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
+  /// Last sign of the store, also a part of a response, here or at a peer.
+  [[nodiscard]] core::TimePoint last_heard() const noexcept { return last_heard_; }
   [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -202,6 +202,37 @@
   CHECK(f.reachable);
 }
 
+// Guards against requests to a server that has left: while a reader received a large policy, its
+// state was too old for the instances that ask it, which took this for an outage of the store and
+// deferred the removal.
+TEST_CASE("a response that arrives slowly at a reader is no outage for those that ask it") {
+  Fixture f;
+  f.List({{"servers/a", "", 1}}, 10);
+  const core::TimePoint end = f.now + 4s;
+  while (f.now < end) {
+    (void)f.NextCall();
+    f.follower.OnPeerHeardStore(f.now - 100ms);
+    f.follower.OnPeerFailed(f.now);
+    f.Advance(200ms);
+    CHECK(f.reachable);
+  }
+  (void)f.NextCall();
+  PeerChanges left;
+  left.revision = 12;
+  left.changes = {{{"servers/a", "", 12}, true}};
+  f.follower.OnPeerChanges(left, 400ms, f.now);
+  CHECK(f.present.empty());
+  // Without a sign of the store at any instance it is one.
+  const core::TimePoint reader_answered = f.now;
+  while (f.now < reader_answered + 2600ms) {
+    (void)f.NextCall();
+    f.follower.OnPeerHeardStore(reader_answered);
+    f.follower.OnPeerFailed(f.now);
+    f.Advance(200ms);
+  }
+  CHECK_FALSE(f.reachable);
+}
+
 // Guards against links that are full of checks of a large policy.
 TEST_CASE("checks take at most a tenth of the time") {
   Fixture f;
