Read load reports that have more entries, count those that cannot be read

Cause: servers there report a fourth entry; the parser took "slots,fourth" for one number, failed, and dropped the whole report without a trace, so that instances ran without any load report.

Change: the first three entries are required, a slowdown may follow, all further entries are ignored. A report that cannot be read is counted by result and logged once per server and reason. Counts above a million are rejected instead of being cut to 32 bits; a server that states no slots has those of its entry.

The slowdown is parsed, nothing uses it yet.

--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -56,6 +56,9 @@
   std::uint64_t lookups = 0;
   std::uint64_t lookups_refused = 0;
   std::uint64_t remote_lookups = 0;  ///< Lookups that named instances of other regions only.
+  std::uint64_t load_reports_read = 0;
+  std::uint64_t load_reports_unreadable = 0;
+  std::uint64_t load_reports_absent = 0;  ///< Responses of servers without a load report.
   LatencyHistogram server_latency;
   LatencyHistogram connect_latency;
 
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/connection_fields.h"
+#include "vanilladeck/gateway/load_report.h"
 
 namespace vanilladeck::gateway {
 namespace {
@@ -29,6 +30,8 @@
 constexpr std::uint32_t kMaxConnectFailures = 3;
 // Safety margin, because instances see the counts of a window at slightly different times.
 constexpr double kBudgetSafetyFactor = 0.75;
+// Logged part of a server's load report that cannot be read.
+constexpr std::size_t kMaxLoggedReportBytes = 64;
 // Jitter of Retry-After, as a fraction of the route's latency.
 constexpr double kRetryAfterJitter = 0.5;
 constexpr milliseconds kMinRetryAfter{50};
@@ -314,19 +317,30 @@
   return id == id_;
 }
 
-std::optional<steering::ServerLoad> ProxiedRequest::ParseServerLoad(
-    const Response& response) const {
-  const std::string_view text = FieldValue(response, context_.names.server_load);
-  const auto first = text.find(',');
-  const auto second = first == std::string_view::npos ? first : text.find(',', first + 1);
-  if (second == std::string_view::npos) return std::nullopt;
-  const auto running = ParseCount(text.substr(0, first));
-  const auto waiting = ParseCount(text.substr(first + 1, second - first - 1));
-  const auto slots = ParseCount(text.substr(second + 1));
-  if (!running || !waiting || !slots) return std::nullopt;
-  return steering::ServerLoad{static_cast<std::uint32_t>(*running),
-                              static_cast<std::uint32_t>(*waiting),
-                              static_cast<std::uint32_t>(*slots)};
+std::optional<steering::ServerLoad> ProxiedRequest::ReadLoadReport(const Response& response) {
+  const auto field = response.find(context_.names.server_load);
+  if (field == response.end()) {
+    ++context_.metrics.load_reports_absent;
+    return std::nullopt;
+  }
+  const std::string_view text(field->value().data(), field->value().size());
+  const auto load = ParseLoadReport(text);
+  if (load) {
+    ++context_.metrics.load_reports_read;
+    return load.value();
+  }
+  ++context_.metrics.load_reports_unreadable;
+  const auto error = static_cast<std::size_t>(load.error());
+  const std::uint32_t bit = 1U << error;
+  if ((server_->logged_report_errors & bit) == 0) {
+    server_->logged_report_errors |= bit;
+    context_.events.Write(StreamEvent::kLoadReportUnreadable,
+                          {{"server", server_->report.id},
+                           {"service", server_->report.service},
+                           {"reason", kLoadReportErrorNames[error]},
+                           {"text", text.substr(0, kMaxLoggedReportBytes)}});
+  }
+  return std::nullopt;
 }
 
 void ProxiedRequest::NoteServerLimit(const Response& response) {
@@ -393,7 +407,7 @@
 
 void ProxiedRequest::OnResponse(const Response& response) {
   const unsigned status = response.result_int();
-  const auto load = ParseServerLoad(response);
+  const auto load = ReadLoadReport(response);
   if (status != kMisdirected) NoteServerLimit(response);
   if (status == kMisdirected || response.count(context_.names.not_run) > 0) {
     if (status == kMisdirected) context_.servers.OnMisdirected(*server_);
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -53,7 +53,8 @@
                   const std::optional<steering::ServerLoad>& load = std::nullopt);
   [[nodiscard]] std::string UpstreamRequestText(core::TimePoint now) const;
   [[nodiscard]] bool BelongsToRequest(const Response& response) const;
-  [[nodiscard]] std::optional<steering::ServerLoad> ParseServerLoad(const Response& response) const;
+  /// The load that the server reports, if any. A report that cannot be read is counted and logged.
+  [[nodiscard]] std::optional<steering::ServerLoad> ReadLoadReport(const Response& response);
   /// Notes the rate that the server accepts, which each of its responses states anew.
   void NoteServerLimit(const Response& response);
 
--- a/src/vanilladeck/gateway/wire_names.h
+++ b/src/vanilladeck/gateway/wire_names.h
@@ -11,7 +11,7 @@
   std::string affinity_cookie;  ///< Cookie whose value is the affinity key of a request.
   std::string response_digest;  ///< Digest that proves a response genuine and unaltered.
   std::string expected_server;  ///< Id of the only server that may run the request.
-  std::string server_load;      ///< "running,waiting,slots" in responses.
+  std::string server_load;      ///< See `ParseLoadReport`.
   std::string server_limit;     ///< Requests per second that a server accepts from all instances.
   std::string not_run;          ///< Present if the server did not run the request.
   std::string server_id;        ///< Id of the responding server.
--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -30,7 +30,8 @@
 struct ServerLoad {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  std::uint32_t slots = 0;
+  std::uint32_t slots = 0;         ///< 0 if the server states none.
+  std::optional<double> slowdown;  ///< Time that work takes there now, relative to the usual one.
 };
 
 /// One incarnation of a backend server in one place, as this instance sees it.
@@ -53,6 +54,9 @@
   /// Requests per second that the server accepts from all instances together, as last stated.
   std::optional<double> limit;
 
+  /// Kinds of unreadable load reports that were logged, as a bit set.
+  std::uint32_t logged_report_errors = 0;
+
   std::uint32_t consecutive_failures = 0;
   core::TimePoint ejected_until;
   std::deque<core::TimePoint> cold_sends;  ///< Send times within the last second while cold.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -158,7 +158,7 @@
     const double weight = 1 - (1 - kLoadWeight) * server.LoadConfidence(now);
     server.others_load = Smooth(server.others_load, others_load, weight);
     server.others_load_at = now;
-    const double slots = std::max(1U, load->slots);
+    const double slots = std::max(1U, load->slots > 0 ? load->slots : server.report.slots);
     utilization_[{server.report.service, server.region}].Add(total / slots, now);
   } else if (end == AttemptEnd::kShed) {
     utilization_[{server.report.service, server.region}].Add(1, now);
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -38,6 +38,7 @@
   kAddressShared,
   kServerEjected,
   kServerLimit,
+  kLoadReportUnreadable,
   kEvacuation,
   kFleet,
   kRegionSplit,
@@ -50,7 +51,7 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 35> kStreamEventNames{
+inline constexpr std::array<std::string_view, 36> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "listener-failed", "handler-failed",
@@ -63,12 +64,12 @@
     "server-added",    "server-draining",
     "server-removed",  "server-moved",
     "address-shared",  "server-ejected",
-    "server-limit",    "evacuation",
-    "fleet",           "region-split",
-    "request",         "refused",
-    "failed",          "attempt",
-    "remote-lookup",   "lookup-refused",
-    "dropped"};
+    "server-limit",    "load-report-unreadable",
+    "evacuation",      "fleet",
+    "region-split",    "request",
+    "refused",         "failed",
+    "attempt",         "remote-lookup",
+    "lookup-refused",  "dropped"};
 
 struct StreamLimits {
   std::size_t buffer_bytes = 256U << 10U;  ///< When full, events are dropped and counted.
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -65,6 +65,37 @@
   CHECK(std::stoi(HeaderOf(seen, "Deadline-Ms")) > 1000);
 }
 
+// Guards against servers whose load report gains an entry and is then not read at all, so that
+// requests go to servers that are full.
+TEST_CASE("a load report with further entries reaches the choice of server") {
+  const std::string further = GENERATE("", ",100", ",250", ",97.5", ",0", ",-5", ",fast", ",",
+                                       ",120,7", ",120,x,,;q=1", ",1e400");
+  CAPTURE(further);
+  ProxyFixture f;
+  (void)f.AddServer("i-1", [further](const auto& connection, const std::string& request) {
+    connection->Write(FullResponse(request, "x", "200 OK", "Load: 6,3,9" + further + "\r\n"));
+  });
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "200");
+  const auto now = core::RuntimeClock::now();
+  // All requests but the one that has just ended are those of other instances.
+  CHECK(f.context.servers.Find("i-1")->Load(now) == Approx(8));
+  CHECK(f.context.metrics.load_reports_unreadable == 0);
+}
+
+// Guards against a report that is dropped without a trace.
+TEST_CASE("a load report that cannot be read is counted, and the response returned") {
+  const std::string report = GENERATE("", "6", "6,3", "6,3,", "six,3,9", "6,-3,9", "6,3,9.5", "6;3;9",
+                                      "6,3,99999999999", "99999999999999999999,0,9", ",,,");
+  CAPTURE(report);
+  ProxyFixture f;
+  (void)f.AddServer("i-1", [report](const auto& connection, const std::string& request) {
+    connection->Write(FullResponse(request, "x", "200 OK", "Load: " + report + "\r\n"));
+  });
+  CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "200");
+  CHECK(f.context.servers.Find("i-1")->Load(core::RuntimeClock::now()) == 0);
+  CHECK(f.context.metrics.load_reports_unreadable == 1);
+}
+
 // Guards against running a request twice: before a reset the first server may have run it.
 TEST_CASE("a non-idempotent request reaches only one server when its connection is reset") {
   ProxyFixture f;
