Choose servers also by how long work takes there now

Servers state a slowdown that changes while requests run. So a report counts by its age and by the life of the request.

SlowdownStatistics learns mean and correlation time of each service from successive reports, so that a figure that is noise, or one that holds for long, needs no setting. The prediction scales the expected time, and through it the wait, what is refused at once as too late, and the cost of each preferred server; measured latency counts only for what the reports do not explain.

Weighed: least expected completion time over the object's preferred servers (this); power of two choices, which gives up warm caches; the raw figure, which is mostly over when the request runs. Utilization by which regions split is running requests over slots and rises by itself while work is slow. Health answers carry the same header and are not used: a check costs as much as a request's share of a connection, and responses arrive several times a second.

--- a/src/vanilladeck/steering/server.h
+++ b/src/vanilladeck/steering/server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "vanilladeck/core/runtime_clock.h"
+#include "vanilladeck/steering/slowdown.h"
 
 namespace vanilladeck::steering {
 
@@ -51,6 +52,9 @@
   double failure_rate = 0;         ///< Share of failed attempts, smoothed.
   core::TimePoint outcome_at;      ///< Last update of `latency_ratio` and `failure_rate`.
 
+  /// Last report of the time that work takes there; none if the server states none.
+  std::optional<SlowdownStatistics::Sample> slowdown;
+
   /// Requests per second that the server accepts from all instances together, as last stated.
   std::optional<double> limit;
 
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -195,7 +195,8 @@
     const double load = server.Load(now, mean->second * slots);
     const double excess = load + 1 - slots;
     const bool has_spare_slots = load <= slots * kSpareUtilization;
-    const double slowdown = server.LatencyRatio(now) * (server.Cold(now) ? kColdFactor : 1);
+    const double slowdown = servers_.Slowdown(server, Expected(*query.route), now) *
+                            server.LatencyRatio(now) * (server.Cold(now) ? kColdFactor : 1);
     double expected = usual_latency * slowdown * (1 + std::max(0.0, excess) / slots);
     if (server.region != settings_.region) {
       expected += static_cast<double>(settings_.region_round_trip.count());
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -149,6 +149,19 @@
   if (server.Cold(now)) server.cold_sends.push_back(now);
 }
 
+void ServerSet::AddSlowdown(Server& server, double value, core::TimePoint now) {
+  const SlowdownStatistics::Sample sample{SlowdownStatistics::Bounded(value), now};
+  slowdowns_[server.report.service].Add(sample, server.slowdown);
+  server.slowdown = sample;
+}
+
+double ServerSet::Slowdown(const Server& server, core::Duration duration,
+                           core::TimePoint now) const {
+  const auto statistics = slowdowns_.find(server.report.service);
+  if (!server.slowdown || statistics == slowdowns_.end()) return 1;
+  return statistics->second.Predict(*server.slowdown, duration, now);
+}
+
 void ServerSet::OnEnd(Server& server, AttemptEnd end, const std::optional<ServerLoad>& load,
                       core::Duration latency, core::Duration expected, core::TimePoint now) {
   if (load) {
@@ -160,6 +173,7 @@
     server.others_load_at = now;
     const double slots = std::max(1U, load->slots > 0 ? load->slots : server.report.slots);
     utilization_[{server.report.service, server.region}].Add(total / slots, now);
+    if (load->slowdown) AddSlowdown(server, *load->slowdown, now);
   } else if (end == AttemptEnd::kShed) {
     utilization_[{server.report.service, server.region}].Add(1, now);
   }
@@ -173,8 +187,9 @@
       server.consecutive_failures = 0;
       server.failure_rate = Smooth(server.failure_rate, 0, kFailureWeight);
       if (expected.count() > 0) {
-        const double ratio =
-            static_cast<double>(latency.count()) / static_cast<double>(expected.count());
+        // What the server's reports explain is not part of its own latency.
+        const double ratio = static_cast<double>(latency.count()) /
+                             (static_cast<double>(expected.count()) * Slowdown(server, latency, now));
         server.latency_ratio =
             Smooth(server.latency_ratio, std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio),
                    kLatencyWeight);
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -70,6 +70,11 @@
                                                       const std::string& region,
                                                       core::TimePoint now) const;
 
+  /// Time that a request of `duration` takes at the server now, relative to the mean over the
+  /// servers of its service, as far as their reports tell; 1 without any.
+  [[nodiscard]] double Slowdown(const Server& server, core::Duration duration,
+                                core::TimePoint now) const;
+
   [[nodiscard]] const std::vector<ServerPtr>& OfService(const std::string& service) const;
   [[nodiscard]] ServerPtr Find(const std::string& id) const;
   /// The servers to which the address belongs; they are not `gone`.
@@ -86,6 +91,7 @@
   [[nodiscard]] std::vector<std::string> Ids() const;
 
  private:
+  void AddSlowdown(Server& server, double value, core::TimePoint now);
   /// A copy of `server` that is not gone and has no requests; connections to the known one are not
   /// reused for it.
   [[nodiscard]] ServerPtr Renewed(const Server& server);
@@ -108,6 +114,7 @@
   std::uint64_t last_serial_ = 0;
   std::set<std::string> evacuated_;
   std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
+  std::unordered_map<std::string, SlowdownStatistics> slowdowns_;           ///< By service.
 };
 
 }  // namespace vanilladeck::steering
