Do not bring back what was removed before the listing of a start

Story of other operators: after a restart, a key that had been withdrawn was in use again. It can happen here: the new process has no tombstones, and the check of the operators' keys is a stale read, seconds old; a peer that lags repeats these keys as well. An evacuation that had been taken back was in force again until the next newer read, and a server that had left came back from a peer's older state.

Fix: a key that a complete listing did not contain was removed if its revision is not newer than that listing; only a listing itself brings it back.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -133,6 +133,7 @@
   for (const std::string& it : missing) RemoveOrDefer(it, listing_revision_, now);
   // A stale listing must not move the revision back.
   revision_ = std::max(revision_, listing_revision_);
+  complete_revision_ = std::max(complete_revision_, listing_revision_);
   ForgetAwaited(listing_revision_);
   listing_ = false;
   last_listing_ = now;
@@ -209,6 +210,7 @@
     const auto removed = tombstones_.find(it.key);
     if (known != known_revisions_.end() && known->second >= it.revision) continue;
     if (removed != tombstones_.end() && removed->second.revision >= it.revision) continue;
+    if (WasRemoved(it.key, it.revision)) continue;
     store::Revision& awaited = awaited_[it.key];
     awaited = std::max(awaited, it.revision);
   }
@@ -283,7 +285,13 @@
   due_ = now + settings_.retry_pause;
 }
 
+bool StoreFollower::WasRemoved(const std::string& key, store::Revision revision) const {
+  return revision <= complete_revision_ && known_revisions_.count(key) == 0;
+}
+
 void StoreFollower::ApplyItem(const store::Item& item, store::Revision read_at) {
+  // Other sources than a listing may be behind the last one.
+  if (source_ != ItemSource::kListing && WasRemoved(item.key, item.revision)) return;
   const auto removed = tombstones_.find(item.key);
   if (removed != tombstones_.end()) {
     if (item.revision <= removed->second.revision) return;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -121,6 +121,9 @@
   void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   void OnFailure(const store::CallError& error, core::TimePoint now);
+  /// True if the item was removed after `revision`, as a later listing showed. Tombstones do not
+  /// tell this after a restart.
+  [[nodiscard]] bool WasRemoved(const std::string& key, store::Revision revision) const;
   /// `read_at` is the store revision of the state that contains the item.
   void ApplyItem(const store::Item& item, store::Revision read_at);
   /// `revision` is a store revision at which the key was absent.
@@ -161,6 +164,8 @@
   std::map<std::string, Removal> tombstones_;  ///< Older items of these keys are ignored.
   std::map<std::string, store::Revision> awaited_;
   store::Revision revision_ = 0;
+  /// Of the last complete listing: keys that it did not contain were absent then.
+  store::Revision complete_revision_ = 0;
   store::Revision removal_revision_ = 0;
   core::TimePoint due_;
   core::TimePoint watch_sent_;
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -233,6 +233,39 @@
   CHECK_FALSE(f.reachable);
 }
 
+// Guards against an evacuation that is in force again, or a server that is in use again, after a
+// restart: the new process has no tombstone of the key, and a stale read or a peer that lags still
+// has it.
+TEST_CASE("a state from before the listing does not bring back what had been removed") {
+  const int source = GENERATE(0, 1, 2, 3);
+  CAPTURE(source);
+  Fixture f;
+  f.List({{"servers/a", "", 1}}, 100);
+  const store::Item withdrawn{"op/evacuate/east-a", "", 50};
+  const store::Item left{"servers/b", "", 60};
+  PeerChanges behind;
+  behind.revision = 90;
+  behind.full = source == 2;
+  behind.changes = {{withdrawn, false}, {left, false}, {{"servers/a", "", 1}, false}};
+  if (source == 0) {
+    (void)f.NextCheck();
+    f.AnswerCheck({{withdrawn}, false, 90});
+  } else if (source == 1 || source == 2) {
+    f.follower.OnPeerChanges(behind, 400ms, f.now);
+  } else {
+    behind.changes.clear();
+    behind.references = {{withdrawn.key, withdrawn.revision}};
+    f.follower.OnFallbackChanges(behind, f.now);
+    CHECK(f.follower.awaited().empty());
+    f.follower.OnItemRead(withdrawn);
+  }
+  CHECK(f.present == std::set<std::string>{"servers/a"});
+  // What was written since the listing counts.
+  (void)f.NextCheck();
+  f.AnswerCheck({{{withdrawn.key, "", 110}}, false, 120});
+  CHECK(f.present.count(withdrawn.key) == 1);
+}
+
 // Guards against links that are full of checks of a large policy.
 TEST_CASE("checks take at most a tenth of the time") {
   Fixture f;
