--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -261,8 +261,12 @@
   Read();
 }
 
-void ClientSession::CloseIfIdle() {
-  if (idle()) Linger();
+void ClientSession::CloseIfIdle(core::Duration min_idle) {
+  if (!idle() || core::RuntimeClock::now() - idle_since_ < min_idle) return;
+  boost::system::error_code ec;
+  if (socket_.available(ec) > 0) return;
+  // Without lingering, which would read a request that can no longer be answered.
+  Close();
 }
 
 void ClientSession::Close() {
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -77,8 +77,9 @@
   /// Closes without a response, for a request that may have run but whose response is lost.
   void Abort();
 
-  /// Closes the connection if no byte of a request has arrived.
-  void CloseIfIdle();
+  /// Closes the connection if it has been idle for `min_idle` and nothing has arrived that waits to
+  /// be read. The client can tell that a request in transit was not read, since it gets a reset.
+  void CloseIfIdle(core::Duration min_idle);
 
   /// Closes the socket of an idle session at once, without lingering.
   void CloseNow() { Close(); }
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,6 +35,9 @@
 // After this time of a shutdown, idle client connections are closed; clients that refresh their
 // lookups have moved away by then.
 constexpr core::Duration kDrainIdleTime = milliseconds(1200);
+// Shortest time without a request after which a connection is closed in a shutdown; that of a client
+// that has just connected is on its way.
+constexpr core::Duration kDrainMinIdle = milliseconds(500);
 // The process exits this long before the platform would kill it.
 constexpr core::Duration kExitMargin = milliseconds(250);
 // Time by which an instance that asks a peer is behind it, with half a second for the peer's
@@ -516,7 +519,7 @@
   if (since >= kDrainListenTime) clients_.Close();
   if (since >= kDrainIdleTime) {
     const std::vector<ClientSession*> sessions(open.begin(), open.end());
-    for (ClientSession* it : sessions) it->CloseIfIdle();
+    for (ClientSession* it : sessions) it->CloseIfIdle(kDrainMinIdle);
   }
   const bool finished = since >= kDrainListenTime && open.empty();
   if (!finished && since < settings_.stop_grace - kExitMargin) return;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -47,6 +47,10 @@
     return;
   }
   Accept();
+  StartSession(std::move(socket));
+}
+
+void Listener::StartSession(boost::asio::ip::tcp::socket socket) {
   if (group_->sessions.size() >= max_sessions_ && !CloseLongestIdle()) {
     // Closing one connection is better than running out of descriptors for all.
     boost::system::error_code ignored;
@@ -56,6 +60,17 @@
   }
 }
 
+void Listener::AcceptWaiting() {
+  boost::system::error_code ec;
+  acceptor_.non_blocking(true, ec);
+  // Bounded, since clients may connect faster than they are accepted.
+  for (int i = 0; i < kBacklog && !ec; ++i) {
+    boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, ec);
+    if (!ec) StartSession(std::move(socket));
+  }
+}
+
 bool Listener::CloseLongestIdle() {
   ClientSession* longest = nullptr;
   for (ClientSession* it : group_->sessions) {
@@ -67,6 +82,8 @@
 }
 
 void Listener::Close() {
+  // Connections that wait to be accepted would be reset with the listening socket.
+  if (acceptor_.is_open()) AcceptWaiting();
   boost::system::error_code ignored;  // An error on close needs no handling.
   acceptor_.close(ignored);
 }
--- a/src/vanilladeck/gateway/listener.h
+++ b/src/vanilladeck/gateway/listener.h
@@ -16,6 +16,7 @@
   /// Can be called again after an error.
   [[nodiscard]] boost::system::error_code Open(const boost::asio::ip::tcp::endpoint& endpoint);
   [[nodiscard]] bool open() const noexcept { return acceptor_.is_open(); }
+  /// Accepts the connections that wait, then closes the listening socket.
   void Close();
 
   [[nodiscard]] SessionGroup& group() noexcept { return *group_; }
@@ -25,6 +26,8 @@
   void Accept();
   /// Closes the session that has been idle longest; false if none is idle.
   bool CloseLongestIdle();
+  void AcceptWaiting();
+  void StartSession(boost::asio::ip::tcp::socket socket);
   void OnAccept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -443,7 +443,7 @@
   REQUIRE(f.RunUntil([&] { return held != nullptr; }));
   f.group().closing = true;
   const std::vector<ClientSession*> sessions(f.group().sessions.begin(), f.group().sessions.end());
-  for (ClientSession* it : sessions) it->CloseIfIdle();
+  for (ClientSession* it : sessions) it->CloseIfIdle(0ms);
   CHECK(f.RunUntil([&] { return idle->closed; }));
   held->Write(FullResponse(held_request, "finished"));
   REQUIRE(f.RunUntil([&] { return f.HasAnswer(busy->input); }));
