Do not take a second copy of a refusal for the answer to the next request

Story of other operators: a server sent a second copy of an answer, late, on a connection that was in use again. Copies with an id were skipped already (tests for copies 0, 1, 20 and 400 ms after the first). A refusal without an id was taken for the current request's: a running request counted as not run, was answered 503 and could be sent again.

Fix: a connection is not used again after a response without an id, and on a connection that was used before such a response is skipped.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -268,10 +268,14 @@
   connection_->Exchange(
       UpstreamRequestText(core::RuntimeClock::now()), request_.method() == http::verb::head,
       deadline_ + kConnectTimeout,
-      [self = shared_from_this()](const Response& response) {
-        return self->BelongsToRequest(response);
+      [self = shared_from_this(), connection](const Response& response) {
+        return self->BelongsToRequest(response, connection->reused());
       },
       [self = shared_from_this(), server = server_, connection](const ExchangeOutcome& outcome) {
+        // A second copy of such a response could not be told from one to the next request.
+        const bool without_id = outcome.status == ExchangeStatus::kResponse &&
+                                outcome.response.count(self->context_.names.request_id) == 0;
+        if (without_id) connection->Cancel();
         self->context_.pool.Release(*server, connection);
         if (self->finished_ || self->connection_ != connection) return;
         self->connection_ = nullptr;
@@ -308,10 +312,12 @@
   return text;
 }
 
-bool ProxiedRequest::BelongsToRequest(const Response& response) const {
+bool ProxiedRequest::BelongsToRequest(const Response& response, bool reused) const {
   const std::string_view id = FieldValue(response, context_.names.request_id);
-  // Servers that refuse a request before they read its header fields cannot echo its id.
+  // Servers that refuse a request before they read its header fields cannot echo its id. On a
+  // connection that was used before, it may be a late copy of a response to an earlier request.
   if (id.empty()) {
+    if (reused) return false;
     return response.count(context_.names.not_run) > 0 || response.result_int() == kMisdirected;
   }
   return id == id_;
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -52,7 +52,8 @@
   void EndAttempt(steering::AttemptEnd end, const std::string& detail,
                   const std::optional<steering::ServerLoad>& load = std::nullopt);
   [[nodiscard]] std::string UpstreamRequestText(core::TimePoint now) const;
-  [[nodiscard]] bool BelongsToRequest(const Response& response) const;
+  /// `reused` states that the connection has carried other requests before.
+  [[nodiscard]] bool BelongsToRequest(const Response& response, bool reused) const;
   /// The load that the server reports, if any. A report that cannot be read is counted and logged.
   [[nodiscard]] std::optional<steering::ServerLoad> ReadLoadReport(const Response& response);
   /// Notes the rate that the server accepts, which each of its responses states anew.
--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -76,6 +76,7 @@
   response_filter_ = std::move(filter);
   done_ = std::move(done);
   reusable_ = false;
+  ++exchanges_;
   interim_responses_ = 0;
   dropped_responses_ = 0;
   bytes_received_ = 0;
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -96,6 +96,8 @@
   [[nodiscard]] bool IsStillIdle();
 
   [[nodiscard]] bool reusable() const noexcept { return reusable_ && socket_.is_open(); }
+  /// True if an exchange preceded the current one.
+  [[nodiscard]] bool reused() const noexcept { return exchanges_ > 1; }
   [[nodiscard]] core::TimePoint idle_since() const noexcept { return idle_since_; }
   /// Idle timeout of the peer, if it states one.
   [[nodiscard]] std::optional<core::Duration> keep_alive() const noexcept { return keep_alive_; }
@@ -128,6 +130,7 @@
   std::size_t bytes_received_ = 0;
   core::TimePoint sent_at_;
   core::TimePoint first_byte_at_;
+  std::uint32_t exchanges_ = 0;
   int interim_responses_ = 0;
   int dropped_responses_ = 0;
   core::ByteBudget::Account account_;
