Slow down an instance's retries of the store in an outage

In an outage no reader has a current state, so that each of 295 instances calls the store itself, 3.3 times a second: 28 calls in 8 s, refused ones are priced as well.

Fix: the pause doubles from 0.3 s to 1.2 s at most; one success ends that. Bounds count from 3 s or more after an outage on all deployments. Other instances that recover are still asked each second. The test counted 28 calls without the doubling, 10 are allowed.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -91,6 +91,7 @@
 }
 
 void StoreFollower::NoteSuccess(core::TimePoint now) {
+  failures_ = 0;
   last_success_ = now;
   NoteReachable(now);
 }
@@ -282,7 +283,14 @@
   }
   changes_may_be_lost_ = changes_may_be_lost_ || error.code == store::CallErrorCode::kNoAnswer;
   if (listing_) StartListing();
-  due_ = now + settings_.retry_pause;
+  ++failures_;
+  due_ = now + RetryPause();
+}
+
+core::Duration StoreFollower::RetryPause() const noexcept {
+  core::Duration pause = settings_.retry_pause;
+  for (std::uint32_t i = 1; i < failures_ && pause < settings_.max_retry_pause; ++i) pause *= 2;
+  return std::min(pause, settings_.max_retry_pause);
 }
 
 bool StoreFollower::WasRemoved(const std::string& key, store::Revision revision) const {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -19,8 +19,10 @@
   /// one returned changes, this long after that one began, so that a stream of changes costs no
   /// more calls than an idle store.
   core::Duration poll_interval = std::chrono::milliseconds(1000);
-  /// Pause before a failed call is retried.
+  /// Pause before a failed call is retried. It doubles with each further failure up to
+  /// `max_retry_pause`, since in an outage all instances retry and each call has its price.
   core::Duration retry_pause = std::chrono::milliseconds(300);
+  core::Duration max_retry_pause = std::chrono::milliseconds(1200);
   /// Entries that expired during an outage are kept this long after the store recovers, since live
   /// servers register again within 2 s.
   core::Duration removal_grace = std::chrono::milliseconds(2200);
@@ -121,6 +123,7 @@
   void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   void OnFailure(const store::CallError& error, core::TimePoint now);
+  [[nodiscard]] core::Duration RetryPause() const noexcept;
   /// True if the item was removed after `revision`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Revision revision) const;
@@ -145,6 +148,7 @@
   FollowerSettings settings_;
   Sink sink_;
   bool in_flight_ = false;
+  std::uint32_t failures_ = 0;  ///< Consecutive failed calls.
   bool listing_ = true;
   bool synced_once_ = false;
   bool reachable_ = true;
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -266,6 +266,31 @@
   CHECK(f.present.count(withdrawn.key) == 1);
 }
 
+// Guards against a fleet whose retries cost more than its work: in an outage every instance calls
+// the store itself, as no reader has a current state.
+TEST_CASE("retries slow down in an outage and the next success ends that") {
+  Fixture f;
+  f.List({{"servers/a", "", 1}}, 10);
+  const core::TimePoint began = f.now;
+  int calls = 0;
+  while (f.now < began + 8s) {
+    (void)f.NextCall();
+    ++calls;
+    f.Fail(CallErrorCode::kRefused);
+  }
+  CHECK(calls <= 10);
+  // The first call after the outage comes soon enough to be current within bounds of 3 s.
+  const core::TimePoint ended = f.now;
+  (void)f.NextCall();
+  CHECK(f.now - ended <= 1300ms);
+  f.Answer(store::Changes{{}, 10});
+  (void)f.NextCall();
+  f.Fail(CallErrorCode::kRefused);
+  const core::TimePoint failed = f.now;
+  (void)f.NextCall();
+  CHECK(f.now - failed <= 400ms);
+}
+
 // Guards against links that are full of checks of a large policy.
 TEST_CASE("checks take at most a tenth of the time") {
   Fixture f;
