--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -13,6 +13,19 @@
 // until its next listing (`FollowerSettings::relist_interval`), which takes up to some seconds.
 constexpr core::Duration kRepeatTime = std::chrono::seconds(25);
 
+// Longer ages than that of the oldest state that an instance can hold do not occur, and would not
+// fit into a duration.
+constexpr std::int64_t kMaxAgeMs = std::int64_t{30} * 24 * 3600 * 1000;
+
+/// The age that a message states; nullopt if it is missing, negative or too long.
+std::optional<core::Duration> AgeOf(const nlohmann::json& message, const char* name) {
+  const auto it = message.find(name);
+  if (it == message.end() || !it->is_number_integer()) return std::nullopt;
+  const auto ms = it->get<std::int64_t>();
+  if (ms < 0 || ms > kMaxAgeMs) return std::nullopt;
+  return std::chrono::milliseconds(ms);
+}
+
 bool IsUtf8(const nlohmann::json& text) {
   try {
     (void)text.dump();
@@ -84,13 +97,12 @@
   const auto position = field("position");
   const auto full = field("full");
   const auto revision = field("revision");
-  const auto age = field("age_ms");
-  const auto behind = field("behind_ms");
+  const auto age = AgeOf(json, "age_ms");
+  const auto behind = AgeOf(json, "behind_ms");
   const auto list = field("changes");
   if (epoch == json.end() || !epoch->is_string() || position == json.end() ||
       !position->is_number_unsigned() || full == json.end() || !full->is_boolean() ||
-      revision == json.end() || !revision->is_number_integer() || age == json.end() ||
-      !age->is_number_integer() || behind == json.end() || !behind->is_number_integer() ||
+      revision == json.end() || !revision->is_number_integer() || !age || !behind ||
       list == json.end() || !list->is_array()) {
     return std::nullopt;
   }
@@ -99,14 +111,10 @@
   changes.position = position->get<std::uint64_t>();
   changes.full = full->get<bool>();
   changes.revision = revision->get<store::Revision>();
-  changes.age = std::chrono::milliseconds(age->get<std::int64_t>());
-  changes.behind = std::chrono::milliseconds(behind->get<std::int64_t>());
-  changes.unheard = changes.age;
+  changes.age = *age;
+  changes.behind = *behind;
   // Instances of an earlier version do not state it.
-  if (const auto unheard = field("unheard_ms"); unheard != json.end()) {
-    if (!unheard->is_number_integer()) return std::nullopt;
-    changes.unheard = std::chrono::milliseconds(unheard->get<std::int64_t>());
-  }
+  changes.unheard = AgeOf(json, "unheard_ms").value_or(changes.age);
   for (const auto& it : *list) {
     auto reference = ReferenceOf(it);
     if (!reference) return std::nullopt;
