Test that a running request is left to a server whose entry expires

It does not happen here: a removed server only gets no new requests. The test holds a request, removes the server's entry, and expects its answer and no second server, for both kinds of request.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -35,8 +35,8 @@
 // After this time of a shutdown, idle client connections are closed; clients that refresh their
 // lookups have moved away by then.
 constexpr core::Duration kDrainIdleTime = milliseconds(1200);
-// Shortest time without a request after which a connection is closed in a shutdown; that of a client
-// that has just connected is on its way.
+// Shortest time without a request after which a connection is closed in a shutdown; that of a
+// client that has just connected is on its way.
 constexpr core::Duration kDrainMinIdle = milliseconds(500);
 // The process exits this long before the platform would kill it.
 constexpr core::Duration kExitMargin = milliseconds(250);
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -74,7 +74,8 @@
       << "vanilladeck_load_reports_total{result=\"read\"} " << metrics.load_reports_read << '\n'
       << "vanilladeck_load_reports_total{result=\"unreadable\"} " << metrics.load_reports_unreadable
       << '\n'
-      << "vanilladeck_load_reports_total{result=\"absent\"} " << metrics.load_reports_absent << '\n';
+      << "vanilladeck_load_reports_total{result=\"absent\"} " << metrics.load_reports_absent
+      << '\n';
   AppendHistogram(out, "vanilladeck_server_seconds", "", metrics.server_latency);
   AppendHistogram(out, "vanilladeck_connect_seconds", "", metrics.connect_latency);
   const auto value = [&out](std::string_view name, double n) { out << name << ' ' << n << '\n'; };
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -188,8 +188,9 @@
       server.failure_rate = Smooth(server.failure_rate, 0, kFailureWeight);
       if (expected.count() > 0) {
         // What the server's reports explain is not part of its own latency.
-        const double ratio = static_cast<double>(latency.count()) /
-                             (static_cast<double>(expected.count()) * Slowdown(server, latency, now));
+        const double ratio =
+            static_cast<double>(latency.count()) /
+            (static_cast<double>(expected.count()) * Slowdown(server, latency, now));
         server.latency_ratio =
             Smooth(server.latency_ratio, std::clamp(ratio, kMinLatencyRatio, kMaxLatencyRatio),
                    kLatencyWeight);
--- a/src/vanilladeck/steering/slowdown.cc
+++ b/src/vanilladeck/steering/slowdown.cc
@@ -55,8 +55,8 @@
   if (pairs_ >= kMinPairs && pair_variance_ > 0) {
     const double correlation =
         std::clamp(covariance_ / pair_variance_, kMinCorrelation, kMaxCorrelation);
-    seconds = std::clamp(-pair_distance_s_ / std::log(correlation), kMinCorrelationS,
-                         kMaxCorrelationS);
+    seconds =
+        std::clamp(-pair_distance_s_ / std::log(correlation), kMinCorrelationS, kMaxCorrelationS);
   }
   return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
 }
--- a/tests/gateway/late_second_copy_test.cc
+++ b/tests/gateway/late_second_copy_test.cc
@@ -16,7 +16,8 @@
 void WriteLater(boost::asio::io_context& io, const ScriptedServer::ConnectionPtr& connection,
                 const std::string& text, core::Duration delay) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(io, delay);
-  timer->async_wait([timer, connection, text](boost::system::error_code) { connection->Write(text); });
+  timer->async_wait(
+      [timer, connection, text](boost::system::error_code) { connection->Write(text); });
 }
 
 // Guards against a caller that gets the response to another request: a server sends a second copy
@@ -40,8 +41,8 @@
   CHECK(server.requests.size() == 2);
 }
 
-// Guards against a running request that is said not to have run, and sent again: a refusal that does
-// not name its request arrives a second time, on a connection that carries the next request.
+// Guards against a running request that is said not to have run, and sent again: a refusal that
+// does not name its request arrives a second time, on a connection that carries the next request.
 TEST_CASE("a second copy of a refusal without an id does not refuse the next request") {
   const core::Duration delay = GENERATE(0ms, 1ms, 20ms, 400ms);
   const std::string status = GENERATE("503 Service Unavailable", "421 Misdirected Request");
@@ -49,8 +50,7 @@
   const bool on_used_connection = GENERATE(false, true);
   CAPTURE(delay, status, on_used_connection);
   ProxyFixture f;
-  const std::string refusal =
-      "HTTP/1.1 " + status + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string refusal = "HTTP/1.1 " + status + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
   int runs = 0;
   auto& server = f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
     const std::string id = HeaderOf(request, "Request-Id");
@@ -63,7 +63,8 @@
       ++runs;
       if (on_used_connection) WriteLater(f.io, connection, refusal, delay);
     }
-    WriteLater(f.io, connection, FullResponse(request, "body of " + id), id == "id-2" ? 500ms : 0ms);
+    WriteLater(f.io, connection, FullResponse(request, "body of " + id),
+               id == "id-2" ? 500ms : 0ms);
   });
   const std::string first = f.Fetch("POST", "/write/1", "id-1", "x");
   CHECK(f.StatusOf(first) == (on_used_connection ? "200" : "503"));
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -84,8 +84,9 @@
 
 // Guards against a report that is dropped without a trace.
 TEST_CASE("a load report that cannot be read is counted, and the response returned") {
-  const std::string report = GENERATE("", "6", "6,3", "6,3,", "six,3,9", "6,-3,9", "6,3,9.5", "6;3;9",
-                                      "6,3,99999999999", "99999999999999999999,0,9", ",,,");
+  const std::string report =
+      GENERATE("", "6", "6,3", "6,3,", "six,3,9", "6,-3,9", "6,3,9.5", "6;3;9", "6,3,99999999999",
+               "99999999999999999999,0,9", ",,,");
   CAPTURE(report);
   ProxyFixture f;
   (void)f.AddServer("i-1", [report](const auto& connection, const std::string& request) {
@@ -412,6 +413,36 @@
   CHECK(client->input.find("\r\n\r\nid-b") < client->input.find("\r\n\r\nid-c"));
 }
 
+// Guards against running work that is given up or started again elsewhere, because its server was
+// silent for a while and its entry expired.
+TEST_CASE("a running request is left to a server whose entry expires") {
+  const std::string method = GENERATE("GET", "POST");
+  CAPTURE(method);
+  ProxyFixture f;
+  ScriptedServer::ConnectionPtr held;
+  std::string held_request;
+  const auto hold = [&](const ScriptedServer::ConnectionPtr& connection,
+                        const std::string& request) {
+    held = connection;
+    held_request = request;
+  };
+  std::vector<ScriptedServer*> servers{&f.AddServer("i-1", hold), &f.AddServer("i-2", hold)};
+  auto client = f.Connect();
+  f.Send(*client, f.RequestText(method, method == "GET" ? "/read/1" : "/write/1", "id-1",
+                                method == "GET" ? "" : "x"));
+  REQUIRE(f.RunUntil([&] { return held != nullptr; }));
+  const std::string id = HeaderOf(held_request, "Expected-Server");
+  const auto server = f.context.servers.Find(id);
+  CHECK(f.context.servers.OnRemoved(id));
+  f.context.pool.CloseIdleConnections(*server);
+  f.RunFor(300ms);
+  CHECK(RequestCount(servers) == 1);
+  held->Write(FullResponse(held_request, "finished"));
+  REQUIRE(f.RunUntil([&] { return f.HasAnswer(client->input) || client->closed; }));
+  CHECK(f.BodyOf(client->input) == "finished");
+  CHECK(RequestCount(servers) == 1);
+}
+
 // Guards against request smuggling.
 TEST_CASE("a body is never parsed as a separate request") {
   ProxyFixture f;
--- a/tests/steering/slowdown_test.cc
+++ b/tests/steering/slowdown_test.cc
@@ -165,8 +165,8 @@
         const int instance = std::uniform_int_distribution<int>(0, kInstances - 1)(random);
         PickerFixture& f = fleet[instance];
         f.now = now;
-        const std::string id = f.ChosenId(
-            std::to_string(std::uniform_int_distribution<int>(0, kObjects - 1)(random)));
+        const std::string id =
+            f.ChosenId(std::to_string(std::uniform_int_distribution<int>(0, kObjects - 1)(random)));
         if (id.empty()) continue;
         const int server = std::stoi(id.substr(6));
         f.servers.OnSent(*f.servers.Find(id), now);
