Do not rely on a reader that may have missed changes for long

Cause, of the instances that ask such a reader: a reader that lists the store hears it with each page, so that its state counted as current, while it passes on no change until the listing is complete. Their poll is answered, so they ask nobody else.

Fix: the time for which a reader may have missed changes counts as well as the time since it heard the store.

--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/gateway.h"
@@ -48,8 +49,10 @@
     if (!changes) reason = "malformed";
   }
   if (changes) follower_.OnPeerHeardStore(now - changes->unheard);
-  if (changes &&
-      membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
+  // A peer that lists the store hears it with each page, but lacks the changes made since the start
+  // of the listing.
+  if (changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
+                                                   settings_.follower.poll_interval)) {
     peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -230,6 +230,25 @@
   CHECK(item_requests < 10);
 }
 
+// Guards against requests to a server that has left: a reader that lists the store hears it all the
+// time, but passes on no changes until the listing is complete.
+TEST_CASE("a reader that may have missed changes for long is not relied on") {
+  RelayFixture f(SmallPolicy());
+  ScriptedServer reader(f.io, [](const ScriptedServer::ConnectionPtr& connection,
+                                 const std::string&) {
+    membership::PeerChanges changes;
+    changes.epoch = "other/1";
+    changes.behind = 5s;
+    const std::string body = membership::EncodePeerChanges(changes);
+    connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body);
+  });
+  f.ListInstances(reader.Address());
+  (void)f.RunUntil([&] { return reader.requests.size() > 1; }, 5s);
+  f.store.Put("servers/i-1", Server("draining", 5));
+  CHECK(f.RunUntil([&] { return f.asking->KnowsDraining(); }, kBound));
+}
+
 // Guards against requests to a server that has left although no policy changes: an instance reads
 // no changes while it reads the operators' keys to check them.
 TEST_CASE("a server's leaving is known while the policy is checked") {
