--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -234,15 +234,15 @@
 // time, but passes on no changes until the listing is complete.
 TEST_CASE("a reader that may have missed changes for long is not relied on") {
   RelayFixture f(SmallPolicy());
-  ScriptedServer reader(f.io, [](const ScriptedServer::ConnectionPtr& connection,
-                                 const std::string&) {
-    membership::PeerChanges changes;
-    changes.epoch = "other/1";
-    changes.behind = 5s;
-    const std::string body = membership::EncodePeerChanges(changes);
-    connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-                      "\r\n\r\n" + body);
-  });
+  ScriptedServer reader(
+      f.io, [](const ScriptedServer::ConnectionPtr& connection, const std::string&) {
+        membership::PeerChanges changes;
+        changes.epoch = "other/1";
+        changes.behind = 5s;
+        const std::string body = membership::EncodePeerChanges(changes);
+        connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                          "\r\n\r\n" + body);
+      });
   f.ListInstances(reader.Address());
   (void)f.RunUntil([&] { return reader.requests.size() > 1; }, 5s);
   f.store.Put("servers/i-1", Server("draining", 5));
--- a/tests/steering/slowdown_test.cc
+++ b/tests/steering/slowdown_test.cc
@@ -129,6 +129,7 @@
   static Result Run(bool reports_slowdown) {
     std::deque<PickerFixture> fleet(kInstances);
     std::vector<Machine> machines;
+    machines.reserve(kServers);
     const core::TimePoint start = fleet.front().now;
     for (int i = 0; i < kServers; ++i) machines.emplace_back(i + 1, 600ms, start);
     for (PickerFixture& it : fleet) it.Add("east-a", kServers);
