Do not take changes from an instance that asks another one itself

Fix: an instance says that it takes its changes from another one, and such answers are not used: the other reader is asked, then the store. The test (a reader that answers "relayed") fails without the check.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -108,6 +108,7 @@
     }
     changes.revision = follower_.revision();
     changes.age = now - follower_.last_success();
+    changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
     changes.behind = now - follower_.current_as_of();
     ReplyWith(session, "application/json", membership::EncodePeerChanges(changes));
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -51,8 +51,10 @@
   if (changes) follower_.OnPeerHeardStore(now - changes->unheard);
   // A peer that lists the store hears it with each page, but lacks the changes made since the start
   // of the listing.
-  if (changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
-                                                   settings_.follower.poll_interval)) {
+  const bool current =
+      changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
+                                                   settings_.follower.poll_interval);
+  if (current && !changes->relayed) {
     peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
@@ -60,7 +62,7 @@
     ReadAwaitedItem(peer);
     return;
   }
-  if (changes) reason = "state of the peer is too old";
+  if (changes) reason = current ? "asks another instance itself" : "state of the peer is too old";
   feed_source_.OnFailure(peer.name, now);
   events_.Write(StreamEvent::kPeerFailed, {{"peer", peer.name},
                                            {"reason", reason},
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -75,6 +75,7 @@
                          {"changes", std::move(list)},
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
+  if (changes.relayed) message["relayed"] = true;
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
@@ -115,6 +116,8 @@
   changes.behind = *behind;
   // Instances of an earlier version do not state it.
   changes.unheard = AgeOf(json, "unheard_ms").value_or(changes.age);
+  const auto relayed = field("relayed");
+  changes.relayed = relayed != json.end() && relayed->is_boolean() && relayed->get<bool>();
   for (const auto& it : *list) {
     auto reference = ReferenceOf(it);
     if (!reference) return std::nullopt;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -36,6 +36,9 @@
   /// Time since any part of a response of the store reached the sender; less than `age` while a
   /// large response arrives.
   core::Duration unheard{0};
+  /// The sender takes its changes from another instance. Instances that disagree about the readers
+  /// could ask each other in a circle.
+  bool relayed = false;
   std::vector<store::Change> changes;
   /// Items with large values, which are read separately by those that lack them, so that they delay
   /// no change, and all items with `checked_prefix`.
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -231,14 +231,18 @@
 }
 
 // Guards against requests to a server that has left: a reader that lists the store hears it all the
-// time, but passes on no changes until the listing is complete.
-TEST_CASE("a reader that may have missed changes for long is not relied on") {
+// time, but passes on no changes until the listing is complete; and instances that disagree about
+// the readers ask each other in a circle.
+TEST_CASE("a reader that may have missed changes for long, or is none, is not relied on") {
+  const bool relayed = GENERATE(false, true);
+  CAPTURE(relayed);
   RelayFixture f(SmallPolicy());
   ScriptedServer reader(
-      f.io, [](const ScriptedServer::ConnectionPtr& connection, const std::string&) {
+      f.io, [relayed](const ScriptedServer::ConnectionPtr& connection, const std::string&) {
         membership::PeerChanges changes;
         changes.epoch = "other/1";
-        changes.behind = 5s;
+        changes.relayed = relayed;
+        if (!relayed) changes.behind = 5s;
         const std::string body = membership::EncodePeerChanges(changes);
         connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                           "\r\n\r\n" + body);
