--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -703,15 +703,22 @@
     std::FILE* file = std::fopen((directory_ + "/settings.conf").c_str(), "w");
     std::fprintf(file, "%sseeds=%s\n", settings_.c_str(), seeds.c_str());
     std::fclose(file);
-    const char* program = std::getenv("GATEWAY");
+    // All that needs memory is prepared before the fork, since other threads may hold the allocator's lock.
+    std::string program = "target/vanilladeck-gateway";
+    if (const char* other = std::getenv("GATEWAY")) program = other;
+    std::string variable = "VANILLADECK_SETTINGS=" + directory_ + "/settings.conf";
+    std::vector<char*> variables{variable.data()};
+    for (char** it = environ; *it != nullptr; ++it) variables.push_back(*it);
+    variables.push_back(nullptr);
+    char* arguments[] = {program.data(), nullptr};
+    const std::string log = directory_ + "/out";
     pid_ = fork();
     if (pid_ == 0) {
-      const int out = open((directory_ + "/out").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
       for (int fd = 3; fd < 4096; ++fd) close(fd);
-      setenv("VANILLADECK_SETTINGS", (directory_ + "/settings.conf").c_str(), 1);
-      execl(program != nullptr ? program : "target/vanilladeck-gateway", "target/vanilladeck-gateway", nullptr);
+      execve(program.c_str(), arguments, variables.data());
       _exit(127);
     }
     LOG("%s: started, process %d, front %s:%d", node_.c_str(), static_cast<int>(pid_), ip_.c_str(), front_);
