Review: stand-ins leave no files and no processes behind

Cause: the scripts left their temporary folders. Change: the harness removes them with the process, and ends the process if the script is ended.

--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -686,16 +687,7 @@
                  "\nprovider.form=kv\nprovider.writesPerS=400\nprovider.readsPerS=2000\nprovider.historyS=20\n"
                  "provider.valueBytes=1048576\nprovider.ttlMinS=1\n";
   }
-  ~Gateway() {
-    Kill();
-    (void)unlink((directory_ + "/settings.conf").c_str());
-    if (std::getenv("KEEP_LOGS") == nullptr) {
-      (void)unlink((directory_ + "/out").c_str());
-      (void)rmdir(directory_.c_str());
-    } else {
-      std::fprintf(stderr, "%s: %s/out\n", node_.c_str(), directory_.c_str());
-    }
-  }
+  ~Gateway() { Kill(); }
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
@@ -714,6 +706,7 @@
     const std::string log = directory_ + "/out";
     pid_ = fork();
     if (pid_ == 0) {
+      (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
@@ -733,6 +726,7 @@
     (void)waitpid(pid_, nullptr, 0);
     LOG("%s: killed", node_.c_str());
     pid_ = -1;
+    RemoveFiles();
   }
   // True once the process has ended; `status` is that of `waitpid`.
   bool Ended(int& status) {
@@ -774,6 +768,13 @@
   pid_t pid() const { return pid_; }
 
  private:
+  void RemoveFiles() const {
+    if (std::getenv("KEEP_LOGS") != nullptr) return;
+    (void)unlink((directory_ + "/settings.conf").c_str());
+    (void)unlink((directory_ + "/out").c_str());
+    (void)rmdir(directory_.c_str());
+  }
+
   std::string node_;
   std::string ip_;
   int door_;
