Do not forward a server's own 408, 429 or 503 as a promise (REFUSED)

Callers saw: requests that aren't idempotent were answered 503 after a server had run them; they repeated them, and they were done twice.

Cause: every response without the header "not run" was forwarded unchanged. From a server 503 is a failure like any other, from an instance it promises that the request has not run and never will. 408 and 429 took the same way, and counted as success of the server.

Change: such a response becomes 502 without the server's seal, counts as a failure of the server, and is retried first if the request is idempotent.

Ruled out: vanilladeckd, which marks forwarded responses as run.

--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -18,7 +18,9 @@
 using steering::AttemptEnd;
 using telemetry::StreamEvent;
 
+constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -79,6 +81,12 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+/// True if clients take the status for a statement that the request has not run.
+bool PromisesNotRun(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 }  // namespace
 
 ProxiedRequest::ProxiedRequest(Context& context, std::shared_ptr<ClientSession> session,
@@ -433,12 +441,18 @@
     Fail(kBadGateway, "spoiled-response");
     return;
   }
-  if (status >= kFirstServerError) {
+  const bool unproven_refusal = PromisesNotRun(status);
+  if (status >= kFirstServerError || unproven_refusal) {
     EndAttempt(AttemptEnd::kServerError, "status " + std::to_string(status), load);
     if (idempotent && Retry(true)) return;
   } else {
     EndAttempt(AttemptEnd::kAnswered, {}, load);
   }
+  if (unproven_refusal) {
+    // The server may have run the request, but clients would repeat it after this status.
+    Fail(kBadGateway, "unproven-refusal");
+    return;
+  }
   Forward(response);
 }
 
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -13,9 +13,10 @@
 /// Forwards one client request to a backend server and returns the response.
 ///
 /// A non-idempotent request is sent to a second server only if the first one cannot have run it:
-/// the connection failed, or the server stated that it did not run it. A 503 response is sent only
-/// for a request that no server has run or will run. Each attempt obeys the policy in force when it
-/// is sent, which may be newer than the one in force when the request was received.
+/// the connection failed, or the server stated that it did not run it. A status that promises this
+/// to clients (408, 421, 429, 503) is sent only for a request that no server has run or will run; a
+/// server's own one becomes 502 unless the server states the same. Each attempt obeys the policy in
+/// force when it is sent, which may be newer than the one in force when the request was received.
 class ProxiedRequest : public PendingRequest, public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Context& context, std::shared_ptr<ClientSession> session, Request request);
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -163,6 +163,45 @@
   CHECK(f.StatusOf(f.Fetch("GET", "/read/1", "id-1")) == "502");
 }
 
+// Guards against a client repeating a request that a server has run and then failed with a status
+// that promises, if it comes from an instance, that the request has not run.
+TEST_CASE("a server's own 408, 429 or 503 does not reach the client as a promise") {
+  for (const std::string status : {"408 Request Timeout", "429 Too Many Requests", "503 Down"}) {
+    for (const bool idempotent : {false, true}) {
+      CAPTURE(status, idempotent);
+      ProxyFixture f;
+      const auto script = [&status](const ScriptedServer::ConnectionPtr& connection,
+                                    const std::string& request) {
+        connection->Write(FullResponse(request, "failed", status, "Retry-After: 1\r\n"));
+      };
+      std::vector<ScriptedServer*> servers;
+      for (const char* id : {"i-1", "i-2", "i-3"}) servers.push_back(&f.AddServer(id, script));
+      const std::string answer =
+          idempotent ? f.Fetch("GET", "/read/1", "id-1") : f.Fetch("POST", "/write/1", "id-1", "x");
+      CHECK(f.StatusOf(answer) == "502");
+      // A failure under the server's seal must have the status that the server gave.
+      CHECK(HeaderOf(answer, "Seal").empty());
+      CHECK(HeaderOf(answer, "Retry-After").empty());
+      CHECK(RequestCount(servers) == (idempotent ? 3 : 1));
+    }
+  }
+}
+
+TEST_CASE("other failures of a server are returned unchanged") {
+  for (const std::string status : {"500 Failed", "504 Timeout", "409 Conflict"}) {
+    CAPTURE(status);
+    ProxyFixture f;
+    (void)f.AddServer("i-1", [&status](const ScriptedServer::ConnectionPtr& connection,
+                                       const std::string& request) {
+      connection->Write(FullResponse(request, "failed", status));
+    });
+    const std::string answer = f.Fetch("POST", "/write/1", "id-1", "x");
+    CHECK(f.StatusOf(answer) == status.substr(0, 3));
+    CHECK(HeaderOf(answer, "Seal") == "s");
+    CHECK(f.BodyOf(answer) == "failed");
+  }
+}
+
 TEST_CASE("without a usable server a request is refused at once with Retry-After") {
   ProxyFixture f;
   const std::string answer = f.Fetch("GET", "/read/1", "id-1");
