Log how many changes a watch returns

The log has a line for each change and none for the read, so it can't tell a late watch from one that returns only a part.

Change: the event changes-read, for watches with 50 changes or more, with the revisions from and to. No change of logic.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -19,6 +19,8 @@
 constexpr double kLoggedShareChange = 0.05;
 // Shortest transfer from the store or another instance that is logged.
 constexpr core::Duration kLoggedTransferTime = milliseconds(200);
+// Smallest number of changes in one response that is logged.
+constexpr std::size_t kLoggedChanges = 50;
 constexpr core::Duration kExpiryInterval = std::chrono::seconds(1);
 // A call between regions takes 0.12 s, a call to a slow store 0.4 s.
 constexpr core::Duration kStoreTimeout = milliseconds(1200);
@@ -217,6 +219,7 @@
         *call, kStoreTimeout,
         [this, call = *call](const store::VersionedResult& result, const Transfer& transfer) {
           CountCall(call, result, transfer);
+          LogChanges(call, result);
           follower_.OnAnswer(result, core::RuntimeClock::now());
           context_.policy_as_of = follower_.current_as_of();
           // The next page, or the next watch after one without changes, follows
@@ -266,6 +269,18 @@
                  {"bytes", transfer.bytes}});
 }
 
+void Gateway::LogChanges(const store::VersionedCall& call, const store::VersionedResult& result) {
+  const auto* watch = std::get_if<store::WatchChanges>(&call);
+  if (watch == nullptr || !result) return;
+  const auto* changes = std::get_if<store::Changes>(&result.value());
+  if (changes == nullptr || changes->changes.size() < kLoggedChanges) return;
+  events_.Write(StreamEvent::kChangesRead,
+                {{"changes", changes->changes.size()},
+                 {"from", watch->after},
+                 {"to", changes->revision},
+                 {"silence_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
+}
+
 void Gateway::OnItem(const store::Item& item) {
   DecodedItem decoded = codec_.DecodeItem(item);
   bool matters = true;
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -124,6 +124,8 @@
   void CountTransfer(std::string_view source, std::string_view call, const Transfer& transfer);
   void CountCall(const store::VersionedCall& call, const store::VersionedResult& result,
                  const Transfer& transfer);
+  /// Logs a watch that returned many changes, with the revisions that it led from and to.
+  void LogChanges(const store::VersionedCall& call, const store::VersionedResult& result);
   void ServeLocalRequest(ClientSession& session, const Request& request);
   /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
