Follow a watch that may have been cut short at once (DRAIN)

Cause: a watch returns 500 changes at most, and nothing tells whether there are more. Readers paused for the rest of the interval (1.6 s there) after each response with changes, so that none could follow more than 312 changes a second, and stated meanwhile that they knew all changes up to now.

Change: after a response with 250 changes or 512 KiB of values, half of what the platform's pages name for a listing, the next watch follows at once and doesn't wait. Until one returns less the state doesn't count as current.

Ruled out: slow fallbacks of refused instances (their neighbours were as late), deferred removals (reports were as late), a full link.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -1,6 +1,7 @@
 #include "vanilladeck/membership/store_follower.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace vanilladeck::membership {
@@ -10,6 +11,9 @@
 constexpr core::Duration kStallTime = std::chrono::milliseconds(500);
 // Interval of checks as a multiple of the duration of a check.
 constexpr int kCheckPauseFactor = 10;
+// Wait of a watch that follows one that may have been cut short. An empty response to it states
+// that nothing is missing, so it must come soon.
+constexpr core::Duration kCatchUpWait = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -18,6 +22,7 @@
 
 void StoreFollower::StartListing() noexcept {
   listing_ = true;
+  catching_up_ = false;
   page_after_.clear();
   listing_revision_ = 0;
   listed_keys_.clear();
@@ -34,6 +39,10 @@
   call_sent_ = now;
   if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
   if (listing_) return store::ReadRange{"", page_after_, false};
+  if (catching_up_) {
+    return store::WatchChanges{"", revision_,
+                               std::chrono::duration_cast<std::chrono::milliseconds>(kCatchUpWait)};
+  }
   // A pause after changes shortens the wait, since other instances would take the time without an
   // answer for an outage.
   const core::Duration since_success = now - last_success_;
@@ -56,7 +65,7 @@
   } else if (const auto* changes = std::get_if<store::Changes>(&result.value())) {
     NoteSuccess(now);
     OnChanges(*changes, now);
-    current_as_of_ = std::max(current_as_of_, AnswerTime(now));
+    if (!MayBeCutShort(*changes)) current_as_of_ = std::max(current_as_of_, AnswerTime(now));
   }
 }
 
@@ -150,6 +159,7 @@
 void StoreFollower::OnPeerChanges(const PeerChanges& changes, core::Duration pause,
                                   core::TimePoint now) {
   in_flight_ = false;
+  catching_up_ = false;
   source_ = ItemSource::kPeer;
   const core::TimePoint answered = now - changes.age;
   if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
@@ -265,7 +275,12 @@
   }
   revision_ = std::max(revision_, changes.revision);
   ForgetAwaited(changes.revision);
-  if (!changes.changes.empty() || now < due_) due_ = watch_sent_ + settings_.poll_interval;
+  const bool caught_up = std::exchange(catching_up_, MayBeCutShort(changes));
+  if (catching_up_) {
+    due_ = now;
+  } else if (caught_up || !changes.changes.empty() || now < due_) {
+    due_ = watch_sent_ + settings_.poll_interval;
+  }
   if (changes_may_be_lost_ && now - last_listing_ >= settings_.min_listing_interval) {
     changes_may_be_lost_ = false;
     StartListing();
@@ -273,6 +288,13 @@
   }
 }
 
+bool StoreFollower::MayBeCutShort(const store::Changes& changes) const {
+  if (changes.changes.size() >= settings_.cut_changes) return true;
+  std::size_t bytes = 0;
+  for (const store::Change& it : changes.changes) bytes += it.item.value.size();
+  return bytes >= settings_.cut_bytes;
+}
+
 void StoreFollower::OnFailure(const store::CallError& error, core::TimePoint now) {
   if (error.code == store::CallErrorCode::kHistoryLost) {
     NoteSuccess(now);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -19,6 +19,11 @@
   /// one returned changes, this long after that one began, so that a stream of changes costs no
   /// more calls than an idle store.
   core::Duration poll_interval = std::chrono::milliseconds(1000);
+  /// The store returns a limited number of changes at a time, without saying that there are more. A
+  /// response with this many changes, or with values of this many bytes, may have been cut short:
+  /// the next watch follows at once, and until one returns less, changes may be missing.
+  std::size_t cut_changes = 250;
+  std::size_t cut_bytes = std::size_t{512} << 10U;
   /// Pause before a failed call is retried. It doubles with each further failure up to
   /// `max_retry_pause`, since in an outage all instances retry and each call has its price.
   core::Duration retry_pause = std::chrono::milliseconds(300);
@@ -122,6 +127,7 @@
   void OnPage(const store::RangePage& page, core::TimePoint now);
   void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
+  [[nodiscard]] bool MayBeCutShort(const store::Changes& changes) const;
   void OnFailure(const store::CallError& error, core::TimePoint now);
   [[nodiscard]] core::Duration RetryPause() const noexcept;
   /// True if the item was removed after `revision`, as a later listing showed. Tombstones do not
@@ -172,7 +178,9 @@
   store::Revision complete_revision_ = 0;
   store::Revision removal_revision_ = 0;
   core::TimePoint due_;
-  core::TimePoint watch_sent_;
+  core::TimePoint watch_sent_;  ///< The first one of a series without a pause.
+  /// The last watch may have been cut short; the next one must not wait for changes.
+  bool catching_up_ = false;
   bool listed_once_ = false;
   /// A watch got no answer: the store may have compacted changes that it did not deliver.
   bool changes_may_be_lost_ = false;
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -3,6 +3,11 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "vanilladeck/membership/feed_source.h"
 
 namespace vanilladeck::membership {
 namespace {
@@ -646,6 +651,156 @@
   CHECK(f.follower.awaited().empty());
 }
 
+/// A store whose watches return a limited number of changes, without saying that there are more.
+/// Time advances in steps of a millisecond.
+class CappedStore {
+ public:
+  CappedStore(std::size_t most_changes, core::Duration round_trip)
+      : most_changes_(most_changes), round_trip_(round_trip) {}
+
+  void Change(core::TimePoint now) {
+    const store::Revision revision = 11 + static_cast<store::Revision>(changes_.size());
+    changes_.push_back({{{"servers/" + std::to_string(revision), "", revision}, false}, now});
+  }
+
+  /// Follows the store for 10 s while it changes `per_s` times a second. Returns the longest time
+  /// until a change is known, and sets `claims_hold` to false if `current_as_of` was too late.
+  core::Duration Follow(Fixture& f, int per_s, bool& claims_hold) {
+    f.List({}, 10);
+    const core::TimePoint start = f.now;
+    core::Duration longest{0};
+    std::size_t known = 0;
+    for (int ms = 0; ms < 12'000; ++ms, f.now = start + ms * 1ms) {
+      if (ms < 10'000 && (ms * per_s) / 1000 != ((ms + 1) * per_s) / 1000) Change(f.now);
+      if (ms % 100 == 0) f.follower.Tick(f.now);
+      if (call_ && f.now >= answered_at_) {
+        call_.reset();
+        f.Answer(answer_);
+        for (; known < changes_.size() && f.present.count(changes_[known].first.item.key) > 0;
+             ++known) {
+          longest = std::max(longest, f.now - changes_[known].second);
+        }
+        const bool complete = known == changes_.size();
+        // The response left the store half a round trip earlier.
+        claims_hold = claims_hold && (complete || f.follower.current_as_of() <=
+                                                      changes_[known].second + round_trip_);
+      }
+      if (call_ && f.now >= reached_at_ && answered_at_ == core::TimePoint::max()) Serve(f.now);
+      if (!call_) Send(f);
+    }
+    CHECK(known == changes_.size());
+    return longest;
+  }
+
+  int calls = 0;
+
+ private:
+  void Send(Fixture& f) {
+    const auto next = f.follower.Next(f.now);
+    if (!next) return;
+    REQUIRE(std::holds_alternative<store::WatchChanges>(*next));
+    ++calls;
+    call_ = std::get<store::WatchChanges>(*next);
+    reached_at_ = f.now + round_trip_ / 2;
+    answered_at_ = core::TimePoint::max();
+  }
+
+  void Serve(core::TimePoint now) {
+    answer_ = {{}, call_->after};
+    for (std::size_t i = static_cast<std::size_t>(call_->after) - 10;
+         i < changes_.size() && answer_.changes.size() < most_changes_; ++i) {
+      answer_.changes.push_back(changes_[i].first);
+      answer_.revision = changes_[i].first.item.revision;
+    }
+    if (answer_.changes.empty() && now < reached_at_ + call_->wait) return;
+    answered_at_ = now + round_trip_ / 2;
+  }
+
+  std::size_t most_changes_;
+  core::Duration round_trip_;
+  std::vector<std::pair<store::Change, core::TimePoint>> changes_;
+  std::optional<store::WatchChanges> call_;
+  core::TimePoint reached_at_;
+  core::TimePoint answered_at_;
+  store::Changes answer_;
+};
+
+// Guards against DRAIN: the store returns a limited number of changes at a time, and a reader that
+// paused after each response fell behind by seconds while many servers changed.
+TEST_CASE("changes are known in time although the store returns a limited number of them") {
+  const auto [most_changes, per_s] = GENERATE(table<std::size_t, int>(
+      {{300, 250}, {300, 700}, {500, 100}, {500, 400}, {500, 1000}, {100'000, 1000}}));
+  const core::Duration round_trip = GENERATE(4ms, 112ms);
+  CAPTURE(most_changes, per_s, round_trip.count());
+  Fixture f;
+  CappedStore store(most_changes, round_trip);
+  bool claims_hold = true;
+  const core::Duration longest = store.Follow(f, per_s, claims_hold);
+  CAPTURE(longest.count(), store.calls);
+  // Instances leave a reader that is further behind.
+  CHECK(FeedSource::IsCurrent(longest, FollowerSettings{}.poll_interval));
+  CHECK(claims_hold);
+}
+
+// Guards against more calls in return: a stream of few changes costs one call an interval.
+TEST_CASE("a response with few changes is followed by a pause, a long one by another watch") {
+  Fixture f;
+  CappedStore store(500, 112ms);
+  bool claims_hold = true;
+  (void)store.Follow(f, 20, claims_hold);
+  CHECK(store.calls <= 13);
+  CHECK(claims_hold);
+}
+
+// Guards against a state that counts as complete although a response was cut short, by number or by
+// size.
+TEST_CASE("a state is not current before a watch has returned few changes") {
+  Fixture f;
+  f.List({}, 10);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  f.Advance(300ms);
+  const core::TimePoint complete = f.follower.current_as_of();
+  store::Changes changes;
+  SECTION("many changes") {
+    for (store::Revision it = 11; it < 511; ++it) {
+      changes.changes.push_back({{"servers/" + std::to_string(it), "", it}, false});
+    }
+  }
+  SECTION("a large value") {
+    changes.changes.push_back({{"op/config", std::string(1U << 20U, 'x'), 510}, false});
+  }
+  changes.revision = 510;
+  f.Answer(changes);
+  CHECK(f.follower.current_as_of() == complete);
+  const auto call = f.follower.Next(f.now);
+  REQUIRE(call.has_value());
+  REQUIRE(std::holds_alternative<store::WatchChanges>(*call));
+  CHECK(std::get<store::WatchChanges>(*call).after == 510);
+  // Other instances must not take the time that it waits for one in which changes are missed.
+  CHECK(std::get<store::WatchChanges>(*call).wait < 50ms);
+  f.Answer(store::Changes{{}, 510});
+  CHECK(f.follower.current_as_of() == f.now);
+  CHECK_FALSE(f.follower.Next(f.now).has_value());
+}
+
+// Guards against the same where the response leads to a listing, as one did not arrive before it.
+TEST_CASE("a state is not current while a listing follows a long response") {
+  Fixture f;
+  f.List({}, 10);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  f.Fail(CallErrorCode::kNoAnswer);
+  f.Advance(5s);
+  REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
+  const core::TimePoint complete = f.follower.current_as_of();
+  store::Changes changes{{}, 510};
+  for (store::Revision it = 11; it <= 510; ++it) {
+    changes.changes.push_back({{"servers/" + std::to_string(it), "", it}, false});
+  }
+  f.Answer(changes);
+  CHECK(f.follower.current_as_of() == complete);
+  REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
+}
+
 // Guards against taking an answer that waited while the process was stopped for the present state.
 TEST_CASE("an answer that may have waited during a stall holds as of its call") {
   Fixture f;
