Check all pages of the operators' items

Cause: the check of the operators' items read the first page only. Behind a policy near 1 MB, which fills a page, evacuations were not checked: neither a new one nor the end of one that a watch had missed was noticed.

Change: a check goes on with the next page; an item counts as removed if no page holds it and the oldest page is as new as the item.

Ruled out: other reads of ranges; listings read on already.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -70,25 +70,28 @@
 }
 
 std::optional<store::VersionedCall> StoreFollower::NextCheck(core::TimePoint now) {
-  const core::Duration pause =
-      std::max(settings_.check_interval, check_duration_ * kCheckPauseFactor);
-  if (settings_.check_prefix.empty() || listing_ || checking_ || now - last_check_ < pause) {
-    return std::nullopt;
+  if (settings_.check_prefix.empty() || listing_ || checking_) return std::nullopt;
+  if (check_page_after_.empty()) {
+    const core::Duration pause =
+        std::max(settings_.check_interval, check_duration_ * kCheckPauseFactor);
+    if (now - last_check_ < pause) return std::nullopt;
+    check_began_ = now;
+    last_check_ = now;
   }
   checking_ = true;
-  last_check_ = now;
-  return store::ReadRange{settings_.check_prefix, "", true};
+  return store::ReadRange{settings_.check_prefix, check_page_after_, true};
 }
 
 void StoreFollower::OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now) {
   checking_ = false;
   if (!result) {
+    check_page_after_.clear();
     last_check_ = now;
     return;
   }
-  check_duration_ = now - last_check_;
   NoteReachable(now);
   if (const auto* page = std::get_if<store::RangePage>(&result.value())) OnCheck(*page, now);
+  check_duration_ = now - check_began_;
 }
 
 void StoreFollower::OnProgress(core::TimePoint now) {
@@ -245,20 +248,29 @@
 
 void StoreFollower::OnCheck(const store::RangePage& page, core::TimePoint now) {
   source_ = ItemSource::kCheck;
-  std::set<std::string> present;
+  if (check_page_after_.empty()) {
+    checked_keys_.clear();
+    check_revision_ = page.revision;
+  }
+  // Each page may be stale by itself.
+  check_revision_ = std::min(check_revision_, page.revision);
   for (const store::Item& it : page.items) {
-    present.insert(it.key);
+    checked_keys_.insert(it.key);
     ApplyItem(it, page.revision);
   }
-  // The read may be stale: an item counts as removed only if the read is at least as new.
+  const bool advances = !page.items.empty() && page.items.back().key > check_page_after_;
+  if (page.more) {
+    check_page_after_ = advances ? page.items.back().key : std::string();
+    return;
+  }
+  check_page_after_.clear();
+  // An item counts as removed only if the read is at least as new.
   std::vector<std::string> missing;
-  if (!page.more) {
-    for (const auto& [key, revision] : known_revisions_) {
-      const bool covered = key.rfind(settings_.check_prefix, 0) == 0 && revision <= page.revision;
-      if (covered && present.count(key) == 0) missing.push_back(key);
-    }
+  for (const auto& [key, revision] : known_revisions_) {
+    const bool covered = key.rfind(settings_.check_prefix, 0) == 0 && revision <= check_revision_;
+    if (covered && checked_keys_.count(key) == 0) missing.push_back(key);
   }
-  for (const std::string& it : missing) RemoveOrDefer(it, page.revision, now);
+  for (const std::string& it : missing) RemoveOrDefer(it, check_revision_, now);
 }
 
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -193,8 +193,12 @@
   core::TimePoint last_heard_;  ///< Last sign of the store, also a part of a response.
   core::TimePoint last_listing_;
   core::TimePoint last_check_;
+  core::TimePoint check_began_;
   core::Duration check_duration_{0};  ///< Of the last check.
-  bool checking_ = false;             ///< A check is in flight.
+  bool checking_ = false;             ///< A page of a check is in flight.
+  std::string check_page_after_;  ///< Last key of the check's previous page; empty at its start.
+  store::Revision check_revision_ = 0;  ///< The oldest of the check's pages.
+  std::set<std::string> checked_keys_;
   core::TimePoint recovered_at_;
 };
 
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -311,6 +311,37 @@
   }
 }
 
+// Guards against a check that ends with its first page: an evacuation behind a large policy was
+// never checked, and its end not detected.
+TEST_CASE("a check reads all pages") {
+  Fixture f;
+  f.List({{"op/config", "", 5}, {"op/evacuate/y", "", 15}, {"op/evacuate/z", "", 16}}, 20);
+  const auto first = f.NextCheck();
+  CHECK(std::get<store::ReadRange>(first).after_key.empty());
+  f.AnswerCheck({{{"op/config", "", 5}}, true, 24});
+  const auto second = f.NextCheck();
+  CHECK(std::get<store::ReadRange>(second).after_key == "op/config");
+  SECTION("complete") {
+    f.AnswerCheck({{{"op/evacuate/x", "", 22}, {"op/evacuate/z", "", 16}}, false, 24});
+    // The time before the check counts as an outage, so the removal is deferred.
+    f.Advance(2300ms);
+    CHECK(f.present == std::set<std::string>{"op/config", "op/evacuate/x", "op/evacuate/z"});
+  }
+  // Each page may come from another replica.
+  SECTION("an older page") {
+    f.AnswerCheck({{}, false, 12});
+    CHECK(f.present.size() == 3);
+  }
+  SECTION("a failed page") {
+    f.follower.OnCheckAnswer(VersionedResult(CallError{CallErrorCode::kNoAnswer, ""}), f.now);
+    CHECK(std::get<store::ReadRange>(f.NextCheck()).after_key.empty());
+  }
+  SECTION("a page that does not advance") {
+    f.AnswerCheck({{{"op/config", "", 5}}, true, 24});
+    CHECK(std::get<store::ReadRange>(f.NextCheck()).after_key.empty());
+  }
+}
+
 // Guards against a change that is found late after an outage, since a call that timed out counted
 // as a check that takes long.
 TEST_CASE("a failed check does not delay the next one") {
