Reject responses with an invalid status code (MIXED)

What callers saw: a server in trouble answered with status 000, and the client got it as an answer, with the server's seal.

Cause: Boost.Beast takes any three digits for a status code, RFC 9110 defines 100 to 599. The request path took what is below 300 for a success and forwarded the rest too.

Change: MessageReader and BackendConnection end a response with another code as malformed once its header section is complete, so that all users of them are covered: servers, other instances and the store of the gateway, backend servers of vanilladeckd. vanilladeckctl took 000 for a refusal, because it is below 500; it now reports no response.

"-20", "2 0" and "2000" were rejected before, which rules out that the status is lost on the way.

Conclusion: the range is checked where responses are read, so no user of a response can see another status.

--- a/src/vanilladeck/ctl/operator_client.cc
+++ b/src/vanilladeck/ctl/operator_client.cc
@@ -11,6 +11,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "vanilladeck/http/message.h"
+
 namespace vanilladeck::ctl {
 namespace {
 
@@ -63,6 +65,11 @@
     co_return;
   }
   auto response = parser.release();
+  if (!vanilladeck::http::IsValidStatusCode(response.result_int())) {
+    outcome =
+        Failed(CallFailure::kNoResponse, "receive", http::make_error_code(http::error::bad_status));
+    co_return;
+  }
   outcome = core::success(HttpResponse{response.result_int(), std::move(response.body())});
 }
 
--- a/src/vanilladeck/gateway/message_reader.cc
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <exception>
 
+#include "vanilladeck/http/message.h"
+
 namespace vanilladeck::gateway {
 namespace {
 
@@ -56,6 +58,14 @@
     if (ec == http::error::header_limit) return Fail(ReadStatus::kHeadTooLarge, ec.message());
     if (ec == http::error::body_limit) return Fail(ReadStatus::kBodyTooLarge, ec.message());
     if (ec && ec != http::error::need_more) return Fail(ReadStatus::kMalformed, ec.message());
+    if constexpr (!IsRequest) {
+      if (in_head && head_complete()) {
+        const unsigned status = parser_->get().result_int();
+        if (!vanilladeck::http::IsValidStatusCode(status)) {
+          return Fail(ReadStatus::kMalformed, "status code " + std::to_string(status));
+        }
+      }
+    }
     const bool stuck = ec == http::error::need_more || used == 0;
     if (const auto it = CheckBounds(stuck ? input_.size() : 0); it != ReadStatus::kMore) return it;
     if (stuck) break;
--- a/src/vanilladeck/http/backend_connection.cc
+++ b/src/vanilladeck/http/backend_connection.cc
@@ -85,11 +85,15 @@
     parser.skip(is_head);
     const boost::system::error_code ec = co_await ReadMessage(parser);
     if (ec) co_return FailRead(ec, parser.got_some());
-    if (parser.get().result_int() / 100 == 1) continue;
+    const unsigned status = parser.get().result_int();
+    if (!IsValidStatusCode(status)) {
+      co_return Fail(ProblemCode::kResponseMalformed, "status code " + std::to_string(status),
+                     true);
+    }
+    if (status / 100 == 1) continue;
     if (parser.get().count(beast::http::field::content_length) > 1) {
       co_return Fail(ProblemCode::kResponseMalformed, "more than one Content-Length", true);
     }
-    const unsigned status = parser.get().result_int();
     const bool has_body = !is_head && status != 204 && status != 304;
     if (has_body && !parser.content_length() && !parser.chunked()) {
       // Without a length or chunked coding, a truncated body cannot be detected.
--- a/tests/ctl/operator_client_test.cc
+++ b/tests/ctl/operator_client_test.cc
@@ -63,6 +63,11 @@
     SingleResponseServer silent("");
     REQUIRE(FailureOf(silent.Address()) == CallFailure::kNoResponse);
   }
+  {
+    // An invalid status code says nothing, although it is below 500 like that of a refusal.
+    SingleResponseServer broken("HTTP/1.1 000 Broken\r\nContent-Length: 2\r\n\r\n{}");
+    REQUIRE(FailureOf(broken.Address()) == CallFailure::kNoResponse);
+  }
   {
     SingleResponseServer truncated("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}");
     REQUIRE(FailureOf(truncated.Address()) == CallFailure::kNoResponse);
--- /dev/null
+++ b/tests/http/broken_response_test.cc
@@ -0,0 +1,59 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "daemon/fake_backend.h"
+#include "vanilladeck/http/backend_connection.h"
+#include "vanilladeck/http/endpoint.h"
+
+namespace vanilladeck::http {
+namespace {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using test::FakeBackend;
+
+boost::asio::awaitable<void> Exchange(const tcp::endpoint& endpoint, const Request& request,
+                                      std::optional<ExchangeResult>& result) {
+  const auto executor = co_await boost::asio::this_coro::executor;
+  auto connection = std::make_shared<BackendConnection>(executor, BackendLimits{4096, 65536});
+  const auto deadline = core::RuntimeClock::now() + 2s;
+  (void)co_await connection->Connect(endpoint, deadline);
+  result.emplace(co_await connection->Exchange(request, deadline, {}));
+}
+
+/// Sends `request` to a server on loopback.
+ExchangeResult Send(boost::asio::io_context& io, const tcp::endpoint& endpoint,
+                    const Request& request) {
+  std::optional<ExchangeResult> result;
+  boost::asio::co_spawn(io, Exchange(endpoint, request, result), boost::asio::detached);
+  const auto end = core::RuntimeClock::now() + 5s;
+  while (!result && core::RuntimeClock::now() < end) io.run_one_for(20ms);
+  REQUIRE(result.has_value());
+  return std::move(*result);
+}
+
+ExchangeResult Get(const std::string& response) {
+  FakeBackend backend([&](const Request&) { return test::Reply{response}; });
+  boost::asio::io_context io;
+  return Send(io, *ParseEndpoint(backend.address()),
+              Request(boost::beast::http::verb::get, "/", 11));
+}
+
+void CheckMalformed(const ExchangeResult& result) {
+  REQUIRE(result.has_error());
+  CHECK(result.error().problem.code == ProblemCode::kResponseMalformed);
+  CHECK(result.error().problem.outcome == core::Outcome::kUnknown);
+}
+
+// Guards against an invalid status code in the response to a caller.
+TEST_CASE("a response with an invalid status code is malformed", "[http]") {
+  const std::string status = GENERATE("000", "001", "099", "600", "999");
+  CAPTURE(status);
+  CheckMalformed(Get("HTTP/1.1 " + status + " Broken\r\nContent-Length: 3\r\n\r\nabc"));
+}
+
+}  // namespace
+}  // namespace vanilladeck::http
