--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -81,6 +81,7 @@
   dropped_responses_ = 0;
   bytes_received_ = 0;
   writing_ = true;
+  write_error_ = {};
   reader_.Reset();
   reader_.Start(limits_, is_head_);
   account_.SetEvictable(role_ == UpstreamRole::kServer);
@@ -89,6 +90,7 @@
   boost::asio::async_write(socket_, boost::asio::buffer(request_),
                            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
                              self->writing_ = false;
+                             self->write_error_ = ec;
                              self->request_ = std::string();
                              // A server may respond before it has read the whole request; then the
                              // pending read determines the result.
@@ -131,12 +133,7 @@
     return;
   }
   if (ec == boost::asio::error::eof && reader_.head_complete()) {
-    const auto status = reader_.ParseEnd();
-    if (status == ReadStatus::kComplete) {
-      OnReadStatus(status);
-    } else {
-      Finish(ExchangeStatus::kClosed, reader_.error());
-    }
+    OnEndOfStream();
     return;
   }
   if (ec) {
@@ -151,6 +148,32 @@
   OnReadStatus(reader_.Parse());
 }
 
+void UpstreamConnection::OnEndOfStream() {
+  // A socket reports a reset once. If a write has received it, reads end as after a graceful close,
+  // which must not complete a body that is delimited by the close.
+  if (writing_) {
+    // The handler of a write that has failed is in the queue before this one.
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->done_) self->CompleteAtEnd();
+    });
+    return;
+  }
+  CompleteAtEnd();
+}
+
+void UpstreamConnection::CompleteAtEnd() {
+  if (write_error_) {
+    Finish(ExchangeStatus::kClosed, write_error_.message());
+    return;
+  }
+  const auto status = reader_.ParseEnd();
+  if (status == ReadStatus::kComplete) {
+    OnReadStatus(status);
+  } else {
+    Finish(ExchangeStatus::kClosed, reader_.error());
+  }
+}
+
 void UpstreamConnection::OnReadStatus(ReadStatus status) {
   Match match = Match::kMatching;
   while (status == ReadStatus::kComplete) {
@@ -168,8 +191,8 @@
         Finish(ExchangeStatus::kMalformed, "too many responses to other requests");
         break;
       }
-      reusable_ =
-          !writing_ && dropped_responses_ == 0 && reader_.input_size() == 0 && reader_.keep_alive();
+      reusable_ = !writing_ && !write_error_ && dropped_responses_ == 0 &&
+                  reader_.input_size() == 0 && reader_.keep_alive();
       keep_alive_ = KeepAliveOf(reader_.message());
       Finish(ExchangeStatus::kResponse, {});
       break;
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -105,6 +105,9 @@
  private:
   void Read();
   void OnRead(boost::system::error_code ec, std::size_t n);
+  void OnEndOfStream();
+  /// Ends the exchange after the end of the stream, with a response if it is complete by that.
+  void CompleteAtEnd();
   void SetDeadline(core::TimePoint deadline);
   /// Moves the deadline after bytes have arrived.
   void ExtendDeadline();
@@ -124,6 +127,7 @@
   core::TimePoint deadline_at_;
   std::string request_;
   bool writing_ = false;
+  boost::system::error_code write_error_;  ///< Of the current exchange.
   bool reading_ = false;
   bool is_head_ = false;
   bool reusable_ = false;
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway/proxy_fixture.h"
+#include "support/early_server.h"
 #include "vanilladeck/gateway/peer_channel.h"
 #include "vanilladeck/gateway/store_channel.h"
 #include "vanilladeck/http/endpoint.h"
@@ -9,6 +10,8 @@
 namespace {
 
 using boost::asio::ip::tcp;
+using test::ConnectionEnd;
+using test::EarlyServer;
 using testing::HeaderOf;
 using testing::ProxyFixture;
 using testing::ScriptedServer;
@@ -105,5 +108,63 @@
   CHECK(AskPeerAt(f, server.Address()) == ExchangeStatus::kMalformed);
 }
 
+// More than the socket buffers of both ends hold, so that the request is still being written.
+constexpr std::size_t kLongBody = 12U << 20U;
+constexpr const char* kEarlyFields = "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nSeal: s\r\n";
+
+/// Uploads a long body to an `EarlyServer` and returns what the client gets.
+std::string Upload(const std::string& response, ConnectionEnd end,
+                   std::chrono::milliseconds delay) {
+  ProxyFixture f;
+  f.group().limits.body_bytes = kLongBody;
+  f.ChangePolicy([](config::Route& route) { route.timeout = 5s; });
+  EarlyServer server(f.io, response, end, delay);
+  f.Apply(ProxyFixture::Report("i-1", server.Address()));
+  auto client = f.Connect();
+  auto text = std::make_shared<const std::string>(
+      f.RequestText("POST", "/write/1", "id-1", std::string(kLongBody, 'x')));
+  boost::asio::async_write(client->socket, boost::asio::buffer(*text),
+                           [text, client](auto, std::size_t) {});
+  (void)f.RunUntil([&] { return f.HasAnswer(client->input) || client->closed; });
+  return client->input;
+}
+
+// Guards against a part of a body that is taken for the whole: a failed write takes the error of
+// the connection, so that the next read reports a graceful close of the stream.
+TEST_CASE("a response without length that is reset during the upload is not complete") {
+  const std::chrono::milliseconds delay = GENERATE(0ms, 1ms, 50ms);
+  CAPTURE(delay);
+  const std::string answer =
+      Upload(std::string(kEarlyFields) + "\r\npart", ConnectionEnd::kReset, delay);
+  CHECK(ProxyFixture::StatusOf(answer) == "502");
+}
+
+TEST_CASE("a response without length that is closed gracefully during the upload is complete") {
+  const std::chrono::milliseconds delay = GENERATE(0ms, 1ms, 50ms);
+  CAPTURE(delay);
+  const std::string answer =
+      Upload(std::string(kEarlyFields) + "\r\nwhole", ConnectionEnd::kGraceful, delay);
+  CHECK(ProxyFixture::StatusOf(answer) == "200");
+  CHECK(ProxyFixture::BodyOf(answer) == "whole");
+}
+
+TEST_CASE("a response whose length or chunks are complete survives a reset during the upload") {
+  const std::string framed = GENERATE("Content-Length: 5\r\n\r\nwhole",
+                                      "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+  CAPTURE(framed);
+  const std::string answer = Upload(kEarlyFields + framed, ConnectionEnd::kReset, 50ms);
+  CHECK(ProxyFixture::StatusOf(answer) == "200");
+  CHECK(ProxyFixture::BodyOf(answer) == "whole");
+}
+
+// Guards against an acknowledgement that is only a part of one.
+TEST_CASE("a response of the store that is reset during the call is not complete") {
+  ProxyFixture f;
+  EarlyServer server(f.io, "HTTP/1.1 200 OK\r\n\r\npart", ConnectionEnd::kReset, 50ms);
+  const auto result = PutAt(f, server.endpoint(), std::string(kLongBody, 'x'));
+  REQUIRE(result.has_error());
+  CHECK(result.error().code == store::CallErrorCode::kNoAnswer);
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "daemon/fake_backend.h"
+#include "support/early_server.h"
 #include "vanilladeck/http/backend_connection.h"
 #include "vanilladeck/http/endpoint.h"
 
@@ -55,5 +56,19 @@
   CheckMalformed(Get("HTTP/1.1 " + status + " Broken\r\nContent-Length: 3\r\n\r\nabc"));
 }
 
+// Guards against a part of a body that is taken for the whole.
+TEST_CASE("a response without length that is reset during the upload is an error", "[http]") {
+  const std::chrono::milliseconds delay = GENERATE(0ms, 50ms);
+  CAPTURE(delay);
+  boost::asio::io_context io;
+  test::EarlyServer server(io, "HTTP/1.1 200 OK\r\n\r\npart", test::ConnectionEnd::kReset, delay);
+  // More than the socket buffers of both ends hold.
+  Request request(boost::beast::http::verb::post, "/", 11, std::string(12U << 20U, 'x'));
+  request.prepare_payload();
+  const auto result = Send(io, server.endpoint(), request);
+  REQUIRE(result.has_error());
+  CHECK(result.error().problem.outcome == core::Outcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace vanilladeck::http
--- a/tests/store/broken_response_test.cc
+++ b/tests/store/broken_response_test.cc
@@ -2,6 +2,7 @@
 #include <optional>
 
 #include "daemon/fake_backend.h"
+#include "support/early_server.h"
 #include "vanilladeck/core/runtime_clock.h"
 #include "vanilladeck/store/client.h"
 
@@ -44,4 +45,17 @@
   CHECK((error == StoreErrorCode::kProtocol || error == StoreErrorCode::kOutcomeUnknown));
 }
 
+TEST_CASE("a response that is reset during a call leaves a write unknown", "[store]") {
+  // The reset comes before or after the last byte of the call.
+  const std::size_t value_bytes = GENERATE(std::size_t{1}, kMaxValueBytes);
+  const std::chrono::milliseconds delay = GENERATE(0ms, 50ms);
+  CAPTURE(value_bytes, delay);
+  boost::asio::io_context context;
+  test::EarlyServer server(context, "HTTP/1.1 200 OK\r\n\r\ntrue", test::ConnectionEnd::kReset,
+                           delay);
+  const auto result = SwapAt(context, server.Address(), std::string(value_bytes, 'x'));
+  REQUIRE(result.has_error());
+  CHECK(result.error().code == StoreErrorCode::kOutcomeUnknown);
+}
+
 }  // namespace vanilladeck::store
