--- a/src/vanilladeck/gateway/message_reader.cc
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <exception>
 
+#include "vanilladeck/http/header_fields.h"
 #include "vanilladeck/http/message.h"
 
 namespace vanilladeck::gateway {
@@ -54,7 +55,11 @@
     } else {
       body_wire_bytes_ += used;
     }
+    // The parser takes whole lines of the header section.
+    const bool folded = !IsRequest && in_head &&
+                        vanilladeck::http::HasFoldedLine(std::string_view(input_).substr(0, used));
     input_.erase(0, used);
+    if (folded) return Fail(ReadStatus::kMalformed, "folded header line");
     if (ec == http::error::header_limit) return Fail(ReadStatus::kHeadTooLarge, ec.message());
     if (ec == http::error::body_limit) return Fail(ReadStatus::kBodyTooLarge, ec.message());
     if (ec && ec != http::error::need_more) return Fail(ReadStatus::kMalformed, ec.message());
--- a/src/vanilladeck/http/backend_connection.cc
+++ b/src/vanilladeck/http/backend_connection.cc
@@ -3,8 +3,12 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <tuple>
+
+#include "vanilladeck/http/header_fields.h"
 
 namespace vanilladeck::http {
 namespace {
@@ -15,6 +19,7 @@
 constexpr auto kAsTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 // A server that sends more interim (1xx) responses than this to one request is faulty.
 constexpr int kMaxInterimResponses = 8;
+constexpr std::size_t kReadBytes = 65536;
 
 bool IsHttpError(boost::system::error_code ec) {
   return ec.category() == make_error_code(error::end_of_stream).category();
@@ -107,16 +112,45 @@
 }
 
 boost::asio::awaitable<boost::system::error_code> BackendConnection::ReadMessage(Parser& parser) {
-  auto [ec, n] = co_await beast::http::async_read_header(socket_, buffer_, parser, kAsTuple);
+  boost::system::error_code ec = co_await ReadHeader(parser);
   if (ec) co_return ec;
   // `ReadResponse` rejects a body that ends only with the connection, so it is not read.
   if (!parser.is_done() && parser.need_eof()) co_return boost::system::error_code{};
   if (!parser.is_done()) {
-    std::tie(ec, n) = co_await beast::http::async_read(socket_, buffer_, parser, kAsTuple);
+    std::tie(ec, std::ignore) =
+        co_await beast::http::async_read(socket_, buffer_, parser, kAsTuple);
   }
   co_return ec;
 }
 
+boost::asio::awaitable<boost::system::error_code> BackendConnection::ReadHeader(Parser& parser) {
+  // Not `async_read_header`, because a folded line is visible only before it has been parsed.
+  parser.eager(false);
+  bool needs_more = buffer_.size() == 0;
+  while (!parser.is_header_done()) {
+    boost::system::error_code ec;
+    if (needs_more) {
+      const std::size_t room = beast::read_size(buffer_, kReadBytes);
+      if (room == 0) co_return error::buffer_overflow;
+      std::size_t n = 0;
+      std::tie(ec, n) = co_await socket_.async_read_some(buffer_.prepare(room), kAsTuple);
+      buffer_.commit(n);
+      if (ec == boost::asio::error::eof) {
+        co_return parser.got_some() ? error::partial_message : error::end_of_stream;
+      }
+      if (ec) co_return ec;
+    }
+    const auto bytes = buffer_.data();
+    const std::size_t used = parser.put(bytes, ec);
+    const bool folded = HasFoldedLine({static_cast<const char*>(bytes.data()), used});
+    buffer_.consume(used);
+    needs_more = ec == error::need_more;
+    if (ec && !needs_more) co_return ec;
+    if (folded) co_return error::bad_field;
+  }
+  co_return boost::system::error_code{};
+}
+
 ExchangeError BackendConnection::FailRead(boost::system::error_code ec, bool received_any) {
   if (end_ == End::kTimeout) return Fail(ProblemCode::kResponseTimeout, "no whole response", true);
   if (end_ == End::kCancelled) return Fail(ProblemCode::kCancelled, "after dispatch", true);
--- a/src/vanilladeck/http/backend_connection.h
+++ b/src/vanilladeck/http/backend_connection.h
@@ -79,6 +79,7 @@
   [[nodiscard]] boost::asio::awaitable<ExchangeResult> ReadResponse(bool is_head);
   /// Reads one response, which may be an interim one, into `parser`.
   [[nodiscard]] boost::asio::awaitable<boost::system::error_code> ReadMessage(Parser& parser);
+  [[nodiscard]] boost::asio::awaitable<boost::system::error_code> ReadHeader(Parser& parser);
   /// Closes the connection and returns the error of its exchange.
   [[nodiscard]] ExchangeError Fail(ProblemCode code, const std::string& detail, bool sent);
   [[nodiscard]] ExchangeError FailRead(boost::system::error_code ec, bool received_any);
--- a/src/vanilladeck/http/header_fields.cc
+++ b/src/vanilladeck/http/header_fields.cc
@@ -62,6 +62,15 @@
   return kept;
 }
 
+bool HasFoldedLine(std::string_view header_lines) {
+  for (auto at = header_lines.find('\n'); at != std::string_view::npos;
+       at = header_lines.find('\n', at + 1)) {
+    const std::string_view next = header_lines.substr(at + 1, 1);
+    if (next == " " || next == "\t") return true;
+  }
+  return false;
+}
+
 std::optional<int> ParseUrgency(std::string_view priority) {
   std::optional<int> urgency;
   while (!priority.empty()) {
--- a/src/vanilladeck/http/header_fields.h
+++ b/src/vanilladeck/http/header_fields.h
@@ -18,6 +18,11 @@
 [[nodiscard]] HeaderList EndToEndFields(const Fields& fields,
                                         std::initializer_list<std::string_view> without = {});
 
+/// True if a line after the first one begins with a blank, and so continues the field before it.
+/// A proxy may reject such a response (RFC 9112, section 5.2); a parser joins the lines, which
+/// hides the field that a server in trouble may have meant.
+[[nodiscard]] bool HasFoldedLine(std::string_view header_lines);
+
 /// Returns the urgency of an RFC 9218 `Priority` value; nullopt without a valid `u` parameter.
 [[nodiscard]] std::optional<int> ParseUrgency(std::string_view priority);
 
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -95,13 +95,16 @@
 
 // Guards against a write of unknown outcome that is taken for one without effect.
 TEST_CASE("a malformed response of the store or of an instance is rejected") {
-  const std::string status = GENERATE("000 Broken", "600 Broken");
-  CAPTURE(status);
+  const auto [status, fields] =
+      GENERATE(table<std::string, std::string>({{"000 Broken", ""},
+                                                {"600 Broken", ""},
+                                                {"200 OK", " X-Field: v\r\n"},
+                                                {"200 OK", "X Field: v\r\n"}}));
+  CAPTURE(status, fields);
   ProxyFixture f;
-  const auto respond = [&](const auto& connection, const std::string& request) {
-    connection->Write(ResponseWith(request, status));
-  };
-  ScriptedServer server(f.io, respond);
+  const std::string broken = ResponseWith("", status, fields);
+  ScriptedServer server(
+      f.io, [&](const auto& connection, const std::string&) { connection->Write(broken); });
   const auto result = PutAt(f, *http::ParseEndpoint(server.Address()), "x");
   REQUIRE(result.has_error());
   CHECK(result.error().code == store::CallErrorCode::kNoAnswer);
@@ -166,5 +169,34 @@
   CHECK(result.error().code == store::CallErrorCode::kNoAnswer);
 }
 
+// Guards against broken header sections in what the client gets, and against a length that is
+// hidden in another field: a line that begins with a blank continues the field before it.
+TEST_CASE("a response with a blank or control byte in a field name does not reach the client") {
+  const std::string line =
+      GENERATE(" X-Field: v", "\tX-Field: v", "X Field: v", "X-Field : v", "X-Field\t: v",
+               "X\x01"
+               "Field: v",
+               "\x7fX-Field: v", "X-Field\x1f: v", ": v", " : v", " ");
+  CAPTURE(line);
+  ProxyFixture f;
+  f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
+    connection->Write(ResponseWith(request, "200 OK", line + "\r\n"));
+  });
+  const std::string answer = f.Fetch("POST", "/write/1", "id-1", "x");
+  CHECK(f.StatusOf(answer) == "502");
+  CHECK(HeaderOf(answer, "Seal").empty());
+}
+
+TEST_CASE("a length in a line that begins with a blank does not change what a client gets") {
+  const std::string blank = GENERATE(" ", "\t");
+  ProxyFixture f;
+  f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
+    connection->Write("HTTP/1.1 200 OK\r\nRequest-Id: " + HeaderOf(request, "Request-Id") +
+                      "\r\nSeal: s\r\n" + blank + "Content-Length: 3\r\n\r\nabcHTTP/1.1 200 OK");
+    connection->Close();
+  });
+  CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "502");
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -1,6 +1,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 
@@ -56,6 +58,43 @@
   CheckMalformed(Get("HTTP/1.1 " + status + " Broken\r\nContent-Length: 3\r\n\r\nabc"));
 }
 
+// Guards against broken header sections in responses to callers. A line that begins with a blank
+// continues the field before it.
+TEST_CASE("a response with a blank or control byte in a field name is malformed", "[http]") {
+  const std::string line =
+      GENERATE(" X-Field: v", "\tX-Field: v", "X Field: v", "X-Field : v", "X-Field\t: v",
+               "X\x01"
+               "Field: v",
+               "\x7fX-Field: v", "X-Field\x1f: v", ": v", " : v", " ");
+  CAPTURE(line);
+  CheckMalformed(
+      Get("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-First: v\r\n" + line + "\r\n\r\nabc"));
+  CheckMalformed(Get("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 3\r\n\r\nabc"));
+}
+
+TEST_CASE("a header section is read independently of how its bytes are split", "[http]") {
+  boost::asio::io_context io;
+  const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-First: a b\r\n\r\nabc";
+  for (std::size_t at = 1; at < text.size(); ++at) {
+    CAPTURE(at);
+    tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+    tcp::socket socket(io);
+    boost::asio::steady_timer timer(io);
+    acceptor.async_accept(socket, [&](boost::system::error_code) {
+      socket.set_option(tcp::no_delay(true));
+      boost::asio::write(socket, boost::asio::buffer(text.substr(0, at)));
+      timer.expires_after(2ms);
+      timer.async_wait(
+          [&](auto) { boost::asio::write(socket, boost::asio::buffer(text.substr(at))); });
+    });
+    const auto result =
+        Send(io, acceptor.local_endpoint(), Request(boost::beast::http::verb::get, "/", 11));
+    REQUIRE(result.has_value());
+    CHECK(result.value()["X-First"] == "a b");
+    CHECK(result.value().body() == "abc");
+  }
+}
+
 // Guards against a part of a body that is taken for the whole.
 TEST_CASE("a response without length that is reset during the upload is an error", "[http]") {
   const std::chrono::milliseconds delay = GENERATE(0ms, 50ms);
