--- a/src/vanilladeck/gateway/message_reader.cc
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <utility>
 
 #include "vanilladeck/http/header_fields.h"
 #include "vanilladeck/http/message.h"
@@ -19,6 +20,19 @@
 // Overhead of the parser per field, in addition to its text.
 constexpr std::size_t kFieldBytes = 96;
 
+/// Returns why a header section that the parser has accepted can't be used; none if it can.
+std::optional<std::string> HeaderError(const MessageReader<false>::Message& response) {
+  const unsigned status = response.result_int();
+  if (!vanilladeck::http::IsValidStatusCode(status)) return "status code " + std::to_string(status);
+  if (vanilladeck::http::HasUnsupportedTransferCoding(response))
+    return "unsupported transfer coding";
+  return std::nullopt;
+}
+
+std::optional<std::string> HeaderError(const MessageReader<true>::Message& /*request*/) {
+  return std::nullopt;
+}
+
 }  // namespace
 
 template <bool IsRequest>
@@ -63,12 +77,9 @@
     if (ec == http::error::header_limit) return Fail(ReadStatus::kHeadTooLarge, ec.message());
     if (ec == http::error::body_limit) return Fail(ReadStatus::kBodyTooLarge, ec.message());
     if (ec && ec != http::error::need_more) return Fail(ReadStatus::kMalformed, ec.message());
-    if constexpr (!IsRequest) {
-      if (in_head && head_complete()) {
-        const unsigned status = parser_->get().result_int();
-        if (!vanilladeck::http::IsValidStatusCode(status)) {
-          return Fail(ReadStatus::kMalformed, "status code " + std::to_string(status));
-        }
+    if (in_head && head_complete()) {
+      if (auto error = HeaderError(parser_->get())) {
+        return Fail(ReadStatus::kMalformed, std::move(*error));
       }
     }
     const bool stuck = ec == http::error::need_more || used == 0;
--- a/src/vanilladeck/http/backend_connection.cc
+++ b/src/vanilladeck/http/backend_connection.cc
@@ -99,6 +99,9 @@
     if (parser.get().count(beast::http::field::content_length) > 1) {
       co_return Fail(ProblemCode::kResponseMalformed, "more than one Content-Length", true);
     }
+    if (HasUnsupportedTransferCoding(parser.get())) {
+      co_return Fail(ProblemCode::kResponseMalformed, "unsupported transfer coding", true);
+    }
     const bool has_body = !is_head && status != 204 && status != 304;
     if (has_body && !parser.content_length() && !parser.chunked()) {
       // Without a length or chunked coding, a truncated body cannot be detected.
--- a/src/vanilladeck/http/header_fields.cc
+++ b/src/vanilladeck/http/header_fields.cc
@@ -71,6 +71,11 @@
   return false;
 }
 
+bool HasUnsupportedTransferCoding(const Fields& fields) {
+  const auto [first, last] = fields.equal_range(boost::beast::http::field::transfer_encoding);
+  return std::any_of(first, last, [](const auto& it) { return !iequals(it.value(), "chunked"); });
+}
+
 std::optional<int> ParseUrgency(std::string_view priority) {
   std::optional<int> urgency;
   while (!priority.empty()) {
--- a/src/vanilladeck/http/header_fields.h
+++ b/src/vanilladeck/http/header_fields.h
@@ -23,6 +23,10 @@
 /// hides the field that a server in trouble may have meant.
 [[nodiscard]] bool HasFoldedLine(std::string_view header_lines);
 
+/// True if a transfer coding other than `chunked` alone is stated. Such a body can't be decoded
+/// here and must not be forwarded without the field that names its coding.
+[[nodiscard]] bool HasUnsupportedTransferCoding(const Fields& fields);
+
 /// Returns the urgency of an RFC 9218 `Priority` value; nullopt without a valid `u` parameter.
 [[nodiscard]] std::optional<int> ParseUrgency(std::string_view priority);
 
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -198,5 +198,35 @@
   CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "502");
 }
 
+// Guards against a body that is still coded: the field that names the coding is not forwarded.
+TEST_CASE("a response with a transfer coding other than chunked does not reach the client") {
+  const std::string field =
+      GENERATE("gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked, gzip",
+               "chunked, chunked", "chunked\r\nTransfer-Encoding: gzip", "xchunked", "\"chunked\"",
+               "", "chunked;q=1", "identity", "chunked\r\nContent-Length: 3");
+  CAPTURE(field);
+  ProxyFixture f;
+  f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
+    connection->Write("HTTP/1.1 200 OK\r\nRequest-Id: " + HeaderOf(request, "Request-Id") +
+                      "\r\nSeal: s\r\nTransfer-Encoding: " + field +
+                      "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    connection->Close();
+  });
+  CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "502");
+}
+
+TEST_CASE("a response in chunks reaches the client whatever the case of its coding") {
+  const std::string coding = GENERATE("chunked", "Chunked", " chunked\t");
+  ProxyFixture f;
+  f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
+    connection->Write("HTTP/1.1 200 OK\r\nRequest-Id: " + HeaderOf(request, "Request-Id") +
+                      "\r\nSeal: s\r\nTransfer-Encoding: " + coding +
+                      "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  });
+  const std::string answer = f.Fetch("POST", "/write/1", "id-1", "x");
+  CHECK(f.StatusOf(answer) == "200");
+  CHECK(f.BodyOf(answer) == "abc");
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -95,6 +95,16 @@
   }
 }
 
+// Guards against a body that is still coded: the field that names the coding is not forwarded.
+TEST_CASE("a response with a transfer coding other than chunked is malformed", "[http]") {
+  const std::string field =
+      GENERATE("gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked, gzip",
+               "chunked, chunked", "xchunked", "chunked;q=1", "identity");
+  CAPTURE(field);
+  CheckMalformed(
+      Get("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + field + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+}
+
 // Guards against a part of a body that is taken for the whole.
 TEST_CASE("a response without length that is reset during the upload is an error", "[http]") {
   const std::chrono::milliseconds delay = GENERATE(0ms, 50ms);
--- a/tests/store/broken_response_test.cc
+++ b/tests/store/broken_response_test.cc
@@ -45,6 +45,17 @@
   CHECK((error == StoreErrorCode::kProtocol || error == StoreErrorCode::kOutcomeUnknown));
 }
 
+TEST_CASE("a response with a transfer coding other than chunked leaves a write unknown",
+          "[store]") {
+  const std::string coding = GENERATE("gzip", "gzip, chunked", "chunked, gzip");
+  CAPTURE(coding);
+  // A coded body, which can't be read.
+  test::Reply reply{"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                    "\r\n\r\n3\r\n\x1f\x8b\x08\r\n0\r\n\r\n"};
+  reply.close = true;
+  CHECK(ErrorOf(reply) == StoreErrorCode::kProtocol);
+}
+
 TEST_CASE("a response that is reset during a call leaves a write unknown", "[store]") {
   // The reset comes before or after the last byte of the call.
   const std::size_t value_bytes = GENERATE(std::size_t{1}, kMaxValueBytes);
