Test the store client with blanks and control bytes in field names

The store client of vanilladeckd rejects a response with a blank or a control byte in the name of a field, with an outcome that leaves a write unknown; no code changes. The test has passed on the code as it was, and is the last of the readers of responses without one for this kind.

--- a/tests/store/broken_response_test.cc
+++ b/tests/store/broken_response_test.cc
@@ -45,6 +45,14 @@
   CHECK((error == StoreErrorCode::kProtocol || error == StoreErrorCode::kOutcomeUnknown));
 }
 
+TEST_CASE("a response with a blank or control byte in a field name leaves a write unknown",
+          "[store]") {
+  const std::string line = GENERATE("X Field: v", "X-Field : v", "X\x01: v", ": v");
+  CAPTURE(line);
+  CHECK(ErrorOf({"HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\ntrue"}) ==
+        StoreErrorCode::kOutcomeUnknown);
+}
+
 TEST_CASE("a response with a transfer coding other than chunked leaves a write unknown",
           "[store]") {
   const std::string coding = GENERATE("gzip", "gzip, chunked", "chunked, gzip");
