--- a/src/vanilladeck/gateway/message_reader.cc
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -24,8 +24,9 @@
 std::optional<std::string> HeaderError(const MessageReader<false>::Message& response) {
   const unsigned status = response.result_int();
   if (!vanilladeck::http::IsValidStatusCode(status)) return "status code " + std::to_string(status);
-  if (vanilladeck::http::HasUnsupportedTransferCoding(response))
+  if (vanilladeck::http::HasUnsupportedTransferCoding(response)) {
     return "unsupported transfer coding";
+  }
   return std::nullopt;
 }
 
@@ -70,8 +71,8 @@
       body_wire_bytes_ += used;
     }
     // The parser takes whole lines of the header section.
-    const bool folded = !IsRequest && in_head &&
-                        vanilladeck::http::HasFoldedLine(std::string_view(input_).substr(0, used));
+    const bool folded =
+        !IsRequest && in_head && vanilladeck::http::HasFoldedLine({input_.data(), used});
     input_.erase(0, used);
     if (folded) return Fail(ReadStatus::kMalformed, "folded header line");
     if (ec == http::error::header_limit) return Fail(ReadStatus::kHeadTooLarge, ec.message());
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -25,8 +25,7 @@
          "\r\nContent-Length: 3\r\nSeal: s\r\n" + fields + "\r\nabc";
 }
 
-// Guards against an invalid status code that counts as a success because it
-// is less than 300.
+// Guards against an invalid status code that counts as a success because it is less than 300.
 TEST_CASE("a response with an invalid status code does not reach the client") {
   const std::string status = GENERATE("000 Broken", "001 Broken", "099 Broken", "600 Broken",
                                       "999 Broken", "000 ", "-20 Broken", "2 0 Broken", "2000 OK");
@@ -133,7 +132,7 @@
 }
 
 // Guards against a part of a body that is taken for the whole: a failed write takes the error of
-// the connection, so that the next read reports a graceful close of the stream.
+// the connection, so that the next read reports the end of the stream.
 TEST_CASE("a response without length that is reset during the upload is not complete") {
   const std::chrono::milliseconds delay = GENERATE(0ms, 1ms, 50ms);
   CAPTURE(delay);
