Pass the endpoint to a test's coroutine by value

Cause: the coroutine of the test of endless responses takes a reference to a temporary, which is gone when the coroutine runs. AddressSanitizer reports stack-use-after-scope; without it the test has passed because the stack still held the value.

Change: by value, like any argument that a detached coroutine keeps. The checks of the test are unchanged.

Evidence: http_test with the sanitizers aborted in this test before and passes now, as do gateway_test and store_test; scripts/sanitize doesn't run http_test.

Conclusion: a fault of the test alone.

--- a/tests/http/endless_bytes_test.cc
+++ b/tests/http/endless_bytes_test.cc
@@ -49,8 +49,7 @@
   std::thread thread_;
 };
 
-boost::asio::awaitable<void> Get(const tcp::endpoint& endpoint,
-                                 std::optional<ExchangeResult>& result) {
+boost::asio::awaitable<void> Get(tcp::endpoint endpoint, std::optional<ExchangeResult>& result) {
   const auto executor = co_await boost::asio::this_coro::executor;
   auto connection = std::make_shared<BackendConnection>(executor, BackendLimits{4096, 65536});
   const auto deadline = core::RuntimeClock::now() + 1500ms;
