--- a/src/vanilladeck/daemon/serving_forward.cc
+++ b/src/vanilladeck/daemon/serving_forward.cc
@@ -26,8 +26,16 @@
     return Problem{ProblemCode::kForwardFailed, reply.outcome, reply.error,
                    std::chrono::milliseconds(reply.retry_after_ms)};
   }
+  // Instances of earlier releases pass on invalid status codes of backend servers.
+  const auto status = static_cast<unsigned>(reply.status);
+  if (!http::IsValidStatusCode(status)) {
+    return Problem{ProblemCode::kForwardFailed,
+                   core::Outcome::kUnknown,
+                   "status code " + std::to_string(reply.status),
+                   {}};
+  }
   http::Response response;
-  response.result(static_cast<unsigned>(reply.status));
+  response.result(status);
   for (const auto& [name, value] : reply.headers) response.insert(name, value);
   response.body() = std::move(reply.body);
   return response;
--- a/tests/daemon/forward_test.cc
+++ b/tests/daemon/forward_test.cc
@@ -64,6 +64,28 @@
   CHECK(response["Request-Outcome"] == "unknown");
 }
 
+// Property P21: an instance of an earlier release may send what a server in trouble has sent.
+TEST_CASE("a forwarded response with an invalid status code does not reach the caller",
+          "[forward]") {
+  const int status = GENERATE(7, 99, 600, 999, 1000, -1);
+  CAPTURE(status);
+  ServingFixture fixture;
+  fixture.Start();
+  auto answer = std::async(std::launch::async,
+                           [&fixture] { return fixture.Call("GET", "/svc/catalogue/x"); });
+  const auto asked = fixture.Expect<daemon::CreditsAsked>();
+  REQUIRE(fixture.serving->Post(
+      daemon::CreditsAnswered{asked.id, peer::CreditGrant{1, 2000, fixture.peer}}));
+  const auto forward = fixture.Expect<daemon::ForwardAsked>();
+  peer::ForwardReply reply;
+  reply.outcome = core::Outcome::kRan;
+  reply.status = status;
+  REQUIRE(fixture.serving->Post(daemon::ForwardAnswered{forward.id, reply}));
+  const auto response = answer.get();
+  CHECK(response.result_int() == 502);
+  CHECK(response["Request-Outcome"] == "unknown");
+}
+
 // Properties P1 and P2: the receiver runs a forwarded request only for a credit that it granted.
 TEST_CASE("receiver admits forwarded requests only with a credit", "[forward]") {
   FakeBackend backend(
