--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -152,7 +152,7 @@
   // A socket reports a reset once. If a write has received it, reads end as after a graceful close,
   // which must not complete a body that is delimited by the close.
   if (writing_) {
-    // The handler of a write that has failed is in the queue before this one.
+    // If a write has failed, its handler is already queued and runs before the posted one.
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
       if (self->done_) self->CompleteAtEnd();
     });
--- a/tests/ctl/operator_client_test.cc
+++ b/tests/ctl/operator_client_test.cc
@@ -64,7 +64,7 @@
     REQUIRE(FailureOf(silent.Address()) == CallFailure::kNoResponse);
   }
   {
-    // An invalid status code says nothing, although it is below 500 like that of a refusal.
+    // A status code below 500 means a refusal, but only a valid one.
     SingleResponseServer broken("HTTP/1.1 000 Broken\r\nContent-Length: 2\r\n\r\n{}");
     REQUIRE(FailureOf(broken.Address()) == CallFailure::kNoResponse);
   }
