Log what a listing brought, and the era that the store states

Cause: with each watch refused, the log was the same for a store that dropped its history and for one that lost data; it did not say what the listings between brought. Change: events listing-read and store-era, counters of items that were not applied, by reason, and of responses without an era. The era is read by the adapter and only logged. No decision changes.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -167,6 +167,9 @@
                 {peers_, settings_.peers, "peers", false},
                 {metrics_, settings_.metrics, "metrics", false}} {
   follower_channel_.SetProgressHandler([this] { follower_.OnProgress(core::RuntimeClock::now()); });
+  follower_channel_.SetEraHandler([this](const auto& era) { OnEra("follower", era); });
+  check_channel_.SetEraHandler([this](const auto& era) { OnEra("check", era); });
+  lease_channel_.SetEraHandler([this](const auto& era) { OnEra("lease", era); });
   context_.max_region_policy_age =
       std::max(settings_.policy_delay, settings_.follower.poll_interval + kRelayTime);
 }
@@ -285,6 +288,7 @@
   ++context_.metrics.store_calls[call.index()];
   CountTransfer("store", store::kVersionedCallNames[call.index()], transfer);
   if (result) return;
+  if (result.error().code == store::CallErrorCode::kHistoryLost) history_lost_ = true;
   ++context_.metrics.store_errors[static_cast<std::size_t>(result.error().code)];
   events_.Write(StreamEvent::kStoreCallFailed,
                 {{"call", store::kVersionedCallNames[call.index()]},
@@ -305,6 +309,37 @@
                  {"silence_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
 }
 
+void Gateway::OnEra(std::string_view channel, const store::EraReading& reading) {
+  const auto* era = std::get_if<store::Era>(&reading);
+  if (era == nullptr) {
+    ++context_.metrics.store_responses_without_era;
+    return;
+  }
+  if (store_era_ == *era) return;
+  if (store_era_) ++context_.metrics.store_era_changes;
+  events_.Write(StreamEvent::kStoreEra, {{"known", store_era_.value_or(0)},
+                                         {"era", *era},
+                                         {"channel", channel},
+                                         {"revision", follower_.revision()}});
+  store_era_ = *era;
+}
+
+void Gateway::LogListing() {
+  const membership::ListingSummary& listing = follower_.listing();
+  const bool dropped = std::any_of(listing.dropped.begin(), listing.dropped.end(),
+                                   [](std::uint64_t n) { return n > 0; });
+  const bool went_back = listing.revision < listing.known;
+  if (!std::exchange(history_lost_, false) && !dropped && !went_back && listing.kept == 0) return;
+  nlohmann::ordered_json fields{{"known", listing.known},     {"revision", listing.revision},
+                                {"went_back", went_back},     {"era", store_era_.value_or(0)},
+                                {"pages", listing.pages},     {"items", listing.items},
+                                {"missing", listing.missing}, {"kept", listing.kept}};
+  for (std::size_t i = 0; i < listing.dropped.size(); ++i) {
+    fields[std::string(membership::kDropReasonNames[i])] = listing.dropped[i];
+  }
+  events_.Write(StreamEvent::kListingRead, fields);
+}
+
 void Gateway::OnItem(const store::Item& item) {
   DecodedItem decoded = codec_.DecodeItem(item);
   bool matters = true;
@@ -347,6 +382,7 @@
 }
 
 void Gateway::OnSynced() {
+  LogListing();
   change_log_.OnListed(follower_.revision());
   // Other instances' lookups and shares depend on this instance's record being listed.
   const core::TimePoint now = core::RuntimeClock::now();
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -133,6 +133,10 @@
                  const Transfer& transfer);
   /// Logs a watch that returned many changes, with the revisions that it led from and to.
   void LogChanges(const store::VersionedCall& call, const store::VersionedResult& result);
+  /// Notes the era that a response of the store states, and logs a change.
+  void OnEra(std::string_view channel, const store::EraReading& reading);
+  /// Logs what a listing brought, if it followed a lost history or did not apply everything.
+  void LogListing();
   void ServeLocalRequest(ResponseSlot& slot, const Request& request);
   /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
@@ -200,6 +204,8 @@
   bool stopped_ = false;
   bool was_ready_ = false;
   bool policy_outdated_ = false;
+  std::optional<store::Era> store_era_;  ///< As last stated by the store.
+  bool history_lost_ = false;            ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
 
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -151,6 +151,8 @@
   gauges.policy_unconfirmed_s =
       std::chrono::duration<double>(now - follower_.current_as_of()).count();
   gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
+  gauges.store_era = store_era_.value_or(0);
+  gauges.items_dropped = follower_.dropped();
   gauges.instances = instances_.size();
   gauges.servers = context_.servers.size();
   gauges.connections_opened = context_.pool.opened();
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -83,6 +83,11 @@
     out << "vanilladeck_store_errors_total{error=\"" << store::kCallErrorNames[i] << "\"} "
         << metrics.store_errors[i] << '\n';
   }
+  out << "# TYPE vanilladeck_items_dropped_total counter\n";
+  for (std::size_t i = 0; i < membership::kDropReasonNames.size(); ++i) {
+    out << "vanilladeck_items_dropped_total{reason=\"" << membership::kDropReasonNames[i] << "\"} "
+        << gauges.items_dropped[i] << '\n';
+  }
   out << "# TYPE vanilladeck_load_reports_total counter\n"
       << "vanilladeck_load_reports_total{result=\"read\"} " << metrics.load_reports_read << '\n'
       << "vanilladeck_load_reports_total{result=\"unreadable\"} " << metrics.load_reports_unreadable
@@ -103,6 +108,10 @@
   value("vanilladeck_policy_age_seconds", gauges.policy_age_s);
   value("vanilladeck_policy_unconfirmed_seconds", gauges.policy_unconfirmed_s);
   value("vanilladeck_store_silence_seconds", gauges.store_silence_s);
+  value("vanilladeck_store_era", static_cast<double>(gauges.store_era));
+  value("vanilladeck_store_era_changes_total", static_cast<double>(metrics.store_era_changes));
+  value("vanilladeck_store_responses_without_era_total",
+        static_cast<double>(metrics.store_responses_without_era));
   value("vanilladeck_customers", static_cast<double>(gauges.customers));
   value("vanilladeck_customer_keys", static_cast<double>(gauges.customer_keys));
   value("vanilladeck_allotment_admitted_total", static_cast<double>(gauges.allotments_admitted));
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -15,6 +15,12 @@
   return text + "\r\n" + call.body;
 }
 
+std::optional<std::string> FieldValue(const Response& response, std::string_view name) {
+  const auto it = response.find(name);
+  if (it == response.end()) return std::nullopt;
+  return std::string(it->value().data(), it->value().size());
+}
+
 }  // namespace
 
 StoreChannel::StoreChannel(boost::asio::io_context& context, DeadlinesPtr deadlines,
@@ -65,6 +71,10 @@
                outcome.transfer);
           return;
         }
+        if (on_era_) {
+          on_era_(codec_.DecodeEra(
+              [&outcome](std::string_view name) { return FieldValue(outcome.response, name); }));
+        }
         done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body()),
              outcome.transfer);
       });
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -24,6 +24,11 @@
     on_progress_ = std::move(on_progress);
   }
 
+  /// `on_era` runs with each response, before its result is handed over.
+  void SetEraHandler(std::function<void(const store::EraReading&)> on_era) {
+    on_era_ = std::move(on_era);
+  }
+
   /// `timeout` is the time to the first byte of the response; the wait of a watch is added to it.
   /// `done` runs exactly once.
   void Call(const store::VersionedCall& call, core::Duration timeout, const Done& done);
@@ -39,6 +44,7 @@
   const store::VersionedCodec& codec_;
   std::shared_ptr<UpstreamConnection> connection_;
   std::function<void()> on_progress_;
+  std::function<void(const store::EraReading&)> on_era_;
 };
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -123,11 +123,20 @@
   if (page_after_.empty()) {
     listing_revision_ = page.revision;
     listed_as_of_ = AnswerTime(now);
+    summary_ = ListingSummary{};
+    summary_.known = revision_;
+    summary_.revision = page.revision;
   }
+  ++summary_.pages;
+  summary_.items += page.items.size();
+  const DropCounts dropped_before = dropped_;
   for (const store::Item& it : page.items) {
     listed_keys_.insert(it.key);
     ApplyItem(it, page.revision);
   }
+  for (std::size_t i = 0; i < dropped_.size(); ++i) {
+    summary_.dropped[i] += dropped_[i] - dropped_before[i];
+  }
   if (page.more && !page.items.empty()) {
     // Guards against an endless listing if pages do not advance.
     const bool advances = page.items.back().key > page_after_;
@@ -141,8 +150,15 @@
   }
   std::vector<std::string> missing;
   for (const auto& [key, revision] : known_revisions_) {
-    if (listed_keys_.count(key) == 0 && revision <= listing_revision_) missing.push_back(key);
+    if (listed_keys_.count(key) > 0) continue;
+    if (revision <= listing_revision_) {
+      missing.push_back(key);
+    } else {
+      ++summary_.kept;
+    }
   }
+  summary_.missing = missing.size();
+  last_summary_ = summary_;
   for (const std::string& it : missing) RemoveOrDefer(it, listing_revision_, now);
   // A stale listing must not move the revision back.
   revision_ = std::max(revision_, listing_revision_);
@@ -333,20 +349,32 @@
 
 void StoreFollower::ApplyItem(const store::Item& item, store::Revision read_at) {
   // Other sources than a listing may be behind the last one.
-  if (source_ != ItemSource::kListing && WasRemoved(item.key, item.revision)) return;
+  if (source_ != ItemSource::kListing && WasRemoved(item.key, item.revision)) {
+    CountDrop(DropReason::kAbsent);
+    return;
+  }
   const auto removed = tombstones_.find(item.key);
   if (removed != tombstones_.end()) {
-    if (item.revision <= removed->second.revision) return;
+    if (item.revision <= removed->second.revision) {
+      CountDrop(DropReason::kRemoved);
+      return;
+    }
     tombstones_.erase(removed);
   }
   const auto deferred = deferred_removals_.find(item.key);
   if (deferred != deferred_removals_.end()) {
     // A state from before the removal does not cancel it.
-    if (std::max(item.revision, read_at) < deferred->second.revision) return;
+    if (std::max(item.revision, read_at) < deferred->second.revision) {
+      CountDrop(DropReason::kRemoved);
+      return;
+    }
   }
   auto [known, added] = known_revisions_.try_emplace(item.key, item.revision);
   if (!added) {
-    if (item.revision < known->second) return;
+    if (item.revision < known->second) {
+      CountDrop(DropReason::kOlder);
+      return;
+    }
     const bool same = item.revision == known->second;
     known->second = item.revision;
     if (same && deferred == deferred_removals_.end()) return;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -51,6 +51,28 @@
 inline constexpr std::array<std::string_view, 5> kItemSourceNames{"listing", "watch", "check",
                                                                   "peer", "seed"};
 
+/// Why an item that was read was not applied.
+enum class DropReason : std::uint8_t {
+  kOlder,    ///< A later write of the key is known.
+  kRemoved,  ///< A later removal of the key is known.
+  kAbsent,   ///< The key was absent from a later listing.
+};
+
+inline constexpr std::array<std::string_view, 3> kDropReasonNames{"older", "removed", "absent"};
+
+using DropCounts = std::array<std::uint64_t, kDropReasonNames.size()>;
+
+/// What a complete listing brought.
+struct ListingSummary {
+  store::Revision known = 0;     ///< Revision of the state before the listing.
+  store::Revision revision = 0;  ///< Revision that the listing states.
+  std::size_t pages = 0;
+  std::size_t items = 0;
+  std::size_t missing = 0;  ///< Known keys that the listing lacks.
+  std::size_t kept = 0;     ///< Known keys that it lacks and whose revision is above its own.
+  DropCounts dropped{};     ///< Items, by `DropReason`.
+};
+
 /// Keeps up with all items of the store: a full listing, then watches for changes.
 ///
 /// State machine without I/O: `Next` returns the call to make, `OnAnswer` takes its result.
@@ -122,6 +144,11 @@
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
   /// Store revision at which the key was absent whose removal the sink is called with.
   [[nodiscard]] store::Revision removal_revision() const noexcept { return removal_revision_; }
+  /// The last complete listing.
+  [[nodiscard]] const ListingSummary& listing() const noexcept { return last_summary_; }
+  /// Items from all sources that were not applied, by `DropReason`. A repeated read of an item that
+  /// is known does not count.
+  [[nodiscard]] const DropCounts& dropped() const noexcept { return dropped_; }
 
  private:
   void OnPage(const store::RangePage& page, core::TimePoint now);
@@ -150,6 +177,7 @@
   /// the call, during which the answer may have waited, the time of the call.
   [[nodiscard]] core::TimePoint AnswerTime(core::TimePoint now) const noexcept;
   void StartListing() noexcept;
+  void CountDrop(DropReason reason) noexcept { ++dropped_[static_cast<std::size_t>(reason)]; }
 
   FollowerSettings settings_;
   Sink sink_;
@@ -163,6 +191,9 @@
   std::string page_after_;
   store::Revision listing_revision_ = 0;  ///< Of the first page; watches continue from it.
   std::set<std::string> listed_keys_;
+  ListingSummary summary_;  ///< Of the listing in progress.
+  ListingSummary last_summary_;
+  DropCounts dropped_{};
   std::map<std::string, store::Revision> known_revisions_;
   struct Removal {
     store::Revision revision = 0;
--- a/src/vanilladeck/store/versioned_call.h
+++ b/src/vanilladeck/store/versioned_call.h
@@ -3,12 +3,15 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "vanilladeck/core/result.h"
+#include "vanilladeck/store/era.h"
 
 /// Typed calls on a key-value store with a store-wide revision counter, change history and leases.
 ///
@@ -115,10 +118,14 @@
   std::string body;  ///< Empty if there is none.
 };
 
+/// Returns the value of a header field of a response; null if it has none of that name.
+using FieldOf = std::function<std::optional<std::string>(std::string_view name)>;
+
 /// Encodes calls and decodes responses; implemented by the adapter of a platform.
 class VersionedCodec {
  public:
   virtual ~VersionedCodec() = default;
+  [[nodiscard]] virtual EraReading DecodeEra(const FieldOf& field) const = 0;
   [[nodiscard]] virtual EncodedCall Encode(const VersionedCall& call) const = 0;
   [[nodiscard]] virtual VersionedResult Decode(const VersionedCall& call, unsigned status,
                                                const std::string& body) const = 0;
--- a/src/vanilladeck/telemetry/event_stream.h
+++ b/src/vanilladeck/telemetry/event_stream.h
@@ -27,6 +27,8 @@
   kStoreLost,
   kStoreRegained,
   kStoreCallFailed,
+  kStoreEra,
+  kListingRead,
   kPeerFailed,
   kSlowTransfer,
   kChangesRead,
@@ -57,7 +59,7 @@
   kDropped,
 };
 
-inline constexpr std::array<std::string_view, 42> kStreamEventNames{
+inline constexpr std::array<std::string_view, 44> kStreamEventNames{
     "start",           "stop",
     "drain",           "reload",
     "listener-failed", "handler-failed",
@@ -65,6 +67,7 @@
     "policy",          "policy-rejected",
     "policy-outdated", "store-lost",
     "store-regained",  "store-call-failed",
+    "store-era",       "listing-read",
     "peer-failed",     "slow-transfer",
     "changes-read",    "seed-state",
     "entry-rejected",  "server-added",
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -64,6 +64,9 @@
   [[nodiscard]] store::EncodedCall Encode(const store::VersionedCall& call) const override {
     return {"POST", "/items", std::get<store::PutItem>(call).value};
   }
+  [[nodiscard]] store::EraReading DecodeEra(const store::FieldOf& /*field*/) const override {
+    return store::NoEra{};
+  }
   [[nodiscard]] store::VersionedResult Decode(const store::VersionedCall& /*call*/, unsigned status,
                                               const std::string& /*body*/) const override {
     if (status == 200) return store::VersionedAnswer{store::Done{}};
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -204,6 +204,22 @@
   CHECK(codec.Decode(store::ReadRange{}, 200, "[").error().code == CallErrorCode::kMalformed);
 }
 
+// Guards against an unreadable era that is taken for a number, such as 0.
+TEST_CASE("the era of the store is read from a response, and an unreadable one is told from none") {
+  const Codec codec(Domains());
+  const auto read = [&codec](const std::optional<std::string>& text) {
+    return codec.DecodeEra([&text](std::string_view name) {
+      return name == "Store-Era" ? text : std::optional<std::string>();
+    });
+  };
+  CHECK(std::get<store::Era>(read("7")) == 7);
+  CHECK(std::get<store::Era>(read("0")) == 0);
+  CHECK(std::holds_alternative<store::NoEra>(read(std::nullopt)));
+  for (const char* text : {"", "-1", "7 ", "7x", "0x7", "1e3", "99999999999999999999"}) {
+    CHECK(std::get<store::UnreadableEra>(read(text)).text == text);
+  }
+}
+
 TEST_CASE("lookups are decoded, including incomplete percent-encodings") {
   const Codec codec(Domains());
   const auto query = codec.DecodeLookup("/-/resolve?name=a%2Eexample&region=east&zone=east-a");
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 
+#include "platform/logged_gateway.h"
 #include "platform/scripted_store.h"
 #include "platform/slow_link.h"
 #include "vanilladeck/membership/feed_source.h"
@@ -42,43 +43,6 @@
 
 std::string SmallPolicy() { return PolicyText({RouteResource("a.example", "/x/", {})}); }
 
-std::string Server(const std::string& state, int sequence) {
-  auto server = nlohmann::json::parse(ServerText());
-  server["status"]["state"] = state;
-  server["status"]["seq"] = sequence;
-  return server.dump();
-}
-
-struct LoggedGateway {
-  LoggedGateway(boost::asio::io_context& io, const gateway::GatewaySettings& settings)
-      : log(std::tmpfile()),
-        events(fileno(log), settings.instance),
-        codec({"east-a"}),
-        instance(io, settings, codec, events) {}
-  ~LoggedGateway() { (void)std::fclose(log); }
-  LoggedGateway(const LoggedGateway&) = delete;
-  LoggedGateway& operator=(const LoggedGateway&) = delete;
-
-  [[nodiscard]] std::string Events() const {
-    std::string text(1U << 20U, '\0');
-    const ssize_t n = pread(fileno(log), text.data(), text.size(), 0);
-    text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
-    return text;
-  }
-  [[nodiscard]] bool Logged(const std::string& text) const {
-    return Events().find(text) != std::string::npos;
-  }
-  [[nodiscard]] bool HasPolicy(std::uint64_t version) const {
-    return Logged("\"version\":" + std::to_string(version) + ",\"revision\"");
-  }
-  [[nodiscard]] bool KnowsDraining() const { return Logged("\"event\":\"server-draining\""); }
-
-  std::FILE* log;
-  telemetry::EventStream events;
-  Codec codec;
-  gateway::Gateway instance;
-};
-
 struct Fixture {
   static gateway::GatewaySettings SettingsOf(const std::string& name) {
     gateway::GatewaySettings settings = InstanceSettings();
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -11,6 +11,7 @@
 namespace vanilladeck::platform::testing {
 
 /// The platform's store as far as an instance reads it: listings and watches. Leases are refused.
+/// States its era in all responses and can return from an older copy of its data.
 class ScriptedStore {
  public:
   explicit ScriptedStore(boost::asio::io_context& io)
@@ -29,7 +30,35 @@
     removals_[key] = ++revision_;
   }
 
-  bool hold_checks = false;  ///< Reads that may be stale get no response.
+  /// What a copy of the store's data holds.
+  struct Copy {
+    std::map<std::string, std::pair<std::string, store::Revision>> items;
+    std::map<std::string, store::Revision> removals;
+    store::Revision revision = 0;
+  };
+  [[nodiscard]] Copy TakeCopy() const {
+    Copy copy{{}, removals_, revision_};
+    for (const auto& [key, item] : items_) copy.items[key] = {item.value, item.revision};
+    return copy;
+  }
+  /// The store comes back with the data of `copy`: all later writes are lost, and their revisions
+  /// are given out again.
+  void ReturnFrom(const Copy& copy) {
+    items_.clear();
+    for (const auto& [key, item] : copy.items) items_[key] = {item.first, item.second};
+    removals_ = copy.removals;
+    revision_ = copy.revision;
+    ++era_;
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& it : waiting) {
+      it.timer->cancel();
+      it.connection->Reset();
+    }
+  }
+
+  bool lose_history = false;  ///< All watches are answered 410.
+  bool hold_checks = false;   ///< Reads that may be stale get no response.
 
   [[nodiscard]] tcp::endpoint endpoint() const {
     return *vanilladeck::http::ParseEndpoint(server_.Address());
@@ -65,10 +94,10 @@
     return request.substr(begin, request.find_first_of("& ", begin) - begin);
   }
 
-  static void Respond(const ScriptedServer::ConnectionPtr& connection, const std::string& status,
-                      const std::string& body) {
-    connection->Write("HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
-                      "\r\n\r\n" + body);
+  void Respond(const ScriptedServer::ConnectionPtr& connection, const std::string& status,
+               const std::string& body) const {
+    connection->Write("HTTP/1.1 " + status + "\r\nStore-Era: " + std::to_string(era_) +
+                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   [[nodiscard]] nlohmann::json ItemsAfter(const std::string& prefix, store::Revision after) const {
@@ -93,6 +122,10 @@
     } else if (request.find("/-/kv-watch") != std::string::npos) {
       Watch watch{connection, std::stoll(Parameter(request, "after")),
                   std::make_shared<boost::asio::steady_timer>(io_)};
+      if (lose_history || watch.after > revision_) {
+        Respond(connection, "410 Gone", "");
+        return;
+      }
       if (watch.after < revision_) {
         RespondToWatch(watch);
         return;
@@ -126,6 +159,7 @@
   std::map<std::string, StoredItem> items_;
   std::map<std::string, store::Revision> removals_;
   store::Revision revision_ = 10;
+  std::int64_t era_ = 1;
   std::vector<Watch> waiting_;
   ScriptedServer server_;
 };
