--- a/tests/platform/returned_store_test.cc
+++ b/tests/platform/returned_store_test.cc
@@ -68,6 +68,33 @@
 
 }  // namespace
 
+// Guards against a policy that is dropped as older than what the store lost.
+TEST_CASE("a policy written after the store returned from an older copy comes into force") {
+  ReturnedStoreFixture f;
+  const auto copy = f.store.TakeCopy();
+  f.WriteMore();
+  f.store.Put("op/config", Policy(13));
+  REQUIRE(f.RunUntil([&] { return f.gateway.HasPolicy(13); }, kBound));
+  f.store.ReturnFrom(copy);
+  f.Run(2000ms);
+  f.store.Put("op/config", Policy(14));
+  CHECK(f.RunUntil([&] { return f.gateway.HasPolicy(14); }, kBound));
+}
+
+// Guards against requests to a server whose report of leaving is dropped as older than what the
+// store lost.
+TEST_CASE("a leaving reported after the store returned from an older copy is known") {
+  ReturnedStoreFixture f;
+  const auto copy = f.store.TakeCopy();
+  f.WriteMore();
+  f.store.Put("servers/i-1", Server("ready", 5));
+  f.Run(kReadTime);
+  f.store.ReturnFrom(copy);
+  f.Run(2000ms);
+  f.store.Put("servers/i-1", Server("draining", 6));
+  CHECK(f.RunUntil([&] { return f.gateway.KnowsDraining(); }, kBound));
+}
+
 // Guards against changes that a store without history delays.
 TEST_CASE("changes are known in time although the store keeps no history") {
   ReturnedStoreFixture f;
