--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -118,7 +118,7 @@
                  [this](const std::string& key) { OnRemoved(key); }, [this] { OnSynced(); },
                  [this](bool reachable) {
                    events_.Write(reachable ? StreamEvent::kStoreRegained : StreamEvent::kStoreLost,
-                                 {{"revision", follower_.revision()}});
+                                 {{"revision", follower_.position().revision().number}});
                  }}),
       registration_({}, {settings_.instance,
                          http::EndpointText(settings_.clients),
@@ -304,8 +304,8 @@
   if (changes == nullptr || changes->changes.size() < kLoggedChanges) return;
   events_.Write(StreamEvent::kChangesRead,
                 {{"changes", changes->changes.size()},
-                 {"from", watch->after},
-                 {"to", changes->revision},
+                 {"from", watch->after.revision().number},
+                 {"to", changes->position.revision().number},
                  {"silence_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
 }
 
@@ -320,7 +320,7 @@
   events_.Write(StreamEvent::kStoreEra, {{"known", store_era_.value_or(0)},
                                          {"era", *era},
                                          {"channel", channel},
-                                         {"revision", follower_.revision()}});
+                                         {"revision", follower_.position().revision().number}});
   store_era_ = *era;
 }
 
@@ -328,12 +328,16 @@
   const membership::ListingSummary& listing = follower_.listing();
   const bool dropped = std::any_of(listing.dropped.begin(), listing.dropped.end(),
                                    [](std::uint64_t n) { return n > 0; });
-  const bool went_back = listing.revision < listing.known;
+  const bool went_back = listing.position < listing.known;
   if (!std::exchange(history_lost_, false) && !dropped && !went_back && listing.kept == 0) return;
-  nlohmann::ordered_json fields{{"known", listing.known},     {"revision", listing.revision},
-                                {"went_back", went_back},     {"era", store_era_.value_or(0)},
-                                {"pages", listing.pages},     {"items", listing.items},
-                                {"missing", listing.missing}, {"kept", listing.kept}};
+  nlohmann::ordered_json fields{{"known", listing.known.revision().number},
+                                {"revision", listing.position.revision().number},
+                                {"went_back", went_back},
+                                {"era", store_era_.value_or(0)},
+                                {"pages", listing.pages},
+                                {"items", listing.items},
+                                {"missing", listing.missing},
+                                {"kept", listing.kept}};
   for (std::size_t i = 0; i < listing.dropped.size(); ++i) {
     fields[std::string(membership::kDropReasonNames[i])] = listing.dropped[i];
   }
@@ -346,7 +350,7 @@
   if (auto* server = std::get_if<ServerItem>(&decoded)) {
     matters = ApplyServerReport(server->report);
   } else if (auto* policy = std::get_if<PolicyItem>(&decoded)) {
-    ApplyPolicy(std::move(policy->policy), item.revision);
+    ApplyPolicy(std::move(policy->policy), item.position);
   } else if (auto* evacuation = std::get_if<EvacuationItem>(&decoded)) {
     evacuated_.insert(evacuation->failure_domain);
     ApplyEvacuations();
@@ -358,14 +362,15 @@
       instances_changed_ = true;
     }
   } else if (auto* unusable = std::get_if<UnusableItem>(&decoded)) {
-    events_.Write(StreamEvent::kEntryRejected,
-                  {{"key", item.key}, {"revision", item.revision}, {"reason", unusable->reason}});
+    events_.Write(StreamEvent::kEntryRejected, {{"key", item.key},
+                                                {"revision", item.position.revision().number},
+                                                {"reason", unusable->reason}});
   }
   change_log_.Put(item, matters, core::RuntimeClock::now());
 }
 
 void Gateway::OnRemoved(const std::string& key) {
-  change_log_.Remove(key, follower_.removal_revision(), follower_.revision(),
+  change_log_.Remove(key, follower_.removal_position(), follower_.position(),
                      core::RuntimeClock::now());
   const RemovedItem removed = codec_.DecodeRemoval(key);
   if (const auto* server = std::get_if<RemovedServer>(&removed)) {
@@ -383,7 +388,7 @@
 
 void Gateway::OnSynced() {
   LogListing();
-  change_log_.OnListed(follower_.revision());
+  change_log_.OnListed(follower_.position());
   // Other instances' lookups and shares depend on this instance's record being listed.
   const core::TimePoint now = core::RuntimeClock::now();
   if (instances_.count(settings_.instance) > 0 || draining_) {
@@ -469,7 +474,7 @@
                 {{"server", id}, {"reason", reason}, {"source", SourceName()}});
 }
 
-void Gateway::ApplyPolicy(config::RoutingPolicy policy, store::Revision revision) {
+void Gateway::ApplyPolicy(config::RoutingPolicy policy, store::Position position) {
   if (context_.routes && policy.version <= context_.routes->version()) {
     if (policy.version < context_.routes->version()) {
       events_.Write(StreamEvent::kPolicyRejected, {{"version", policy.version},
@@ -485,7 +490,7 @@
   limits.header_timeout = policy.limits.header_timeout;
   limits.idle_timeout = policy.limits.idle_timeout;
   events_.Write(StreamEvent::kPolicy, {{"version", policy.version},
-                                       {"revision", revision},
+                                       {"revision", position.revision().number},
                                        {"source", SourceName()},
                                        {"routes", policy.routes.size()},
                                        {"services", policy.services.size()},
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -110,7 +110,7 @@
   void OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
   void OnSynced();
-  void ApplyPolicy(config::RoutingPolicy policy, store::Revision revision);
+  void ApplyPolicy(config::RoutingPolicy policy, store::Position position);
   /// True if the change must be passed on to other instances.
   bool ApplyServerReport(const steering::ServerReport& report);
   void RemoveServer(const std::string& id, std::string_view reason);
@@ -167,7 +167,8 @@
   PeerChannel item_channel_;
   PeerChannel fallback_channel_;
   CompressedItems compressed_items_;
-  /// Position in the change log of each peer queried so far. The revision is set when it is sent.
+  /// Position in the change log of each peer queried so far. The store position is set when it is
+  /// sent.
   std::map<std::string, membership::PeerPosition> peer_positions_;
   std::map<std::string, membership::InstanceRecord> instances_;
   membership::LostInstances lost_instances_;
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -90,7 +90,7 @@
     ReplyWith(slot, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
     return;
   }
-  if (const auto known = DecodePeerRequest(target)) {
+  if (const auto known = DecodePeerRequest(target, DecodePeerEra(request).value_or(0))) {
     // An instance that has just started has no state to pass on.
     if (!follower_.synced()) {
       slot.Reply(std::string(kEmpty503), {});
@@ -103,7 +103,7 @@
       context_.server_limits.OnStated(sender->name, sender->server_limits, now);
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
     }
-    changes.revision = follower_.revision();
+    changes.position = follower_.position();
     changes.age = now - follower_.last_success();
     changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
@@ -138,7 +138,7 @@
     return;
   }
   ReplyWith(slot, "application/octet-stream", compressed_items_.Get(*item),
-            EncodeItemFields(item->revision));
+            EncodeItemFields(item->position));
 }
 
 std::string Gateway::MetricsText() const {
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -31,7 +31,7 @@
 
 void Gateway::QueryPeer(const membership::FeedPeer& peer) {
   membership::PeerPosition& known = peer_positions_[peer.name];
-  known.revision = follower_.revision();
+  known.position = follower_.position();
   const core::TimePoint deadline =
       core::RuntimeClock::now() + membership::FeedSource::kAnswerTimeout;
   peer_channel_.Call(
@@ -55,7 +55,7 @@
       changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
                                                    settings_.follower.poll_interval);
   if (current && !changes->relayed) {
-    peer_positions_[peer.name] = {changes->epoch, changes->position, changes->revision};
+    peer_positions_[peer.name] = {changes->epoch, changes->log_position, changes->position};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
     context_.policy_as_of = follower_.current_as_of();
@@ -74,10 +74,10 @@
 
 void Gateway::ReadAwaitedItem(const membership::FeedPeer& peer) {
   if (item_channel_.busy() || follower_.awaited().empty()) return;
-  const auto& [key, revision] = *follower_.awaited().begin();
+  const auto& [key, position] = *follower_.awaited().begin();
   item_channel_.Call(peer, EncodeItemRequest(key), core::RuntimeClock::now() + kItemTimeout,
-                     [this, peer, key = key, revision = revision](const ExchangeOutcome& outcome) {
-                       OnItemResponse(peer, {key, revision}, outcome);
+                     [this, peer, key = key, position = position](const ExchangeOutcome& outcome) {
+                       OnItemResponse(peer, {key, position}, outcome);
                      });
 }
 
@@ -88,7 +88,7 @@
   std::string reason = outcome.detail;
   if (outcome.status == ExchangeStatus::kResponse) {
     const auto item = DecodeItemResponse(awaited.key, outcome.response);
-    if (item && item->revision >= awaited.revision) {
+    if (item && item->position >= awaited.position) {
       follower_.OnItemRead(*item);
       ReadAwaitedItem(peer);
       return;
@@ -120,7 +120,7 @@
     if (chosen == nullptr) return;
     peer = *chosen;
     known = peer_positions_[peer.name];
-    known.revision = follower_.revision();
+    known.position = follower_.position();
   } else if (!settings_.seeds.empty()) {
     seed_asked_last_ = true;
     const auto& seed = settings_.seeds[next_seed_++ % settings_.seeds.size()];
@@ -161,12 +161,12 @@
   if (changes->full) {
     events_.Write(StreamEvent::kSeedState,
                   {{"seed", name},
-                   {"revision", changes->revision},
+                   {"revision", changes->position.revision().number},
                    {"age_ms", Ms(changes->age)},
                    {"items", changes->changes.size() + changes->references.size()}});
   }
   if (instances_.count(name) > 0) {
-    peer_positions_[name] = {changes->epoch, changes->position, changes->revision};
+    peer_positions_[name] = {changes->epoch, changes->log_position, changes->position};
   }
   follower_.OnPeerHeardStore(now - changes->unheard);
   follower_.OnFallbackChanges(*changes, now);
--- a/src/vanilladeck/gateway/peer_request.cc
+++ b/src/vanilladeck/gateway/peer_request.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kEpoch = "&epoch=";
 constexpr std::string_view kItemPath = "/peer/item?key=";
 constexpr std::string_view kItemRevision = "Item-Revision";
+constexpr std::string_view kEra = "Era";
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr std::string_view kInstance = "Instance";
 constexpr std::string_view kServerLimits = "Server-Limits";
@@ -25,14 +26,30 @@
   return ec == std::errc{} && end == text.data() + text.size();
 }
 
+std::string EncodeEraField(store::Era era) {
+  return std::string(kEra) + ": " + std::to_string(era) + "\r\n";
+}
+
+/// The era that a message states; 0 without one, as instances of an earlier version send none.
+template <class Message>
+std::optional<store::Era> DecodeEraField(const Message& message) {
+  const auto field = message.find(kEra);
+  if (field == message.end()) return 0;
+  store::Era era = 0;
+  const std::string_view text(field->value().data(), field->value().size());
+  if (!ParseWhole(text, era) || era < 0) return std::nullopt;
+  return era;
+}
+
 }  // namespace
 
 std::string EncodePeerRequest(const membership::PeerPosition& known, const PeerSender& sender) {
   std::string text = "GET ";
-  text.append(kPath).append(std::to_string(known.position));
-  text.append(kRevision).append(std::to_string(known.revision));
+  text.append(kPath).append(std::to_string(known.log_position));
+  text.append(kRevision).append(std::to_string(known.position.revision().number));
   text.append(kEpoch).append(known.epoch).append(" HTTP/1.1\r\nHost: peer\r\n");
   text.append(kInstance).append(": ").append(sender.name).append("\r\n");
+  text.append(EncodeEraField(known.position.era()));
   const std::string limits = nlohmann::json(sender.server_limits)
                                  .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
   if (limits.size() <= kMaxLimitsBytes) {
@@ -41,6 +58,10 @@
   return text + "\r\n";
 }
 
+std::optional<store::Era> DecodePeerEra(const MessageReader<true>::Message& request) {
+  return DecodeEraField(request);
+}
+
 std::optional<PeerSender> DecodePeerSender(const MessageReader<true>::Message& request) {
   const auto name = request.find(kInstance);
   const auto limits = request.find(kServerLimits);
@@ -84,8 +105,9 @@
   return key;
 }
 
-std::string EncodeItemFields(store::Revision revision) {
-  return std::string(kItemRevision) + ": " + std::to_string(revision) + "\r\n";
+std::string EncodeItemFields(store::Position position) {
+  return std::string(kItemRevision) + ": " + std::to_string(position.revision().number) + "\r\n" +
+         EncodeEraField(position.era());
 }
 
 std::optional<store::Item> DecodeItemResponse(const std::string& key,
@@ -94,14 +116,17 @@
   if (response.result_int() != 200 || field == response.end()) return std::nullopt;
   store::Item item;
   item.key = key;
-  const std::string_view revision(field->value().data(), field->value().size());
+  const std::string_view text(field->value().data(), field->value().size());
+  std::int64_t revision = 0;
+  const auto era = DecodeEraField(response);
   auto value = core::Inflate(response.body(), kMaxItemBytes);
-  if (!ParseWhole(revision, item.revision) || !value) return std::nullopt;
+  if (!ParseWhole(text, revision) || !era || !value) return std::nullopt;
+  item.position = {*era, revision};
   item.value = std::move(*value);
   return item;
 }
 
-std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target) {
+std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target, store::Era era) {
   if (target.substr(0, kPath.size()) != kPath) return std::nullopt;
   target.remove_prefix(kPath.size());
   const auto revision = target.find(kRevision);
@@ -111,10 +136,12 @@
   }
   membership::PeerPosition known;
   const auto revision_begin = revision + kRevision.size();
-  if (!ParseWhole(target.substr(0, revision), known.position) ||
-      !ParseWhole(target.substr(revision_begin, epoch - revision_begin), known.revision)) {
+  std::int64_t known_revision = 0;
+  if (!ParseWhole(target.substr(0, revision), known.log_position) ||
+      !ParseWhole(target.substr(revision_begin, epoch - revision_begin), known_revision)) {
     return std::nullopt;
   }
+  known.position = {era, known_revision};
   known.epoch = std::string(target.substr(epoch + kEpoch.size()));
   return known;
 }
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -24,8 +24,13 @@
 [[nodiscard]] std::optional<PeerSender> DecodePeerSender(
     const MessageReader<true>::Message& request);
 
-/// Returns none if `target` is another resource or malformed.
-[[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target);
+/// The era of the store that the sender knows: 0 if the request states none, none if it is
+/// malformed.
+[[nodiscard]] std::optional<store::Era> DecodePeerEra(const MessageReader<true>::Message& request);
+
+/// Returns none if `target` is another resource or malformed. `era` is that of the request.
+[[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target,
+                                                                        store::Era era);
 
 /// Largest value of an item that is accepted from a peer.
 inline constexpr std::size_t kMaxItemBytes = 4U << 20U;
@@ -37,7 +42,7 @@
 [[nodiscard]] std::optional<std::string> DecodeItemRequest(std::string_view target);
 
 /// Builds the header fields of the response with an item, whose body is the deflated value.
-[[nodiscard]] std::string EncodeItemFields(store::Revision revision);
+[[nodiscard]] std::string EncodeItemFields(store::Position position);
 
 /// Returns none if there is no such item or the response is malformed.
 [[nodiscard]] std::optional<store::Item> DecodeItemResponse(
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -35,14 +35,31 @@
   }
 }
 
-std::optional<ItemReference> ReferenceOf(const nlohmann::json& line) {
+/// The era that a message or one of its lines states; `inherited` without one, nullopt if it is not
+/// an era.
+std::optional<store::Era> EraOf(const nlohmann::json& object, store::Era inherited) {
+  const auto it = object.find("era");
+  if (it == object.end()) return inherited;
+  if (!it->is_number_integer() || it->get<std::int64_t>() < 0) return std::nullopt;
+  return it->get<store::Era>();
+}
+
+/// A line for an item. Its era is stated if it differs from that of the message.
+nlohmann::json LineOf(const std::string& key, store::Position position, store::Era message_era) {
+  nlohmann::json line{{"key", key}, {"revision", position.revision().number}};
+  if (position.era() != message_era) line["era"] = position.era();
+  return line;
+}
+
+std::optional<ItemReference> ReferenceOf(const nlohmann::json& line, store::Era message_era) {
   const auto key = line.find("key");
   const auto revision = line.find("revision");
+  const auto era = EraOf(line, message_era);
   if (key == line.end() || !key->is_string() || revision == line.end() ||
-      !revision->is_number_integer()) {
+      !revision->is_number_integer() || !era) {
     return std::nullopt;
   }
-  return ItemReference{key->get<std::string>(), revision->get<store::Revision>()};
+  return ItemReference{key->get<std::string>(), {*era, revision->get<std::int64_t>()}};
 }
 
 }  // namespace
@@ -50,7 +67,7 @@
 std::string EncodePeerChanges(const PeerChanges& changes) {
   auto list = nlohmann::json::array();
   for (const store::Change& it : changes.changes) {
-    nlohmann::json line{{"key", it.item.key}, {"revision", it.item.revision}};
+    nlohmann::json line = LineOf(it.item.key, it.item.position, changes.position.era());
     if (it.removed) {
       line["removed"] = true;
     } else {
@@ -63,12 +80,13 @@
   };
   auto references = nlohmann::json::array();
   for (const ItemReference& it : changes.references) {
-    references.push_back({{"key", it.key}, {"revision", it.revision}});
+    references.push_back(LineOf(it.key, it.position, changes.position.era()));
   }
   nlohmann::json message{{"epoch", changes.epoch},
-                         {"position", changes.position},
+                         {"position", changes.log_position},
                          {"full", changes.full},
-                         {"revision", changes.revision},
+                         {"revision", changes.position.revision().number},
+                         {"era", changes.position.era()},
                          {"age_ms", ms(changes.age)},
                          {"behind_ms", ms(changes.behind)},
                          {"unheard_ms", ms(changes.unheard)},
@@ -98,20 +116,22 @@
   const auto position = field("position");
   const auto full = field("full");
   const auto revision = field("revision");
+  // Instances of an earlier version do not state it.
+  const auto era = EraOf(json, 0);
   const auto age = AgeOf(json, "age_ms");
   const auto behind = AgeOf(json, "behind_ms");
   const auto list = field("changes");
   if (epoch == json.end() || !epoch->is_string() || position == json.end() ||
       !position->is_number_unsigned() || full == json.end() || !full->is_boolean() ||
-      revision == json.end() || !revision->is_number_integer() || !age || !behind ||
+      revision == json.end() || !revision->is_number_integer() || !era || !age || !behind ||
       list == json.end() || !list->is_array()) {
     return std::nullopt;
   }
   PeerChanges changes;
   changes.epoch = epoch->get<std::string>();
-  changes.position = position->get<std::uint64_t>();
+  changes.log_position = position->get<std::uint64_t>();
   changes.full = full->get<bool>();
-  changes.revision = revision->get<store::Revision>();
+  changes.position = {*era, revision->get<std::int64_t>()};
   changes.age = *age;
   changes.behind = *behind;
   // Instances of an earlier version do not state it.
@@ -119,12 +139,12 @@
   const auto relayed = field("relayed");
   changes.relayed = relayed != json.end() && relayed->is_boolean() && relayed->get<bool>();
   for (const auto& it : *list) {
-    auto reference = ReferenceOf(it);
+    auto reference = ReferenceOf(it, *era);
     if (!reference) return std::nullopt;
     const auto value = it.find("value");
     store::Change change;
     change.item.key = std::move(reference->key);
-    change.item.revision = reference->revision;
+    change.item.position = reference->position;
     change.removed = value == it.end() || !value->is_string();
     if (!change.removed) change.item.value = value->get<std::string>();
     changes.changes.push_back(std::move(change));
@@ -133,7 +153,7 @@
   if (const auto references = field("references"); references != json.end()) {
     if (!references->is_array()) return std::nullopt;
     for (const auto& it : *references) {
-      auto reference = ReferenceOf(it);
+      auto reference = ReferenceOf(it, *era);
       if (!reference) return std::nullopt;
       changes.references.push_back(std::move(*reference));
     }
@@ -159,19 +179,19 @@
   entry.item = item;
   entry.removed = false;
   if (!added && !was_removed && !relay) return;
-  entry.position = ++position_;
-  entry.revision = item.revision;
+  entry.log_position = ++log_position_;
+  entry.changed_at = item.position;
   // The items of the first listing are not changes.
   if (complete_since_ && IsChecked(item.key)) {
     entry.repeat_until = now + kRepeatTime;
   }
 }
 
-void ChangeLog::OnListed(store::Revision revision) noexcept {
-  if (!complete_since_) complete_since_ = revision;
+void ChangeLog::OnListed(store::Position position) noexcept {
+  if (!complete_since_) complete_since_ = position;
 }
 
-void ChangeLog::Remove(const std::string& key, store::Revision revision, store::Revision applied_at,
+void ChangeLog::Remove(const std::string& key, store::Position position, store::Position applied_at,
                        core::TimePoint now) {
   Prune(now);
   const auto it = entries_.find(key);
@@ -179,17 +199,17 @@
   it->second.removed = true;
   it->second.removed_at = now;
   it->second.item.value.clear();
-  it->second.item.revision = std::max(it->second.item.revision, revision);
-  it->second.position = ++position_;
-  it->second.revision = applied_at;
+  it->second.item.position = std::max(it->second.item.position, position);
+  it->second.log_position = ++log_position_;
+  it->second.changed_at = applied_at;
 }
 
 void ChangeLog::Prune(core::TimePoint now) {
   for (auto it = entries_.begin(); it != entries_.end();) {
     const Entry& entry = it->second;
     if (entry.removed && now - entry.removed_at > kTombstoneRetention) {
-      oldest_position_ = std::max(oldest_position_, entry.position);
-      if (complete_since_) complete_since_ = std::max(*complete_since_, entry.revision);
+      oldest_log_position_ = std::max(oldest_log_position_, entry.log_position);
+      if (complete_since_) complete_since_ = std::max(*complete_since_, entry.changed_at);
       it = entries_.erase(it);
     } else {
       ++it;
@@ -209,28 +229,29 @@
 PeerChanges ChangeLog::Since(const PeerPosition& known, core::TimePoint now) const {
   PeerChanges changes;
   changes.epoch = epoch_;
-  changes.position = position_;
-  const bool by_position =
-      known.epoch == epoch_ && known.position >= oldest_position_ && known.position <= position_;
+  changes.log_position = log_position_;
+  const bool by_position = known.epoch == epoch_ && known.log_position >= oldest_log_position_ &&
+                           known.log_position <= log_position_;
   // An instance that switches readers is at most seconds behind. Sending a full snapshot to all
   // that switch at once would exceed their request timeout on a 10 Mbit/s link.
-  const bool by_revision = !by_position && complete_since_ && known.revision >= *complete_since_;
-  changes.full = !by_position && !by_revision;
+  const bool by_store_position =
+      !by_position && complete_since_ && known.position >= *complete_since_;
+  changes.full = !by_position && !by_store_position;
   if (complete_since_) changes.checked_prefix = checked_prefix_;
   for (const auto& [key, entry] : entries_) {
     if (changes.full && entry.removed) continue;
     // Repeated in each message, as an instance may have lost its transfer of the value.
     const bool large = entry.item.value.size() > kMaxInlineBytes;
     if (large || (!entry.removed && IsChecked(key))) {
-      changes.references.push_back({key, entry.item.revision});
+      changes.references.push_back({key, entry.item.position});
     }
     if (large) continue;
-    if (by_position && entry.position <= known.position) continue;
-    // All removals are sent: they are few, and a deferred one may have a revision that the
+    if (by_position && entry.log_position <= known.log_position) continue;
+    // All removals are sent: they are few, and a deferred one may have a position that the
     // requesting instance has already passed.
     const bool needed =
-        entry.removed || entry.revision > known.revision || now < entry.repeat_until;
-    if (by_revision && !needed) continue;
+        entry.removed || entry.changed_at > known.position || now < entry.repeat_until;
+    if (by_store_position && !needed) continue;
     changes.changes.push_back({entry.item, entry.removed});
   }
   return changes;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -14,25 +14,25 @@
 /// Position up to which a requesting instance has received changes.
 struct PeerPosition {
   std::string epoch;  ///< Of the log read last; empty if it has read none.
-  std::uint64_t position = 0;
-  /// Store revision up to which the instance has all changes; 0 if it has none.
-  store::Revision revision = 0;
+  std::uint64_t log_position = 0;
+  /// Up to which the instance has all changes of the store.
+  store::Position position;
 };
 
 /// An item that is present and whose value is not part of a message.
 struct ItemReference {
   std::string key;
-  store::Revision revision = 0;
+  store::Position position;
 };
 
 /// Changes that one instance relays to others, so that they need not read the store.
 struct PeerChanges {
-  std::string epoch;             ///< Identifies the log; positions are valid only within it.
-  std::uint64_t position = 0;    ///< To continue from in the next request.
-  bool full = false;             ///< `changes` is a full snapshot, not a delta.
-  store::Revision revision = 0;  ///< Store revision up to which all changes are included.
-  core::Duration age{0};         ///< Time since the store last answered the sender.
-  core::Duration behind{0};      ///< Time for which the sender may have missed changes.
+  std::string epoch;               ///< Identifies the log; its positions are valid only within it.
+  std::uint64_t log_position = 0;  ///< To continue from in the next request.
+  bool full = false;               ///< `changes` is a full snapshot, not a delta.
+  store::Position position;        ///< Up to which all changes of the store are included.
+  core::Duration age{0};           ///< Time since the store last answered the sender.
+  core::Duration behind{0};        ///< Time for which the sender may have missed changes.
   /// Time since any part of a response of the store reached the sender; less than `age` while a
   /// large response arrives.
   core::Duration unheard{0};
@@ -59,18 +59,18 @@
 class ChangeLog {
  public:
   /// Items with `checked_prefix` are checked with the store; unless it is empty, all messages refer
-  /// to them, and deltas by revision repeat their latest changes.
+  /// to them, and deltas by store position repeat their latest changes.
   explicit ChangeLog(std::string epoch, std::string checked_prefix = {})
       : epoch_(std::move(epoch)), checked_prefix_(std::move(checked_prefix)) {}
 
   /// `relay` is false for a change that other instances do not need.
   void Put(const store::Item& item, bool relay, core::TimePoint now);
-  /// `revision` is a store revision at which the key was absent; `applied_at` is the revision up to
-  /// which all other changes were applied here, which is later if the removal was deferred.
-  void Remove(const std::string& key, store::Revision revision, store::Revision applied_at,
+  /// `position` is one at which the key was absent; `applied_at` is the position up to which all
+  /// other changes were applied here, which is later if the removal was deferred.
+  void Remove(const std::string& key, store::Position position, store::Position applied_at,
               core::TimePoint now);
-  /// Records that the log is complete as of store revision `revision`; later calls are ignored.
-  void OnListed(store::Revision revision) noexcept;
+  /// Records that the log is complete as of `position`; later calls are ignored.
+  void OnListed(store::Position position) noexcept;
 
   /// Values of more bytes are only referred to.
   static constexpr std::size_t kMaxInlineBytes = 16384;
@@ -78,20 +78,20 @@
   /// Returns the item if it is present; valid until the next change.
   [[nodiscard]] const store::Item* Find(const std::string& key) const;
 
-  /// Returns the changes after `known`: a delta by log position, a delta by store revision if the
+  /// Returns the changes after `known`: a delta by log position, a delta by store position if the
   /// instance read another log before, or a full snapshot if neither can be served. A delta by
-  /// revision repeats some changes, since the other log may have missed them.
+  /// store position repeats some changes, since the other log may have missed them.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
   struct Entry {
-    store::Item item;  ///< Of a removed key, the revision is that of the removal.
-    std::uint64_t position = 0;
-    /// Store revision of the last relayed change, for a removal the one at which it was applied
+    store::Item item;  ///< Of a removed key, the position is that of the removal.
+    std::uint64_t log_position = 0;
+    /// Store position of the last relayed change, for a removal the one at which it was applied
     /// here; the item may have been renewed since.
-    store::Revision revision = 0;
-    core::TimePoint
-        repeat_until;  ///< Until then the last change is part of all deltas by revision.
+    store::Position changed_at;
+    /// Until then the last change is part of all deltas by store position.
+    core::TimePoint repeat_until;
     bool removed = false;
     core::TimePoint removed_at;
   };
@@ -102,10 +102,10 @@
   std::string epoch_;
   std::string checked_prefix_;
   std::map<std::string, Entry> entries_;
-  std::uint64_t position_ = 1;
-  std::uint64_t oldest_position_ = 1;  ///< Removals up to this position may have been pruned.
-  /// Removals up to this revision may be unknown or pruned; nullopt before the first listing.
-  std::optional<store::Revision> complete_since_;
+  std::uint64_t log_position_ = 1;
+  std::uint64_t oldest_log_position_ = 1;  ///< Removals up to this position may have been pruned.
+  /// Removals up to this position may be unknown or pruned; nullopt before the first listing.
+  std::optional<store::Position> complete_since_;
 };
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -24,7 +24,7 @@
   listing_ = true;
   catching_up_ = false;
   page_after_.clear();
-  listing_revision_ = 0;
+  listing_position_ = {};
   listed_keys_.clear();
 }
 
@@ -40,7 +40,7 @@
   if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
   if (listing_) return store::ReadRange{"", page_after_, false};
   if (catching_up_) {
-    return store::WatchChanges{"", revision_,
+    return store::WatchChanges{"", position_,
                                std::chrono::duration_cast<std::chrono::milliseconds>(kCatchUpWait)};
   }
   // A pause after changes shortens the wait, since other instances would take the time without an
@@ -51,7 +51,7 @@
                                  settings_.poll_interval / 4, settings_.poll_interval);
   watch_sent_ = now;
   due_ = now + wait;
-  return store::WatchChanges{"", revision_,
+  return store::WatchChanges{"", position_,
                              std::chrono::duration_cast<std::chrono::milliseconds>(wait)};
 }
 
@@ -121,18 +121,18 @@
 void StoreFollower::OnPage(const store::RangePage& page, core::TimePoint now) {
   source_ = ItemSource::kListing;
   if (page_after_.empty()) {
-    listing_revision_ = page.revision;
+    listing_position_ = page.position;
     listed_as_of_ = AnswerTime(now);
     summary_ = ListingSummary{};
-    summary_.known = revision_;
-    summary_.revision = page.revision;
+    summary_.known = position_;
+    summary_.position = page.position;
   }
   ++summary_.pages;
   summary_.items += page.items.size();
   const DropCounts dropped_before = dropped_;
   for (const store::Item& it : page.items) {
     listed_keys_.insert(it.key);
-    ApplyItem(it, page.revision);
+    ApplyItem(it, page.position);
   }
   for (std::size_t i = 0; i < dropped_.size(); ++i) {
     summary_.dropped[i] += dropped_[i] - dropped_before[i];
@@ -149,9 +149,9 @@
     return;
   }
   std::vector<std::string> missing;
-  for (const auto& [key, revision] : known_revisions_) {
+  for (const auto& [key, position] : known_positions_) {
     if (listed_keys_.count(key) > 0) continue;
-    if (revision <= listing_revision_) {
+    if (position <= listing_position_) {
       missing.push_back(key);
     } else {
       ++summary_.kept;
@@ -159,11 +159,11 @@
   }
   summary_.missing = missing.size();
   last_summary_ = summary_;
-  for (const std::string& it : missing) RemoveOrDefer(it, listing_revision_, now);
-  // A stale listing must not move the revision back.
-  revision_ = std::max(revision_, listing_revision_);
-  complete_revision_ = std::max(complete_revision_, listing_revision_);
-  ForgetAwaited(listing_revision_);
+  for (const std::string& it : missing) RemoveOrDefer(it, listing_position_, now);
+  // A stale listing must not move the position back.
+  position_ = std::max(position_, listing_position_);
+  complete_position_ = std::max(complete_position_, listing_position_);
+  ForgetAwaited(listing_position_);
   listing_ = false;
   last_listing_ = now;
   last_check_ = now;
@@ -207,28 +207,28 @@
   std::set<std::string> present;
   for (const store::Change& it : changes.changes) {
     present.insert(it.item.key);
-    const auto known = known_revisions_.find(it.item.key);
+    const auto known = known_positions_.find(it.item.key);
     if (!it.removed) {
-      ApplyItem(it.item, changes.revision);
-    } else if (known != known_revisions_.end() && known->second <= it.item.revision) {
-      RemoveOrDefer(it.item.key, it.item.revision, now);
+      ApplyItem(it.item, changes.position);
+    } else if (known != known_positions_.end() && known->second <= it.item.position) {
+      RemoveOrDefer(it.item.key, it.item.position, now);
     }
   }
   for (const ItemReference& it : changes.references) present.insert(it.key);
   // What is still present at the peer is in its references.
-  ForgetAwaited(changes.revision);
+  ForgetAwaited(changes.position);
   Await(changes.references);
   if (changes.full) {
     std::vector<std::string> missing;
-    for (const auto& [key, revision] : known_revisions_) {
-      if (present.count(key) == 0 && revision <= changes.revision) missing.push_back(key);
+    for (const auto& [key, position] : known_positions_) {
+      if (present.count(key) == 0 && position <= changes.position) missing.push_back(key);
     }
-    for (const std::string& it : missing) RemoveOrDefer(it, changes.revision, now);
+    for (const std::string& it : missing) RemoveOrDefer(it, changes.position, now);
   }
   // Until an awaited item is known, the state is not complete, and a watch must start before it.
-  store::Revision complete = changes.revision;
-  for (const auto& [key, revision] : awaited_) complete = std::min(complete, revision - 1);
-  revision_ = std::max(revision_, complete);
+  store::Position complete = changes.position;
+  for (const auto& [key, position] : awaited_) complete = std::min(complete, position.Previous());
+  position_ = std::max(position_, complete);
   if (awaited_.empty()) {
     current_as_of_ = std::max(current_as_of_, AnswerTime(now) - changes.behind);
   }
@@ -236,25 +236,25 @@
 
 void StoreFollower::Await(const std::vector<ItemReference>& references) {
   for (const ItemReference& it : references) {
-    const auto known = known_revisions_.find(it.key);
+    const auto known = known_positions_.find(it.key);
     const auto removed = tombstones_.find(it.key);
-    if (known != known_revisions_.end() && known->second >= it.revision) continue;
-    if (removed != tombstones_.end() && removed->second.revision >= it.revision) continue;
-    if (WasRemoved(it.key, it.revision)) continue;
-    store::Revision& awaited = awaited_[it.key];
-    awaited = std::max(awaited, it.revision);
+    if (known != known_positions_.end() && known->second >= it.position) continue;
+    if (removed != tombstones_.end() && removed->second.position >= it.position) continue;
+    if (WasRemoved(it.key, it.position)) continue;
+    store::Position& awaited = awaited_[it.key];
+    awaited = std::max(awaited, it.position);
   }
 }
 
-void StoreFollower::ForgetAwaited(store::Revision up_to) {
+void StoreFollower::ForgetAwaited(store::Position up_to) {
   std::erase_if(awaited_, [up_to](const auto& it) { return it.second <= up_to; });
 }
 
 void StoreFollower::OnItemRead(const store::Item& item) {
   source_ = listed_once_ ? ItemSource::kPeer : ItemSource::kSeed;
   const auto awaited = awaited_.find(item.key);
-  if (awaited != awaited_.end() && awaited->second <= item.revision) awaited_.erase(awaited);
-  ApplyItem(item, item.revision);
+  if (awaited != awaited_.end() && awaited->second <= item.position) awaited_.erase(awaited);
+  ApplyItem(item, item.position);
 }
 
 void StoreFollower::OnPeerFailed(core::TimePoint now) {
@@ -266,13 +266,13 @@
   source_ = ItemSource::kCheck;
   if (check_page_after_.empty()) {
     checked_keys_.clear();
-    check_revision_ = page.revision;
+    check_position_ = page.position;
   }
   // Each page may be stale by itself.
-  check_revision_ = std::min(check_revision_, page.revision);
+  check_position_ = std::min(check_position_, page.position);
   for (const store::Item& it : page.items) {
     checked_keys_.insert(it.key);
-    ApplyItem(it, page.revision);
+    ApplyItem(it, page.position);
   }
   const bool advances = !page.items.empty() && page.items.back().key > check_page_after_;
   if (page.more) {
@@ -282,27 +282,27 @@
   check_page_after_.clear();
   // An item counts as removed only if the read is at least as new.
   std::vector<std::string> missing;
-  for (const auto& [key, revision] : known_revisions_) {
-    const bool covered = key.rfind(settings_.check_prefix, 0) == 0 && revision <= check_revision_;
+  for (const auto& [key, position] : known_positions_) {
+    const bool covered = key.rfind(settings_.check_prefix, 0) == 0 && position <= check_position_;
     if (covered && checked_keys_.count(key) == 0) missing.push_back(key);
   }
-  for (const std::string& it : missing) RemoveOrDefer(it, check_revision_, now);
+  for (const std::string& it : missing) RemoveOrDefer(it, check_position_, now);
 }
 
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
   source_ = ItemSource::kWatch;
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
-      const auto known = known_revisions_.find(it.item.key);
-      if (known != known_revisions_.end() && known->second < it.item.revision) {
-        RemoveOrDefer(it.item.key, it.item.revision, now);
+      const auto known = known_positions_.find(it.item.key);
+      if (known != known_positions_.end() && known->second < it.item.position) {
+        RemoveOrDefer(it.item.key, it.item.position, now);
       }
     } else {
-      ApplyItem(it.item, changes.revision);
+      ApplyItem(it.item, changes.position);
     }
   }
-  revision_ = std::max(revision_, changes.revision);
-  ForgetAwaited(changes.revision);
+  position_ = std::max(position_, changes.position);
+  ForgetAwaited(changes.position);
   const bool caught_up = std::exchange(catching_up_, MayBeCutShort(changes));
   if (catching_up_) {
     due_ = now;
@@ -343,19 +343,19 @@
   return std::min(pause, settings_.max_retry_pause);
 }
 
-bool StoreFollower::WasRemoved(const std::string& key, store::Revision revision) const {
-  return revision <= complete_revision_ && known_revisions_.count(key) == 0;
+bool StoreFollower::WasRemoved(const std::string& key, store::Position position) const {
+  return position <= complete_position_ && known_positions_.count(key) == 0;
 }
 
-void StoreFollower::ApplyItem(const store::Item& item, store::Revision read_at) {
+void StoreFollower::ApplyItem(const store::Item& item, store::Position read_at) {
   // Other sources than a listing may be behind the last one.
-  if (source_ != ItemSource::kListing && WasRemoved(item.key, item.revision)) {
+  if (source_ != ItemSource::kListing && WasRemoved(item.key, item.position)) {
     CountDrop(DropReason::kAbsent);
     return;
   }
   const auto removed = tombstones_.find(item.key);
   if (removed != tombstones_.end()) {
-    if (item.revision <= removed->second.revision) {
+    if (item.position <= removed->second.position) {
       CountDrop(DropReason::kRemoved);
       return;
     }
@@ -364,44 +364,44 @@
   const auto deferred = deferred_removals_.find(item.key);
   if (deferred != deferred_removals_.end()) {
     // A state from before the removal does not cancel it.
-    if (std::max(item.revision, read_at) < deferred->second.revision) {
+    if (std::max(item.position, read_at) < deferred->second.position) {
       CountDrop(DropReason::kRemoved);
       return;
     }
   }
-  auto [known, added] = known_revisions_.try_emplace(item.key, item.revision);
+  auto [known, added] = known_positions_.try_emplace(item.key, item.position);
   if (!added) {
-    if (item.revision < known->second) {
+    if (item.position < known->second) {
       CountDrop(DropReason::kOlder);
       return;
     }
-    const bool same = item.revision == known->second;
-    known->second = item.revision;
+    const bool same = item.position == known->second;
+    known->second = item.position;
     if (same && deferred == deferred_removals_.end()) return;
   }
   if (deferred != deferred_removals_.end()) deferred_removals_.erase(deferred);
   const auto awaited = awaited_.find(item.key);
-  if (awaited != awaited_.end() && awaited->second <= item.revision) awaited_.erase(awaited);
+  if (awaited != awaited_.end() && awaited->second <= item.position) awaited_.erase(awaited);
   if (sink_.on_item) sink_.on_item(item);
 }
 
-void StoreFollower::RemoveOrDefer(const std::string& key, store::Revision revision,
+void StoreFollower::RemoveOrDefer(const std::string& key, store::Position position,
                                   core::TimePoint now) {
   if (now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{}) {
     const auto [it, added] = deferred_removals_.try_emplace(
-        key, Removal{revision, recovered_at_ + settings_.removal_grace});
-    if (!added) it->second.revision = std::max(it->second.revision, revision);
+        key, Removal{position, recovered_at_ + settings_.removal_grace});
+    if (!added) it->second.position = std::max(it->second.position, position);
     return;
   }
-  ApplyRemoval(key, revision, now);
+  ApplyRemoval(key, position, now);
 }
 
-void StoreFollower::ApplyRemoval(const std::string& key, store::Revision revision,
+void StoreFollower::ApplyRemoval(const std::string& key, store::Position position,
                                  core::TimePoint now) {
-  known_revisions_.erase(key);
+  known_positions_.erase(key);
   deferred_removals_.erase(key);
-  tombstones_[key] = Removal{revision, now};
-  removal_revision_ = revision;
+  tombstones_[key] = Removal{position, now};
+  removal_position_ = position;
   if (sink_.on_removed) sink_.on_removed(key);
 }
 
@@ -429,7 +429,7 @@
       continue;
     }
     const auto [key, removal] = *it++;
-    ApplyRemoval(key, removal.revision, now);
+    ApplyRemoval(key, removal.position, now);
   }
 }
 
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -64,12 +64,12 @@
 
 /// What a complete listing brought.
 struct ListingSummary {
-  store::Revision known = 0;     ///< Revision of the state before the listing.
-  store::Revision revision = 0;  ///< Revision that the listing states.
+  store::Position known;     ///< Position of the state before the listing.
+  store::Position position;  ///< Position that the listing states.
   std::size_t pages = 0;
   std::size_t items = 0;
   std::size_t missing = 0;  ///< Known keys that the listing lacks.
-  std::size_t kept = 0;     ///< Known keys that it lacks and whose revision is above its own.
+  std::size_t kept = 0;     ///< Known keys that it lacks and whose position is after its own.
   DropCounts dropped{};     ///< Items, by `DropReason`.
 };
 
@@ -114,8 +114,8 @@
   /// Applies the state or changes of another instance that was asked because the store does not
   /// answer this one. The call to the store stays due.
   void OnFallbackChanges(const PeerChanges& changes, core::TimePoint now);
-  /// Items that a peer referred to and that are not known yet, each with the revision required.
-  [[nodiscard]] const std::map<std::string, store::Revision>& awaited() const noexcept {
+  /// Items that a peer referred to and that are not known yet, each with the position required.
+  [[nodiscard]] const std::map<std::string, store::Position>& awaited() const noexcept {
     return awaited_;
   }
   /// Applies an item that was read from a peer.
@@ -136,14 +136,14 @@
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
   /// Last sign of the store, also a part of a response, here or at a peer.
   [[nodiscard]] core::TimePoint last_heard() const noexcept { return last_heard_; }
-  [[nodiscard]] store::Revision revision() const noexcept { return revision_; }
+  [[nodiscard]] store::Position position() const noexcept { return position_; }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
-  /// Store revision at which the key was absent whose removal the sink is called with.
-  [[nodiscard]] store::Revision removal_revision() const noexcept { return removal_revision_; }
+  /// Position at which the key was absent whose removal the sink is called with.
+  [[nodiscard]] store::Position removal_position() const noexcept { return removal_position_; }
   /// The last complete listing.
   [[nodiscard]] const ListingSummary& listing() const noexcept { return last_summary_; }
   /// Items from all sources that were not applied, by `DropReason`. A repeated read of an item that
@@ -157,19 +157,19 @@
   [[nodiscard]] bool MayBeCutShort(const store::Changes& changes) const;
   void OnFailure(const store::CallError& error, core::TimePoint now);
   [[nodiscard]] core::Duration RetryPause() const noexcept;
-  /// True if the item was removed after `revision`, as a later listing showed. Tombstones do not
+  /// True if the item was removed after `position`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
-  [[nodiscard]] bool WasRemoved(const std::string& key, store::Revision revision) const;
-  /// `read_at` is the store revision of the state that contains the item.
-  void ApplyItem(const store::Item& item, store::Revision read_at);
-  /// `revision` is a store revision at which the key was absent.
-  void RemoveOrDefer(const std::string& key, store::Revision revision, core::TimePoint now);
-  void ApplyRemoval(const std::string& key, store::Revision revision, core::TimePoint now);
+  [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
+  /// `read_at` is the position of the state that contains the item.
+  void ApplyItem(const store::Item& item, store::Position read_at);
+  /// `position` is one at which the key was absent.
+  void RemoveOrDefer(const std::string& key, store::Position position, core::TimePoint now);
+  void ApplyRemoval(const std::string& key, store::Position position, core::TimePoint now);
   void ApplyPeerState(const PeerChanges& changes, core::TimePoint now);
   /// Notes which of the items that a peer has are to be read.
   void Await(const std::vector<ItemReference>& references);
-  /// Forgets awaited items of revisions up to `up_to`, as of which the state is known.
-  void ForgetAwaited(store::Revision up_to);
+  /// Forgets awaited items of positions up to `up_to`, as of which the state is known.
+  void ForgetAwaited(store::Position up_to);
   void NoteSuccess(core::TimePoint now);
   /// The store was heard of at `now`; ends an outage.
   void NoteReachable(core::TimePoint now);
@@ -189,25 +189,25 @@
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
   std::string page_after_;
-  store::Revision listing_revision_ = 0;  ///< Of the first page; watches continue from it.
+  store::Position listing_position_;  ///< Of the first page; watches continue from it.
   std::set<std::string> listed_keys_;
   ListingSummary summary_;  ///< Of the listing in progress.
   ListingSummary last_summary_;
   DropCounts dropped_{};
-  std::map<std::string, store::Revision> known_revisions_;
+  std::map<std::string, store::Position> known_positions_;
   struct Removal {
-    store::Revision revision = 0;
+    store::Position position;
     /// For `deferred_removals_`: when to apply it; for `tombstones_`: when it was applied.
     core::TimePoint at;
   };
   /// Removals around an outage, not yet applied.
   std::map<std::string, Removal> deferred_removals_;
   std::map<std::string, Removal> tombstones_;  ///< Older items of these keys are ignored.
-  std::map<std::string, store::Revision> awaited_;
-  store::Revision revision_ = 0;
+  std::map<std::string, store::Position> awaited_;
+  store::Position position_;
   /// Of the last complete listing: keys that it did not contain were absent then.
-  store::Revision complete_revision_ = 0;
-  store::Revision removal_revision_ = 0;
+  store::Position complete_position_;
+  store::Position removal_position_;
   core::TimePoint due_;
   core::TimePoint watch_sent_;  ///< The first one of a series without a pause.
   /// The last watch may have been cut short; the next one must not wait for changes.
@@ -227,8 +227,8 @@
   core::TimePoint check_began_;
   core::Duration check_duration_{0};  ///< Of the last check.
   bool checking_ = false;             ///< A page of a check is in flight.
-  std::string check_page_after_;  ///< Last key of the check's previous page; empty at its start.
-  store::Revision check_revision_ = 0;  ///< The oldest of the check's pages.
+  std::string check_page_after_;    ///< Last key of the check's previous page; empty at its start.
+  store::Position check_position_;  ///< The oldest of the check's pages.
   std::set<std::string> checked_keys_;
   core::TimePoint recovered_at_;
 };
--- a/src/vanilladeck/store/versioned_call.h
+++ b/src/vanilladeck/store/versioned_call.h
@@ -11,19 +11,17 @@
 #include <vector>
 
 #include "vanilladeck/core/result.h"
-#include "vanilladeck/store/era.h"
+#include "vanilladeck/store/position.h"
 
 /// Typed calls on a key-value store with a store-wide revision counter, change history and leases.
 ///
 /// A `VersionedCodec` translates them to a platform's protocol.
 namespace vanilladeck::store {
 
-using Revision = std::int64_t;
-
 struct Item {
   std::string key;
   std::string value;
-  Revision revision = 0;
+  Position position;  ///< Of the last write.
 };
 
 /// A written item or, if `removed`, the removal of an item.
@@ -39,10 +37,10 @@
   bool may_be_stale = false;  ///< Allows a cheaper read that may miss the last seconds.
 };
 
-/// Blocks for up to `wait` until there are changes after revision `after`.
+/// Blocks for up to `wait` until there are changes after `after`.
 struct WatchChanges {
   std::string prefix;
-  Revision after = 0;
+  Position after;
   std::chrono::milliseconds wait{0};
 };
 
@@ -74,12 +72,12 @@
 struct RangePage {
   std::vector<Item> items;
   bool more = false;
-  Revision revision = 0;  ///< Of the store, not of an item.
+  Position position;  ///< Of the store, not of an item.
 };
 
 struct Changes {
   std::vector<Change> changes;
-  Revision revision = 0;  ///< To continue from in the next watch.
+  Position position;  ///< To continue from in the next watch.
 };
 
 struct LeaseGranted {
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "support/positions.h"
 #include "vanilladeck/core/json.h"
 #include "vanilladeck/membership/feed_source.h"
 #include "vanilladeck/membership/store_follower.h"
@@ -13,22 +14,24 @@
 namespace vanilladeck::membership {
 namespace {
 
+using store::testing::Rev;
+
 using namespace std::chrono_literals;
 
 core::TimePoint At(core::Duration since) { return core::TimePoint(100s) + since; }
 
 TEST_CASE("a delta contains relayed writes and removals, but no mere renewals") {
   ChangeLog log("a/1");
-  log.Put({"servers/x", "v1", 5}, true, At(0s));
-  log.Put({"servers/y", "v1", 6}, true, At(0s));
+  log.Put({"servers/x", "v1", Rev(5)}, true, At(0s));
+  log.Put({"servers/y", "v1", Rev(6)}, true, At(0s));
   const PeerChanges first = log.Since({}, At(0s));
   CHECK(first.full);
   CHECK(first.changes.size() == 2);
-  log.Put({"servers/x", "v2", 7}, false, At(0s));
-  CHECK(log.Since({"a/1", first.position, 0}, At(0s)).changes.empty());
-  log.Put({"servers/x", "v3", 8}, true, At(0s));
-  log.Remove("servers/y", 8, 8, At(0s));
-  const PeerChanges second = log.Since({"a/1", first.position, 0}, At(0s));
+  log.Put({"servers/x", "v2", Rev(7)}, false, At(0s));
+  CHECK(log.Since({"a/1", first.log_position, Rev(0)}, At(0s)).changes.empty());
+  log.Put({"servers/x", "v3", Rev(8)}, true, At(0s));
+  log.Remove("servers/y", Rev(8), Rev(8), At(0s));
+  const PeerChanges second = log.Since({"a/1", first.log_position, Rev(0)}, At(0s));
   CHECK_FALSE(second.full);
   REQUIRE(second.changes.size() == 2);
   CHECK(second.changes[0].item.value == "v3");
@@ -38,15 +41,15 @@
 // Guards against accepting positions of a reader's log from before its restart.
 TEST_CASE("a position of another log or a pruned position yields a full snapshot") {
   ChangeLog log("a/2");
-  log.Put({"servers/x", "v1", 5}, true, At(0s));
-  CHECK(log.Since({"a/1", 2, 0}, At(0s)).full);
-  CHECK(log.Since({"a/2", 99, 0}, At(0s)).full);
-  const std::uint64_t position = log.Since({}, At(0s)).position;
-  log.Remove("servers/x", 6, 6, At(0s));
-  log.Put({"servers/y", "v1", 6}, true, At(0s));
-  CHECK_FALSE(log.Since({"a/2", position, 0}, At(0s)).full);
-  log.Remove("servers/y", 7, 7, At(60s));
-  CHECK(log.Since({"a/2", position, 0}, At(0s)).full);
+  log.Put({"servers/x", "v1", Rev(5)}, true, At(0s));
+  CHECK(log.Since({"a/1", 2, Rev(0)}, At(0s)).full);
+  CHECK(log.Since({"a/2", 99, Rev(0)}, At(0s)).full);
+  const std::uint64_t position = log.Since({}, At(0s)).log_position;
+  log.Remove("servers/x", Rev(6), Rev(6), At(0s));
+  log.Put({"servers/y", "v1", Rev(6)}, true, At(0s));
+  CHECK_FALSE(log.Since({"a/2", position, Rev(0)}, At(0s)).full);
+  log.Remove("servers/y", Rev(7), Rev(7), At(60s));
+  CHECK(log.Since({"a/2", position, Rev(0)}, At(0s)).full);
 }
 
 // Guards against readers that send a full snapshot (121 KB on trempelog-grown) to every instance
@@ -55,70 +58,70 @@
 TEST_CASE("an instance that switches readers gets the changes since its revision") {
   ChangeLog log("b/1");
   for (int i = 0; i < 400; ++i) {
-    log.Put({"servers/" + std::to_string(i), "v", 100 + i}, true, At(0s));
+    log.Put({"servers/" + std::to_string(i), "v", Rev(100 + i)}, true, At(0s));
   }
-  log.OnListed(600);
+  log.OnListed(Rev(600));
   for (int i = 0; i < 400; ++i) {
-    log.Put({"servers/" + std::to_string(i), "w", 700 + i}, false, At(0s));
+    log.Put({"servers/" + std::to_string(i), "w", Rev(700 + i)}, false, At(0s));
   }
-  log.Put({"servers/7", "draining", 1200}, true, At(0s));
-  log.Remove("servers/8", 1201, 1201, At(0s));
-  const PeerChanges changes = log.Since({"a/1", 55, 1100}, At(0s));
+  log.Put({"servers/7", "draining", Rev(1200)}, true, At(0s));
+  log.Remove("servers/8", Rev(1201), Rev(1201), At(0s));
+  const PeerChanges changes = log.Since({"a/1", 55, Rev(1100)}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 2);
   CHECK(changes.changes[0].item.value == "draining");
   CHECK(changes.changes[1].removed);
   // Removals before the first listing are unknown to this log.
-  CHECK(log.Since({"a/1", 55, 599}, At(0s)).full);
+  CHECK(log.Since({"a/1", 55, Rev(599)}, At(0s)).full);
   ChangeLog unlisted("c/1");
-  unlisted.Put({"servers/x", "v", 5}, true, At(0s));
-  CHECK(unlisted.Since({"a/1", 55, 4}, At(0s)).full);
+  unlisted.Put({"servers/x", "v", Rev(5)}, true, At(0s));
+  CHECK(unlisted.Since({"a/1", 55, Rev(4)}, At(0s)).full);
 }
 
 // Guards against losing a removal that the reader deferred while the store recovered, so that it
 // was applied only after the instance's revision had passed it.
 TEST_CASE("a deferred removal reaches an instance that switches readers") {
   ChangeLog log("b/1");
-  log.Put({"servers/x", "v", 5}, true, At(0s));
-  log.OnListed(10);
-  log.Remove("servers/x", 20, 20, At(0s));
-  const PeerChanges changes = log.Since({"a/1", 3, 25}, At(0s));
+  log.Put({"servers/x", "v", Rev(5)}, true, At(0s));
+  log.OnListed(Rev(10));
+  log.Remove("servers/x", Rev(20), Rev(20), At(0s));
+  const PeerChanges changes = log.Since({"a/1", 3, Rev(25)}, At(0s));
   CHECK_FALSE(changes.full);
   REQUIRE(changes.changes.size() == 1);
   CHECK(changes.changes[0].removed);
   // Once the removal is pruned, an instance that is that far behind needs a full snapshot.
-  log.Put({"servers/y", "v", 30}, true, At(0s));
-  log.Remove("servers/y", 40, 40, At(60s));
-  CHECK(log.Since({"a/1", 3, 19}, At(0s)).full);
-  CHECK_FALSE(log.Since({"a/1", 3, 25}, At(0s)).full);
+  log.Put({"servers/y", "v", Rev(30)}, true, At(0s));
+  log.Remove("servers/y", Rev(40), Rev(40), At(60s));
+  CHECK(log.Since({"a/1", 3, Rev(19)}, At(0s)).full);
+  CHECK_FALSE(log.Since({"a/1", 3, Rev(25)}, At(0s)).full);
 }
 
 // Guards against a full snapshot for an instance that has already received the pruned removal.
 TEST_CASE("pruning a removal does not affect instances past its position") {
   ChangeLog log("b/1");
-  log.Put({"servers/x", "v", 5}, true, At(0s));
-  log.Put({"servers/y", "v", 6}, true, At(0s));
-  log.Remove("servers/x", 7, 7, At(0s));
-  const std::uint64_t position = log.Since({}, At(0s)).position;
-  log.Remove("servers/y", 8, 8, At(60s));
-  const PeerChanges changes = log.Since({"b/1", position, 7}, At(0s));
+  log.Put({"servers/x", "v", Rev(5)}, true, At(0s));
+  log.Put({"servers/y", "v", Rev(6)}, true, At(0s));
+  log.Remove("servers/x", Rev(7), Rev(7), At(0s));
+  const std::uint64_t position = log.Since({}, At(0s)).log_position;
+  log.Remove("servers/y", Rev(8), Rev(8), At(60s));
+  const PeerChanges changes = log.Since({"b/1", position, Rev(7)}, At(0s));
   CHECK_FALSE(changes.full);
   CHECK(changes.changes.size() == 1);
 }
 
 TEST_CASE("peer changes round-trip any value, and malformed messages are rejected") {
   ChangeLog log("a/1");
-  log.Put({"op/config", "{\"version\":\"0000000c\"}", 5}, true, At(0s));
-  log.Put({"servers/x", std::string("\xff\x00\"\n", 4), 6}, true, At(0s));
+  log.Put({"op/config", "{\"version\":\"0000000c\"}", Rev(5)}, true, At(0s));
+  log.Put({"servers/x", std::string("\xff\x00\"\n", 4), Rev(6)}, true, At(0s));
   PeerChanges sent = log.Since({}, At(0s));
-  sent.revision = 9;
+  sent.position = Rev(9);
   sent.age = 250ms;
   sent.behind = 1500ms;
   sent.server_limits = {{"i-1", 2.5}};
   const std::string text = EncodePeerChanges(sent);
   const auto read = DecodePeerChanges(text);
   REQUIRE(read.has_value());
-  CHECK(read->revision == 9);
+  CHECK(read->position == Rev(9));
   CHECK(read->age == 250ms);
   CHECK(read->behind == 1500ms);
   CHECK(read->server_limits == sent.server_limits);
@@ -134,23 +137,23 @@
 // Guards against changes that wait behind a large value in the same message.
 TEST_CASE("a large value is referred to in each message, and small ones are part of it") {
   ChangeLog log("a/1");
-  log.Put({"op/config", std::string(ChangeLog::kMaxInlineBytes + 1, 'x'), 5}, true, At(0s));
-  log.Put({"servers/x", "v", 6}, true, At(0s));
+  log.Put({"op/config", std::string(ChangeLog::kMaxInlineBytes + 1, 'x'), Rev(5)}, true, At(0s));
+  log.Put({"servers/x", "v", Rev(6)}, true, At(0s));
   PeerChanges sent = log.Since({}, At(0s));
-  const PeerPosition position{"a/1", sent.position, 6};
-  log.Put({"servers/x", "w", 7}, true, At(0s));
-  for (const PeerPosition& known : {PeerPosition{}, position, PeerPosition{"b/1", 3, 6}}) {
+  const PeerPosition position{"a/1", sent.log_position, Rev(6)};
+  log.Put({"servers/x", "w", Rev(7)}, true, At(0s));
+  for (const PeerPosition& known : {PeerPosition{}, position, PeerPosition{"b/1", 3, Rev(6)}}) {
     const auto read = DecodePeerChanges(EncodePeerChanges(log.Since(known, At(0s))));
     REQUIRE(read.has_value());
     REQUIRE(read->references.size() == 1);
     CHECK(read->references[0].key == "op/config");
-    CHECK(read->references[0].revision == 5);
+    CHECK(read->references[0].position == Rev(5));
     REQUIRE(read->changes.size() == 1);
     CHECK(read->changes[0].item.value == "w");
   }
   REQUIRE(log.Find("op/config") != nullptr);
   CHECK(log.Find("op/config")->value.size() == ChangeLog::kMaxInlineBytes + 1);
-  log.Remove("op/config", 8, 8, At(0s));
+  log.Remove("op/config", Rev(8), Rev(8), At(0s));
   CHECK(log.Find("op/config") == nullptr);
   CHECK(log.Find("op/other") == nullptr);
   CHECK(log.Since(position, At(0s)).references.empty());
@@ -161,12 +164,12 @@
 TEST_CASE("a value that is not text is not made readable by relaying it") {
   PeerChanges sent;
   const std::string text = "{\"name\":\"caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x9a\xb2 \\u0000\"}";
-  sent.changes.push_back({{"op/config", text, 5}, false});
+  sent.changes.push_back({{"op/config", text, Rev(5)}, false});
   const std::vector<std::string> invalid{
       "\xff",         "\xc3", "\xe2\x82",         "\xf0\x9f\x9a", "\xc0\x80",
       "\xed\xa0\x80", "\x80", "\xf4\x90\x80\x80", "\xe0\x80\x80"};
   for (const std::string& it : invalid) {
-    sent.changes.push_back({{"servers/x", "{\"name\":\"" + it + "\"}", 6}, false});
+    sent.changes.push_back({{"servers/x", "{\"name\":\"" + it + "\"}", Rev(6)}, false});
   }
   const auto read = DecodePeerChanges(EncodePeerChanges(sent));
   REQUIRE(read.has_value());
@@ -186,9 +189,10 @@
                       {},
                       {}}) {
     REQUIRE(follower.Next(At(0s)).has_value());
-    follower.OnAnswer(store::VersionedResult(store::VersionedAnswer(store::RangePage{
-                          {{"op/config", "old", 3}, {"servers/x", "v", 4}}, false, 10})),
-                      At(0s));
+    follower.OnAnswer(
+        store::VersionedResult(store::VersionedAnswer(store::RangePage{
+            {{"op/config", "old", Rev(3)}, {"servers/x", "v", Rev(4)}}, false, Rev(10)})),
+        At(0s));
   }
   std::map<std::string, std::string> items;
   StoreFollower follower;
@@ -198,18 +202,18 @@
 TEST_CASE("an older snapshot of a peer neither overwrites nor removes newer items") {
   Follower f;
   PeerChanges newer;
-  newer.revision = 20;
-  newer.changes = {{{"op/config", "new", 15}, false}, {{"servers/z", "v", 18}, false}};
+  newer.position = Rev(20);
+  newer.changes = {{{"op/config", "new", Rev(15)}, false}, {{"servers/z", "v", Rev(18)}, false}};
   f.follower.OnPeerChanges(newer, 400ms, At(1s));
   PeerChanges older;
   older.full = true;
-  older.revision = 12;
-  older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  older.position = Rev(12);
+  older.changes = {{{"op/config", "old", Rev(3)}, false}, {{"servers/x", "v", Rev(4)}, false}};
   f.follower.OnPeerChanges(older, 400ms, At(2s));
   CHECK(f.items.at("op/config") == "new");
   CHECK(f.items.count("servers/z") == 1);
   CHECK(f.items.count("servers/x") == 1);
-  CHECK(f.follower.revision() == 20);
+  CHECK(f.follower.position() == Rev(20));
 }
 
 // Guards against dispatching to a server that has left: a reader that had been partitioned relayed
@@ -219,18 +223,18 @@
   Follower f;
   PeerChanges state;
   state.full = true;
-  state.revision = 20;
-  state.changes = {{{"op/config", "old", 3}, false}};
+  state.position = Rev(20);
+  state.changes = {{{"op/config", "old", Rev(3)}, false}};
   f.follower.OnPeerChanges(state, 400ms, At(1s));
   REQUIRE(f.items.count("servers/x") == 0);
   PeerChanges lagging;
   lagging.full = true;
-  lagging.revision = 12;
-  lagging.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  lagging.position = Rev(12);
+  lagging.changes = {{{"op/config", "old", Rev(3)}, false}, {{"servers/x", "v", Rev(4)}, false}};
   f.follower.OnPeerChanges(lagging, 400ms, At(8s));
   CHECK(f.items.count("servers/x") == 0);
-  lagging.revision = 30;
-  lagging.changes[1].item.revision = 25;
+  lagging.position = Rev(30);
+  lagging.changes[1].item.position = Rev(25);
   f.follower.OnPeerChanges(lagging, 400ms, At(9s));
   CHECK(f.items.count("servers/x") == 1);
 }
@@ -253,8 +257,8 @@
   Follower f;
   PeerChanges state;
   state.full = true;
-  state.revision = 20;
-  state.changes = {{{"op/config", "old", 3}, false}};
+  state.position = Rev(20);
+  state.changes = {{{"op/config", "old", Rev(3)}, false}};
   f.follower.OnPeerChanges(state, 400ms, At(1s));
   CHECK(f.items.count("servers/x") == 0);
   CHECK(f.items.count("op/config") == 1);
@@ -264,7 +268,7 @@
 TEST_CASE("answers of a peer do not hide an outage of the store") {
   Follower f;
   PeerChanges stale;
-  stale.revision = 10;
+  stale.position = Rev(10);
   for (int i = 1; i < 10; ++i) {
     stale.age = i * 1s;
     f.follower.OnPeerChanges(stale, 400ms, At(i * 1s));
@@ -278,34 +282,34 @@
   Reader()
       : follower({}, {[this](const store::Item& item) { log.Put(item, true, now); },
                       [this](const std::string& key) {
-                        log.Remove(key, follower.removal_revision(), follower.revision(), now);
+                        log.Remove(key, follower.removal_position(), follower.position(), now);
                       },
-                      [this] { log.OnListed(follower.revision()); },
+                      [this] { log.OnListed(follower.position()); },
                       {}}),
         now(At(0s)) {
-    List({{"op/config", "old", 3}, {"servers/x", "v", 4}}, 10);
+    List({{"op/config", "old", Rev(3)}, {"servers/x", "v", Rev(4)}}, 10);
   }
-  void List(std::vector<store::Item> items, store::Revision revision) {
+  void List(std::vector<store::Item> items, std::int64_t revision) {
     now += 20s;
     const auto call = follower.Next(now);
     REQUIRE(call.has_value());
     REQUIRE(std::holds_alternative<store::ReadRange>(*call));
-    Answer(store::RangePage{std::move(items), false, revision});
+    Answer(store::RangePage{std::move(items), false, Rev(revision)});
   }
-  void Watch(std::vector<store::Change> changes, store::Revision revision) {
+  void Watch(std::vector<store::Change> changes, std::int64_t revision) {
     now += 1s;
     const auto call = follower.Next(now);
     REQUIRE(call.has_value());
     REQUIRE(std::holds_alternative<store::WatchChanges>(*call));
-    Answer(store::Changes{std::move(changes), revision});
+    Answer(store::Changes{std::move(changes), Rev(revision)});
   }
   void Answer(store::VersionedAnswer answer) {
     follower.OnAnswer(store::VersionedResult(std::move(answer)), now);
   }
-  /// Changes for an instance that has read another log up to `revision`.
-  [[nodiscard]] PeerChanges SinceRevision(store::Revision revision) const {
-    PeerChanges changes = log.Since({"a/1", 7, revision}, now);
-    changes.revision = follower.revision();
+  /// Changes for an instance that has read another log up to `position`.
+  [[nodiscard]] PeerChanges SincePosition(store::Position position) const {
+    PeerChanges changes = log.Since({"a/1", 7, position}, now);
+    changes.position = follower.position();
     return changes;
   }
 
@@ -322,21 +326,23 @@
   Follower f;
   PeerChanges missed;
   missed.epoch = "a/1";
-  missed.position = 7;
-  missed.revision = 65;
+  missed.log_position = 7;
+  missed.position = Rev(65);
   f.follower.OnPeerChanges(missed, 400ms, At(1s));
-  SECTION("which got it by its watch") { reader.Watch({{{"op/config", "new", 50}, false}}, 60); }
+  SECTION("which got it by its watch") {
+    reader.Watch({{{"op/config", "new", Rev(50)}, false}}, 60);
+  }
   SECTION("which missed it as well and found it by a listing") {
     reader.Watch({}, 60);
-    reader.List({{"op/config", "new", 50}, {"servers/x", "v", 4}}, 61);
+    reader.List({{"op/config", "new", Rev(50)}, {"servers/x", "v", Rev(4)}}, 61);
   }
-  const PeerChanges changes = reader.SinceRevision(f.follower.revision());
+  const PeerChanges changes = reader.SincePosition(f.follower.position());
   CHECK_FALSE(changes.full);
   f.follower.OnPeerChanges(changes, 400ms, At(2s));
   CHECK(f.items.at("op/config") == "new");
   // By then the listing of a reader has found what its watch missed.
   reader.now += 25s;
-  CHECK(reader.SinceRevision(65).changes.empty());
+  CHECK(reader.SincePosition(Rev(65)).changes.empty());
 }
 
 // Guards against a removed server that is used again: a relayed removal carried the revision of the
@@ -345,18 +351,18 @@
   Reader reader;
   Follower f;
   f.follower.Tick(At(3s));  // An outage.
-  reader.Watch({{{"servers/x", "", 31}, true}}, 40);
-  const PeerChanges removal = reader.SinceRevision(10);
+  reader.Watch({{{"servers/x", "", Rev(31)}, true}}, 40);
+  const PeerChanges removal = reader.SincePosition(Rev(10));
   REQUIRE(removal.changes.size() == 1);
   REQUIRE(removal.changes[0].removed);
-  CHECK(removal.changes[0].item.revision == 31);
+  CHECK(removal.changes[0].item.position == Rev(31));
   f.follower.OnPeerChanges(removal, 400ms, At(3s));
   SECTION("without an older state") {}
   SECTION("with an older state") {
     PeerChanges older;
     older.full = true;
-    older.revision = 20;
-    older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+    older.position = Rev(20);
+    older.changes = {{{"op/config", "old", Rev(3)}, false}, {{"servers/x", "v", Rev(4)}, false}};
     f.follower.OnPeerChanges(older, 400ms, At(3400ms));
   }
   for (int i = 35; i < 100; ++i) f.follower.Tick(At(i * 100ms));
@@ -368,26 +374,26 @@
 TEST_CASE("a removal is relayed with its own revision") {
   Reader reader;
   Follower f;
-  f.follower.OnPeerChanges(reader.SinceRevision(10), 400ms, At(1s));
+  f.follower.OnPeerChanges(reader.SincePosition(Rev(10)), 400ms, At(1s));
   PeerChanges written;
   SECTION("which follows a write of the same answer") {
-    reader.Watch({{{"servers/x", "w", 12}, false}, {{"servers/x", "", 15}, true}}, 40);
-    written.changes = {{{"servers/x", "w", 12}, false}};
-    written.revision = 13;
+    reader.Watch({{{"servers/x", "w", Rev(12)}, false}, {{"servers/x", "", Rev(15)}, true}}, 40);
+    written.changes = {{{"servers/x", "w", Rev(12)}, false}};
+    written.position = Rev(13);
     f.follower.OnPeerChanges(written, 400ms, At(2s));
-    f.follower.OnPeerChanges(reader.SinceRevision(13), 400ms, At(3s));
+    f.follower.OnPeerChanges(reader.SincePosition(Rev(13)), 400ms, At(3s));
     CHECK(f.items.count("servers/x") == 0);
   }
   SECTION("which precedes a write that the reader has missed") {
     reader.follower.Tick(reader.now);
     reader.now += 10s;
     reader.follower.Tick(reader.now);  // An outage defers the removal.
-    reader.Watch({{{"servers/x", "", 15}, true}}, 40);
+    reader.Watch({{{"servers/x", "", Rev(15)}, true}}, 40);
     for (int i = 0; i < 30; ++i) reader.follower.Tick(reader.now += 100ms);
-    written.changes = {{{"servers/x", "w", 20}, false}};
-    written.revision = 45;
+    written.changes = {{{"servers/x", "w", Rev(20)}, false}};
+    written.position = Rev(45);
     f.follower.OnPeerChanges(written, 400ms, At(2s));
-    const PeerChanges removal = reader.SinceRevision(45);
+    const PeerChanges removal = reader.SincePosition(Rev(45));
     REQUIRE(removal.changes.size() == 1);
     CHECK(removal.changes[0].removed);
     f.follower.OnPeerChanges(removal, 400ms, At(3s));
@@ -401,16 +407,16 @@
   Follower f;
   f.follower.Tick(At(3s));  // An outage.
   PeerChanges removal;
-  removal.changes = {{{"servers/x", "", 20}, true}};
-  removal.revision = 20;
+  removal.changes = {{{"servers/x", "", Rev(20)}, true}};
+  removal.position = Rev(20);
   f.follower.OnPeerChanges(removal, 400ms, At(3s));
-  removal.changes[0].item.revision = 30;
-  removal.revision = 30;
+  removal.changes[0].item.position = Rev(30);
+  removal.position = Rev(30);
   f.follower.OnPeerChanges(removal, 400ms, At(3200ms));
   PeerChanges older;
   older.full = true;
-  older.revision = 25;
-  older.changes = {{{"op/config", "old", 3}, false}, {{"servers/x", "v", 4}, false}};
+  older.position = Rev(25);
+  older.changes = {{{"op/config", "old", Rev(3)}, false}, {{"servers/x", "v", Rev(4)}, false}};
   f.follower.OnPeerChanges(older, 400ms, At(3400ms));
   for (int i = 35; i < 100; ++i) f.follower.Tick(At(i * 100ms));
   CHECK(f.items.count("servers/x") == 0);
--- a/tests/membership/feed_source_test.cc
+++ b/tests/membership/feed_source_test.cc
@@ -3,11 +3,14 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "support/positions.h"
 #include "vanilladeck/membership/store_follower.h"
 
 namespace vanilladeck::membership {
 namespace {
 
+using store::testing::Rev;
+
 using namespace std::chrono_literals;
 
 core::TimePoint At(core::Duration since) { return core::TimePoint(100s) + since; }
@@ -116,14 +119,15 @@
     call.reset();
     if (asks_reader) {
       PeerChanges changes;
-      changes.revision = 10;
+      changes.position = Rev(10);
       changes.age = now - reader->last_success();
       follower.OnPeerChanges(changes, FeedSource::kPollInterval, now);
     } else if (reads_range) {
       follower.OnAnswer(
-          store::VersionedResult(store::VersionedAnswer(store::RangePage{{}, false, 10})), now);
+          store::VersionedResult(store::VersionedAnswer(store::RangePage{{}, false, Rev(10)})),
+          now);
     } else {
-      follower.OnAnswer(store::VersionedResult(store::VersionedAnswer(store::Changes{{}, 10})),
+      follower.OnAnswer(store::VersionedResult(store::VersionedAnswer(store::Changes{{}, Rev(10)})),
                         now);
     }
   }
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -7,11 +7,14 @@
 #include <utility>
 #include <vector>
 
+#include "support/positions.h"
 #include "vanilladeck/membership/feed_source.h"
 
 namespace vanilladeck::membership {
 namespace {
 
+using store::testing::Rev;
+
 using namespace std::chrono_literals;
 using store::CallError;
 using store::CallErrorCode;
@@ -31,7 +34,7 @@
   StoreFollower::Sink MakeSink() {
     return {[this](const store::Item& item) {
               present.insert(item.key);
-              applied[item.key] = item.revision;
+              applied[item.key] = item.position;
             },
             [this](const std::string& key) { present.erase(key); }, [this] { ++synced; },
             [this](bool is_reachable) { reachable = is_reachable; }};
@@ -70,13 +73,13 @@
     for (; now < until; now += 100ms) follower.Tick(now);
   }
 
-  void List(std::vector<store::Item> items, store::Revision revision) {
+  void List(std::vector<store::Item> items, std::int64_t revision) {
     REQUIRE(std::holds_alternative<store::ReadRange>(NextCall()));
-    Answer(store::RangePage{std::move(items), false, revision});
+    Answer(store::RangePage{std::move(items), false, Rev(revision)});
   }
 
   std::set<std::string> present;
-  std::map<std::string, store::Revision> applied;  ///< Revision of each item applied last.
+  std::map<std::string, store::Position> applied;  ///< Of each item applied last.
   int synced = 0;
   bool reachable = true;
   StoreFollower follower;
@@ -86,26 +89,26 @@
 TEST_CASE("a listing of several pages takes effect when it is complete") {
   Fixture f;
   (void)f.NextCall();
-  f.Answer(store::RangePage{{{"a", "", 1}}, true, 10});
+  f.Answer(store::RangePage{{{"a", "", Rev(1)}}, true, Rev(10)});
   CHECK(f.synced == 0);
   const auto call = f.NextCall();
   REQUIRE(std::holds_alternative<store::ReadRange>(call));
   CHECK(std::get<store::ReadRange>(call).after_key == "a");
-  f.Answer(store::RangePage{{{"b", "", 2}}, false, 11});
+  f.Answer(store::RangePage{{{"b", "", Rev(2)}}, false, Rev(11)});
   CHECK(f.synced == 1);
   // Pages are not one snapshot, so the watch starts at the revision of the first page.
   const auto watch = f.NextCall();
   REQUIRE(std::holds_alternative<store::WatchChanges>(watch));
-  CHECK(std::get<store::WatchChanges>(watch).after == 10);
+  CHECK(std::get<store::WatchChanges>(watch).after == Rev(10));
 }
 
 // Guards against an endless listing at a store that always reports more pages.
 TEST_CASE("a listing whose pages do not advance is restarted after a pause") {
   Fixture f;
   (void)f.NextCall();
-  f.Answer(store::RangePage{{{"b", "", 1}}, true, 10});
+  f.Answer(store::RangePage{{{"b", "", Rev(1)}}, true, Rev(10)});
   (void)f.NextCall();
-  f.Answer(store::RangePage{{{"b", "", 1}}, true, 10});
+  f.Answer(store::RangePage{{{"b", "", Rev(1)}}, true, Rev(10)});
   CHECK_FALSE(f.follower.Next(f.now));
   const auto call = f.NextCall();
   REQUIRE(std::holds_alternative<store::ReadRange>(call));
@@ -115,7 +118,7 @@
 // Guards against listings without a pause between them at a store that keeps no history.
 TEST_CASE("a store that keeps no history is listed a few times a second at most") {
   Fixture f;
-  f.List({{"a", "", 1}}, 10);
+  f.List({{"a", "", Rev(1)}}, 10);
   const auto began = f.now;
   int listings = 0;
   while (f.now - began < 3s) {
@@ -124,7 +127,7 @@
       f.Fail(CallErrorCode::kHistoryLost);
     } else {
       if (std::get<store::ReadRange>(call).prefix.empty()) ++listings;
-      f.Answer(store::RangePage{{{"a", "", 1}}, false, 10});
+      f.Answer(store::RangePage{{{"a", "", Rev(1)}}, false, Rev(10)});
     }
     if (listings > 100) break;
   }
@@ -134,26 +137,26 @@
 // Guards against servers that stay in use because their removal was in compacted history.
 TEST_CASE("lost history leads to a listing that detects removals") {
   Fixture f;
-  f.List({{"servers/a", "", 1}, {"servers/b", "", 2}}, 10);
+  f.List({{"servers/a", "", Rev(1)}, {"servers/b", "", Rev(2)}}, 10);
   REQUIRE(f.present.size() == 2);
   (void)f.NextCall();
   f.Fail(CallErrorCode::kHistoryLost);
-  f.List({{"servers/a", "", 1}}, 20);
+  f.List({{"servers/a", "", Rev(1)}}, 20);
   CHECK(f.present == std::set<std::string>{"servers/a"});
 }
 
 // Guards against an evacuation whose end is never detected because the watch missed the removal.
 TEST_CASE("a check newer than an item detects its removal, an older one does not") {
   Fixture f;
-  f.List({{"op/evacuate/z", "", 15}, {"servers/a", "", 3}}, 20);
-  const auto check_after = [&](store::Revision revision) {
+  f.List({{"op/evacuate/z", "", Rev(15)}, {"servers/a", "", Rev(3)}}, 20);
+  const auto check_after = [&](std::int64_t revision) {
     for (;; f.now += 100ms) {
       f.follower.Tick(f.now);
-      if (f.follower.Next(f.now)) f.Answer(store::Changes{{}, 20});
+      if (f.follower.Next(f.now)) f.Answer(store::Changes{{}, Rev(20)});
       const auto check = f.follower.NextCheck(f.now);
       if (!check) continue;
       CHECK(std::get<store::ReadRange>(*check).may_be_stale);
-      f.AnswerCheck({{}, false, revision});
+      f.AnswerCheck({{}, false, Rev(revision)});
       return;
     }
   };
@@ -167,7 +170,7 @@
 // Guards against removing the whole fleet when entries expired during an outage of the store.
 TEST_CASE("entries that expired in an outage are kept until servers could register again") {
   Fixture f;
-  f.List({{"servers/a", "", 1}, {"servers/b", "", 2}}, 10);
+  f.List({{"servers/a", "", Rev(1)}, {"servers/b", "", Rev(2)}}, 10);
   for (int i = 0; i < 20; ++i) {
     (void)f.NextCall();
     f.Fail(CallErrorCode::kNoAnswer);
@@ -175,12 +178,13 @@
   CHECK_FALSE(f.reachable);
   CHECK(f.present.size() == 2);
   (void)f.NextCall();
-  f.Answer(store::Changes{{{{"servers/a", "", 11}, true}, {{"servers/b", "", 12}, true}}, 12});
+  f.Answer(store::Changes{{{{"servers/a", "", Rev(11)}, true}, {{"servers/b", "", Rev(12)}, true}},
+                          Rev(12)});
   CHECK(f.reachable);
   CHECK(f.present.size() == 2);
   f.Advance(1s);
   (void)f.NextCall();
-  f.Answer(store::Changes{{{{"servers/a", "", 13}, false}}, 13});
+  f.Answer(store::Changes{{{{"servers/a", "", Rev(13)}, false}}, Rev(13)});
   f.Advance(2s);
   // One registered again, the other is removed 2.2 s after the store recovered.
   CHECK(f.present == std::set<std::string>{"servers/a"});
@@ -190,14 +194,14 @@
 // arrive was taken for one, and the removal in it was deferred.
 TEST_CASE("a response that arrives slowly is no outage") {
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 10);
+  f.List({{"servers/a", "", Rev(1)}}, 10);
   (void)f.NextCall();
   for (int i = 0; i < 8; ++i) {
     f.Advance(500ms);
     f.follower.OnProgress(f.now);
   }
   CHECK(f.reachable);
-  f.Answer(store::Changes{{{{"servers/a", "", 11}, true}}, 11});
+  f.Answer(store::Changes{{{{"servers/a", "", Rev(11)}, true}}, Rev(11)});
   CHECK(f.present.empty());
   // Without a part of a response for the time of an outage it is one.
   (void)f.NextCall();
@@ -212,7 +216,7 @@
 // deferred the removal.
 TEST_CASE("a response that arrives slowly at a reader is no outage for those that ask it") {
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 10);
+  f.List({{"servers/a", "", Rev(1)}}, 10);
   const core::TimePoint end = f.now + 4s;
   while (f.now < end) {
     (void)f.NextCall();
@@ -223,8 +227,8 @@
   }
   (void)f.NextCall();
   PeerChanges left;
-  left.revision = 12;
-  left.changes = {{{"servers/a", "", 12}, true}};
+  left.position = Rev(12);
+  left.changes = {{{"servers/a", "", Rev(12)}, true}};
   f.follower.OnPeerChanges(left, 400ms, f.now);
   CHECK(f.present.empty());
   // Without a sign of the store at any instance it is one.
@@ -245,21 +249,21 @@
   const int source = GENERATE(0, 1, 2, 3);
   CAPTURE(source);
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 100);
-  const store::Item withdrawn{"op/evacuate/east-a", "", 50};
-  const store::Item left{"servers/b", "", 60};
+  f.List({{"servers/a", "", Rev(1)}}, 100);
+  const store::Item withdrawn{"op/evacuate/east-a", "", Rev(50)};
+  const store::Item left{"servers/b", "", Rev(60)};
   PeerChanges behind;
-  behind.revision = 90;
+  behind.position = Rev(90);
   behind.full = source == 2;
-  behind.changes = {{withdrawn, false}, {left, false}, {{"servers/a", "", 1}, false}};
+  behind.changes = {{withdrawn, false}, {left, false}, {{"servers/a", "", Rev(1)}, false}};
   if (source == 0) {
     (void)f.NextCheck();
-    f.AnswerCheck({{withdrawn}, false, 90});
+    f.AnswerCheck({{withdrawn}, false, Rev(90)});
   } else if (source == 1 || source == 2) {
     f.follower.OnPeerChanges(behind, 400ms, f.now);
   } else {
     behind.changes.clear();
-    behind.references = {{withdrawn.key, withdrawn.revision}};
+    behind.references = {{withdrawn.key, withdrawn.position}};
     f.follower.OnFallbackChanges(behind, f.now);
     CHECK(f.follower.awaited().empty());
     f.follower.OnItemRead(withdrawn);
@@ -267,7 +271,7 @@
   CHECK(f.present == std::set<std::string>{"servers/a"});
   // What was written since the listing counts.
   (void)f.NextCheck();
-  f.AnswerCheck({{{withdrawn.key, "", 110}}, false, 120});
+  f.AnswerCheck({{{withdrawn.key, "", Rev(110)}}, false, Rev(120)});
   CHECK(f.present.count(withdrawn.key) == 1);
 }
 
@@ -275,7 +279,7 @@
 // the store itself, as no reader has a current state.
 TEST_CASE("retries slow down in an outage and the next success ends that") {
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 10);
+  f.List({{"servers/a", "", Rev(1)}}, 10);
   const core::TimePoint began = f.now;
   int calls = 0;
   while (f.now < began + 8s) {
@@ -288,7 +292,7 @@
   const core::TimePoint ended = f.now;
   (void)f.NextCall();
   CHECK(f.now - ended <= 1300ms);
-  f.Answer(store::Changes{{}, 10});
+  f.Answer(store::Changes{{}, Rev(10)});
   (void)f.NextCall();
   f.Fail(CallErrorCode::kRefused);
   const core::TimePoint failed = f.now;
@@ -304,10 +308,10 @@
     (void)f.NextCheck();
     f.now += 1500ms;
     const core::TimePoint answered = f.now;
-    f.AnswerCheck({{}, false, 10});
+    f.AnswerCheck({{}, false, Rev(10)});
     (void)f.NextCheck();
     CHECK(f.now - answered >= 12s);
-    f.AnswerCheck({{}, false, 10});
+    f.AnswerCheck({{}, false, Rev(10)});
   }
 }
 
@@ -315,21 +319,24 @@
 // never checked, and its end not detected.
 TEST_CASE("a check reads all pages") {
   Fixture f;
-  f.List({{"op/config", "", 5}, {"op/evacuate/y", "", 15}, {"op/evacuate/z", "", 16}}, 20);
+  f.List(
+      {{"op/config", "", Rev(5)}, {"op/evacuate/y", "", Rev(15)}, {"op/evacuate/z", "", Rev(16)}},
+      20);
   const auto first = f.NextCheck();
   CHECK(std::get<store::ReadRange>(first).after_key.empty());
-  f.AnswerCheck({{{"op/config", "", 5}}, true, 24});
+  f.AnswerCheck({{{"op/config", "", Rev(5)}}, true, Rev(24)});
   const auto second = f.NextCheck();
   CHECK(std::get<store::ReadRange>(second).after_key == "op/config");
   SECTION("complete") {
-    f.AnswerCheck({{{"op/evacuate/x", "", 22}, {"op/evacuate/z", "", 16}}, false, 24});
+    f.AnswerCheck(
+        {{{"op/evacuate/x", "", Rev(22)}, {"op/evacuate/z", "", Rev(16)}}, false, Rev(24)});
     // The time before the check counts as an outage, so the removal is deferred.
     f.Advance(2300ms);
     CHECK(f.present == std::set<std::string>{"op/config", "op/evacuate/x", "op/evacuate/z"});
   }
   // Each page may come from another replica.
   SECTION("an older page") {
-    f.AnswerCheck({{}, false, 12});
+    f.AnswerCheck({{}, false, Rev(12)});
     CHECK(f.present.size() == 3);
   }
   SECTION("a failed page") {
@@ -337,7 +344,7 @@
     CHECK(std::get<store::ReadRange>(f.NextCheck()).after_key.empty());
   }
   SECTION("a page that does not advance") {
-    f.AnswerCheck({{{"op/config", "", 5}}, true, 24});
+    f.AnswerCheck({{{"op/config", "", Rev(5)}}, true, Rev(24)});
     CHECK(std::get<store::ReadRange>(f.NextCheck()).after_key.empty());
   }
 }
@@ -358,18 +365,19 @@
 
 TEST_CASE("without an outage a removal is applied at once") {
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 10);
+  f.List({{"servers/a", "", Rev(1)}}, 10);
   (void)f.NextCall();
-  f.Answer(store::Changes{{{{"servers/a", "", 11}, true}}, 11});
+  f.Answer(store::Changes{{{{"servers/a", "", Rev(11)}, true}}, Rev(11)});
   CHECK(f.present.empty());
 }
 
 // Guards against a regression after a read from a lagging replica.
 TEST_CASE("an older item or tombstone does not overwrite a newer item") {
   Fixture f;
-  f.List({{"op/config", "new", 9}}, 10);
+  f.List({{"op/config", "new", Rev(9)}}, 10);
   (void)f.NextCall();
-  f.Answer(store::Changes{{{{"op/config", "", 5}, true}, {{"op/config", "old", 6}, false}}, 11});
+  f.Answer(store::Changes{
+      {{{"op/config", "", Rev(5)}, true}, {{"op/config", "old", Rev(6)}, false}}, Rev(11)});
   CHECK(f.present.count("op/config") == 1);
 }
 
@@ -381,7 +389,7 @@
   REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
   f.now += 500ms;
   const core::TimePoint heard = f.now;
-  f.Answer(store::Changes{{{{"op/config", "", 11}, false}}, 11});
+  f.Answer(store::Changes{{{{"op/config", "", Rev(11)}, false}}, Rev(11)});
   const auto call = f.NextCall();
   REQUIRE(std::holds_alternative<store::WatchChanges>(call));
   CHECK(f.now + std::get<store::WatchChanges>(call).wait <= heard + 1100ms);
@@ -408,21 +416,21 @@
 // no answer, and against flooding a degraded store with listings.
 TEST_CASE("an unanswered watch is followed by a listing, at most once per minimum interval") {
   Fixture f;
-  f.List({{"servers/a", "", 1}, {"servers/b", "", 2}}, 10);
+  f.List({{"servers/a", "", Rev(1)}, {"servers/b", "", Rev(2)}}, 10);
   const auto fail_and_resume = [&f] {
     REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
     f.Fail(CallErrorCode::kNoAnswer);
     REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
-    f.Answer(store::Changes{{}, 12});
+    f.Answer(store::Changes{{}, Rev(12)});
   };
   fail_and_resume();
   CHECK(std::holds_alternative<store::WatchChanges>(f.NextCall()));
   f.now += 4s;
-  f.Answer(store::Changes{{}, 12});
+  f.Answer(store::Changes{{}, Rev(12)});
   const auto call = f.NextCall();
   REQUIRE(std::holds_alternative<store::ReadRange>(call));
   CHECK(std::get<store::ReadRange>(call).prefix.empty());
-  f.Answer(store::RangePage{{{"servers/a", "", 1}}, false, 14});
+  f.Answer(store::RangePage{{{"servers/a", "", Rev(1)}}, false, Rev(14)});
   // The preceding time without an answer counts as an outage, so the removal is deferred.
   f.Advance(2300ms);
   CHECK(f.present == std::set<std::string>{"servers/a"});
@@ -434,7 +442,7 @@
 // changes is no sign of a fault. Each reader of trempelog-grown listed everything every 5 s.
 TEST_CASE("an idle store costs one watch per interval and no listing") {
   Fixture f;
-  f.List({{"servers/a", "", 1}}, 10);
+  f.List({{"servers/a", "", Rev(1)}}, 10);
   int watches = 0;
   int checks = 0;
   const core::TimePoint end = f.now + 18s;
@@ -444,11 +452,11 @@
     REQUIRE(watch != nullptr);
     ++watches;
     f.now += watch->wait;
-    f.Answer(store::Changes{{}, 10});
+    f.Answer(store::Changes{{}, Rev(10)});
     if (const auto check = f.follower.NextCheck(f.now)) {
       ++checks;
       CHECK(std::get<store::ReadRange>(*check).may_be_stale);
-      f.AnswerCheck({{}, false, 10});
+      f.AnswerCheck({{}, false, Rev(10)});
     }
   }
   CHECK(watches <= 19);
@@ -465,11 +473,11 @@
   while (f.now < start + 20s) {
     const auto call = f.NextCall();
     if (std::holds_alternative<store::ReadRange>(call)) {
-      f.Answer(store::RangePage{{}, false, 11});
+      f.Answer(store::RangePage{{}, false, Rev(11)});
       continue;
     }
-    store::Changes changes{{}, 11 + ++calls};
-    if (f.now < start + 10s) changes.changes.push_back({{"servers/a", "", 11 + calls}, false});
+    store::Changes changes{{}, Rev(11 + ++calls)};
+    if (f.now < start + 10s) changes.changes.push_back({{"servers/a", "", Rev(11 + calls)}, false});
     f.Answer(changes);
   }
   CHECK(calls <= 21);
@@ -482,13 +490,13 @@
   f.Fail(CallErrorCode::kUnreachable);
   PeerChanges seed;
   seed.full = true;
-  seed.revision = 30;
-  seed.changes = {{{"servers/a", "", 5}, false}, {{"servers/b", "", 6}, false}};
+  seed.position = Rev(30);
+  seed.changes = {{{"servers/a", "", Rev(5)}, false}, {{"servers/b", "", Rev(6)}, false}};
   f.follower.OnFallbackChanges(seed, f.now);
   CHECK(f.follower.synced());
   CHECK_FALSE(f.follower.listed());
   CHECK(f.present.size() == 2);
-  f.List({{"servers/a", "", 5}}, 40);
+  f.List({{"servers/a", "", Rev(5)}}, 40);
   CHECK(f.follower.listed());
   f.Advance(2300ms);
   CHECK(f.present == std::set<std::string>{"servers/a"});
@@ -517,56 +525,56 @@
   (void)f.NextCall();
   PeerChanges older;
   older.full = true;
-  older.revision = 20;
+  older.position = Rev(20);
   older.age = 60s;
-  older.changes = {{{"op/config", "", 15}, false}, {{"servers/a", "", 5}, false}};
+  older.changes = {{{"op/config", "", Rev(15)}, false}, {{"servers/a", "", Rev(5)}, false}};
   PeerChanges newer = older;
-  newer.revision = 40;
+  newer.position = Rev(40);
   newer.age = 0s;
-  newer.changes = {{{"op/config", "", 35}, false}, {{"servers/b", "", 30}, false}};
+  newer.changes = {{{"op/config", "", Rev(35)}, false}, {{"servers/b", "", Rev(30)}, false}};
   for (const PeerChanges& it : {older, newer}) f.follower.OnFallbackChanges(it, f.now);
   f.Advance(2300ms);
   CHECK(f.present == std::set<std::string>{"op/config", "servers/b"});
-  CHECK(f.applied.at("op/config") == 35);
-  CHECK(f.follower.revision() == 40);
+  CHECK(f.applied.at("op/config") == Rev(35));
+  CHECK(f.follower.position() == Rev(40));
 }
 
 // Guards against an instance that learns of a policy only through a reader that has missed it.
 TEST_CASE("an instance that asks a peer checks the operators' items itself") {
   Fixture f;
-  f.List({{"op/config", "", 3}}, 10);
+  f.List({{"op/config", "", Rev(3)}}, 10);
   PeerChanges missed;
-  missed.revision = 60;
+  missed.position = Rev(60);
   const core::TimePoint start = f.now;
-  while (f.applied.at("op/config") == 3 && f.now < start + 20s) {
+  while (f.applied.at("op/config") == Rev(3) && f.now < start + 20s) {
     REQUIRE(StoreFollower::CanAskPeer(f.NextCall()));
     f.follower.OnPeerChanges(missed, 400ms, f.now);
     if (const auto check = f.follower.NextCheck(f.now)) {
       CHECK(std::get<store::ReadRange>(*check).prefix == "op/");
-      f.AnswerCheck({{{"op/config", "", 50}}, false, 60});
+      f.AnswerCheck({{{"op/config", "", Rev(50)}}, false, Rev(60)});
     }
   }
-  CHECK(f.applied.at("op/config") == 50);
+  CHECK(f.applied.at("op/config") == Rev(50));
   CHECK(f.now - start <= 3500ms);
 }
 
 // Guards against the same while the reader checks the items: its messages name all of them.
 TEST_CASE("an item that a peer's changes left out is read from that peer") {
   Fixture f;
-  f.List({{"op/config", "", 3}}, 10);
+  f.List({{"op/config", "", Rev(3)}}, 10);
   ChangeLog log("a/1", "op/");
-  log.Put({"op/config", "", 3}, true, f.now);
-  log.OnListed(10);
-  const std::uint64_t position = log.Since({}, f.now).position;
-  log.Put({"op/config", "", 50}, true, f.now);
-  PeerChanges missed = log.Since({"a/1", position, 10}, f.now);
+  log.Put({"op/config", "", Rev(3)}, true, f.now);
+  log.OnListed(Rev(10));
+  const std::uint64_t position = log.Since({}, f.now).log_position;
+  log.Put({"op/config", "", Rev(50)}, true, f.now);
+  PeerChanges missed = log.Since({"a/1", position, Rev(10)}, f.now);
   missed.changes.clear();
-  missed.revision = 60;
+  missed.position = Rev(60);
   (void)f.NextCall();
   f.follower.OnPeerChanges(missed, 400ms, f.now);
-  CHECK(f.follower.awaited() == std::map<std::string, store::Revision>{{"op/config", 50}});
-  f.follower.OnItemRead({"op/config", "", 50});
-  CHECK(f.applied.at("op/config") == 50);
+  CHECK(f.follower.awaited() == std::map<std::string, store::Position>{{"op/config", Rev(50)}});
+  f.follower.OnItemRead({"op/config", "", Rev(50)});
+  CHECK(f.applied.at("op/config") == Rev(50));
   // The instance itself checks nothing while it hears from such a peer.
   for (int i = 0; i < 30; ++i) {
     (void)f.NextCall();
@@ -580,34 +588,35 @@
 // Guards against a change that is read neither by a listing nor by the watch that follows it.
 TEST_CASE("a watch continues before a change between the pages of a later listing") {
   Fixture f;
-  f.List({{"op/config", "", 3}, {"servers/a", "", 4}}, 10);
+  f.List({{"op/config", "", Rev(3)}, {"servers/a", "", Rev(4)}}, 10);
   f.now += 20s;
   REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
-  f.Answer(store::RangePage{{{"op/config", "", 3}}, true, 20});
+  f.Answer(store::RangePage{{{"op/config", "", Rev(3)}}, true, Rev(20)});
   REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
-  f.Answer(store::RangePage{{{"servers/a", "", 22}}, false, 23});
+  f.Answer(store::RangePage{{{"servers/a", "", Rev(22)}}, false, Rev(23)});
   const auto watch = f.NextCall();
   REQUIRE(std::holds_alternative<store::WatchChanges>(watch));
-  CHECK(std::get<store::WatchChanges>(watch).after == 20);
+  CHECK(std::get<store::WatchChanges>(watch).after == Rev(20));
 }
 
 // Guards against a server that has left and stays in use: the removal was deferred after an outage,
 // and a lagging instance still had the server.
 TEST_CASE("an older state of another instance does not cancel a deferred removal") {
   Fixture f;
-  f.List({{"servers/a", "", 5}, {"servers/b", "", 6}}, 10);
+  f.List({{"servers/a", "", Rev(5)}, {"servers/b", "", Rev(6)}}, 10);
   f.Advance(3s);
   (void)f.NextCall();
-  f.Answer(store::Changes{{{{"servers/a", "", 31}, true}, {{"servers/b", "", 32}, true}}, 40});
+  f.Answer(store::Changes{{{{"servers/a", "", Rev(31)}, true}, {{"servers/b", "", Rev(32)}, true}},
+                          Rev(40)});
   PeerChanges older;
   older.full = true;
-  older.revision = 20;
-  older.changes = {{{"servers/a", "", 5}, false}, {{"servers/b", "", 6}, false}};
+  older.position = Rev(20);
+  older.changes = {{{"servers/a", "", Rev(5)}, false}, {{"servers/b", "", Rev(6)}, false}};
   f.follower.OnFallbackChanges(older, f.now);
   // A state as of a later revision, in which one server has not left, cancels the removal.
   PeerChanges newer = older;
-  newer.revision = 41;
-  newer.changes = {{{"servers/b", "", 6}, false}};
+  newer.position = Rev(41);
+  newer.changes = {{{"servers/b", "", Rev(6)}, false}};
   newer.full = false;
   f.follower.OnFallbackChanges(newer, f.now);
   f.Advance(2300ms);
@@ -618,51 +627,51 @@
 // would start after it.
 TEST_CASE("the state is not complete while an item that a peer referred to is awaited") {
   Fixture f;
-  f.List({{"op/config", "v", 3}, {"servers/a", "", 4}}, 10);
+  f.List({{"op/config", "v", Rev(3)}, {"servers/a", "", Rev(4)}}, 10);
   const core::TimePoint listed = f.follower.current_as_of();
   f.now += 1s;
   PeerChanges changes;
-  changes.revision = 30;
-  changes.references = {{"op/config", 20}};
-  changes.changes = {{{"servers/a", "", 25}, true}};
+  changes.position = Rev(30);
+  changes.references = {{"op/config", Rev(20)}};
+  changes.changes = {{{"servers/a", "", Rev(25)}, true}};
   (void)f.NextCall();
   f.follower.OnPeerChanges(changes, 400ms, f.now);
   // The other changes are applied at once.
   CHECK(f.present == std::set<std::string>{"op/config"});
-  CHECK(f.follower.awaited() == std::map<std::string, store::Revision>{{"op/config", 20}});
-  CHECK(f.follower.revision() == 19);
+  CHECK(f.follower.awaited() == std::map<std::string, store::Position>{{"op/config", Rev(20)}});
+  CHECK(f.follower.position() == Rev(19));
   CHECK(f.follower.current_as_of() == listed);
   SECTION("read from the peer") {
-    f.follower.OnItemRead({"op/config", "w", 20});
+    f.follower.OnItemRead({"op/config", "w", Rev(20)});
     CHECK(f.follower.awaited().empty());
-    CHECK(f.applied.at("op/config") == 20);
+    CHECK(f.applied.at("op/config") == Rev(20));
     f.follower.OnPeerChanges(changes, 400ms, f.now);
     CHECK(f.follower.awaited().empty());
-    CHECK(f.follower.revision() == 30);
+    CHECK(f.follower.position() == Rev(30));
     CHECK(f.follower.current_as_of() == f.now);
   }
   SECTION("read from the store") {
     const auto call = f.NextCall();
-    CHECK(std::get<store::WatchChanges>(call).after == 19);
-    f.Answer(store::Changes{{{{"op/config", "w", 20}, false}}, 31});
+    CHECK(std::get<store::WatchChanges>(call).after == Rev(19));
+    f.Answer(store::Changes{{{{"op/config", "w", Rev(20)}, false}}, Rev(31)});
     CHECK(f.follower.awaited().empty());
-    CHECK(f.applied.at("op/config") == 20);
+    CHECK(f.applied.at("op/config") == Rev(20));
   }
   SECTION("an older item") {
-    f.follower.OnItemRead({"op/config", "w", 19});
+    f.follower.OnItemRead({"op/config", "w", Rev(19)});
     CHECK(f.follower.awaited().size() == 1);
   }
   SECTION("superseded") {
-    changes.revision = 40;
-    changes.references = {{"op/config", 35}};
+    changes.position = Rev(40);
+    changes.references = {{"op/config", Rev(35)}};
     f.follower.OnPeerChanges(changes, 400ms, f.now);
-    CHECK(f.follower.awaited().at("op/config") == 35);
-    CHECK(f.follower.revision() == 34);
+    CHECK(f.follower.awaited().at("op/config") == Rev(35));
+    CHECK(f.follower.position() == Rev(34));
   }
   SECTION("removed") {
-    changes.revision = 40;
+    changes.position = Rev(40);
     changes.references.clear();
-    changes.changes = {{{"op/config", "", 38}, true}};
+    changes.changes = {{{"op/config", "", Rev(38)}, true}};
     f.follower.OnPeerChanges(changes, 400ms, f.now);
     CHECK(f.follower.awaited().empty());
     CHECK(f.present.empty());
@@ -672,11 +681,11 @@
 // Guards against the removal of items that a full state only refers to.
 TEST_CASE("an item that a full state refers to is present") {
   Fixture f;
-  f.List({{"op/config", "v", 3}, {"servers/a", "", 4}}, 10);
+  f.List({{"op/config", "v", Rev(3)}, {"servers/a", "", Rev(4)}}, 10);
   PeerChanges changes;
   changes.full = true;
-  changes.revision = 30;
-  changes.references = {{"op/config", 3}};
+  changes.position = Rev(30);
+  changes.references = {{"op/config", Rev(3)}};
   f.follower.OnPeerChanges(changes, 400ms, f.now);
   CHECK(f.present == std::set<std::string>{"op/config"});
   CHECK(f.follower.awaited().empty());
@@ -690,8 +699,8 @@
       : most_changes_(most_changes), round_trip_(round_trip) {}
 
   void Change(core::TimePoint now) {
-    const store::Revision revision = 11 + static_cast<store::Revision>(changes_.size());
-    changes_.push_back({{{"servers/" + std::to_string(revision), "", revision}, false}, now});
+    const std::int64_t revision = 11 + static_cast<std::int64_t>(changes_.size());
+    changes_.push_back({{{"servers/" + std::to_string(revision), "", Rev(revision)}, false}, now});
   }
 
   struct Outcome {
@@ -742,10 +751,10 @@
 
   void Serve(core::TimePoint now) {
     answer_ = {{}, call_->after};
-    for (std::size_t i = static_cast<std::size_t>(call_->after) - 10;
+    for (std::size_t i = static_cast<std::size_t>(call_->after.revision().number) - 10;
          i < changes_.size() && answer_.changes.size() < most_changes_; ++i) {
       answer_.changes.push_back(changes_[i].first);
-      answer_.revision = changes_[i].first.item.revision;
+      answer_.position = changes_[i].first.item.position;
     }
     if (answer_.changes.empty() && now < reached_at_ + call_->wait) return;
     answered_at_ = now + round_trip_ / 2;
@@ -795,23 +804,23 @@
   const core::TimePoint complete = f.follower.current_as_of();
   store::Changes changes;
   SECTION("many changes") {
-    for (store::Revision it = 11; it < 511; ++it) {
-      changes.changes.push_back({{"servers/" + std::to_string(it), "", it}, false});
+    for (std::int64_t it = 11; it < 511; ++it) {
+      changes.changes.push_back({{"servers/" + std::to_string(it), "", Rev(it)}, false});
     }
   }
   SECTION("a large value") {
-    changes.changes.push_back({{"op/config", std::string(1U << 20U, 'x'), 510}, false});
+    changes.changes.push_back({{"op/config", std::string(1U << 20U, 'x'), Rev(510)}, false});
   }
-  changes.revision = 510;
+  changes.position = Rev(510);
   f.Answer(changes);
   CHECK(f.follower.current_as_of() == complete);
   const auto call = f.follower.Next(f.now);
   REQUIRE(call.has_value());
   REQUIRE(std::holds_alternative<store::WatchChanges>(*call));
-  CHECK(std::get<store::WatchChanges>(*call).after == 510);
+  CHECK(std::get<store::WatchChanges>(*call).after == Rev(510));
   // Other instances must not take the time that it waits for one in which changes are missed.
   CHECK(std::get<store::WatchChanges>(*call).wait < 50ms);
-  f.Answer(store::Changes{{}, 510});
+  f.Answer(store::Changes{{}, Rev(510)});
   CHECK(f.follower.current_as_of() == f.now);
   CHECK_FALSE(f.follower.Next(f.now).has_value());
 }
@@ -826,9 +835,9 @@
   f.Advance(5s);
   REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
   const core::TimePoint complete = f.follower.current_as_of();
-  store::Changes changes{{}, 510};
-  for (store::Revision it = 11; it <= 510; ++it) {
-    changes.changes.push_back({{"servers/" + std::to_string(it), "", it}, false});
+  store::Changes changes{{}, Rev(510)};
+  for (std::int64_t it = 11; it <= 510; ++it) {
+    changes.changes.push_back({{"servers/" + std::to_string(it), "", Rev(it)}, false});
   }
   f.Answer(changes);
   CHECK(f.follower.current_as_of() == complete);
@@ -838,26 +847,26 @@
 // Guards against taking an answer that waited while the process was stopped for the present state.
 TEST_CASE("an answer that may have waited during a stall holds as of its call") {
   Fixture f;
-  f.List({{"op/config", "v", 3}}, 10);
+  f.List({{"op/config", "v", Rev(3)}}, 10);
   REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
   f.Advance(400ms);
-  f.Answer(store::Changes{{}, 11});
+  f.Answer(store::Changes{{}, Rev(11)});
   CHECK(f.follower.current_as_of() == f.now);
   REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
   const core::TimePoint called = f.now;
   f.now += 5s;
-  SECTION("read first") { f.Answer(store::Changes{{}, 12}); }
+  SECTION("read first") { f.Answer(store::Changes{{}, Rev(12)}); }
   SECTION("noticed first") {
     f.follower.Tick(f.now);
-    f.Answer(store::Changes{{}, 12});
+    f.Answer(store::Changes{{}, Rev(12)});
   }
   CHECK(f.follower.current_as_of() == called);
   // The check reads a replica that may lag.
   REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCheck()));
-  f.AnswerCheck({{{"op/config", "v", 3}}, false, 12});
+  f.AnswerCheck({{{"op/config", "v", Rev(3)}}, false, Rev(12)});
   CHECK(f.follower.current_as_of() == called);
   REQUIRE(std::holds_alternative<store::WatchChanges>(f.NextCall()));
-  f.Answer(store::Changes{{}, 13});
+  f.Answer(store::Changes{{}, Rev(13)});
   CHECK(f.follower.current_as_of() == f.now);
 }
 
@@ -866,15 +875,15 @@
   Fixture f;
   REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
   const core::TimePoint first_page = f.now;
-  f.Answer(store::RangePage{{{"op/config", "v", 3}}, true, 10});
+  f.Answer(store::RangePage{{{"op/config", "v", Rev(3)}}, true, Rev(10)});
   CHECK(f.follower.current_as_of() == core::TimePoint{});
   f.Advance(300ms);
   REQUIRE(std::holds_alternative<store::ReadRange>(f.NextCall()));
-  f.Answer(store::RangePage{{{"servers/a", "v", 4}}, false, 10});
+  f.Answer(store::RangePage{{{"servers/a", "v", Rev(4)}}, false, Rev(10)});
   CHECK(f.follower.current_as_of() == first_page);
   f.Advance(5s);
   PeerChanges changes;
-  changes.revision = 11;
+  changes.position = Rev(11);
   changes.behind = 2s;
   f.follower.OnFallbackChanges(changes, f.now);
   CHECK(f.follower.current_as_of() == f.now - 2s);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -168,7 +168,7 @@
   const Codec codec(Domains());
   CHECK(codec.Encode(store::ReadRange{"op/", "op/config", true}).target ==
         "/-/kv-range?prefix=op/&after=op/config&serializable=1");
-  CHECK(codec.Encode(store::WatchChanges{"", 411, std::chrono::milliseconds(1000)}).target ==
+  CHECK(codec.Encode(store::WatchChanges{"", {0, 411}, std::chrono::milliseconds(1000)}).target ==
         "/-/kv-watch?prefix=&after=411&waitMs=1000");
   const auto put = codec.Encode(store::PutItem{"my/leader", "node-1", 77120});
   CHECK(put.method == "POST");
@@ -189,7 +189,7 @@
     REQUIRE(result.has_value());
     const auto& page = std::get<store::RangePage>(result.value());
     CHECK(page.more);
-    CHECK(page.revision == 9);
+    CHECK(page.position == store::Position(0, 9));
     CHECK(page.items.at(0).value == plain);
   }
   const json events{{"events", {{{"key", "k"}, {"rev", 5}, {"tombstone", true}}}},
--- a/tests/platform/decoder_fuzz_test.cc
+++ b/tests/platform/decoder_fuzz_test.cc
@@ -28,13 +28,13 @@
 membership::PeerChanges Changes() {
   membership::PeerChanges changes;
   changes.epoch = "edge-1/1";
-  changes.position = 7;
-  changes.revision = 40;
+  changes.log_position = 7;
+  changes.position = {0, 40};
   changes.age = std::chrono::milliseconds(300);
   changes.behind = std::chrono::milliseconds(200);
   changes.unheard = std::chrono::milliseconds(100);
-  changes.changes = {{{"servers/i-1", "{}", 39}, false}, {{"servers/i-2", "", 40}, true}};
-  changes.references = {{"op/config", 12}};
+  changes.changes = {{{"servers/i-1", "{}", {0, 39}}, false}, {{"servers/i-2", "", {0, 40}}, true}};
+  changes.references = {{"op/config", {0, 12}}};
   changes.server_limits = {{"i-1", 2.5}};
   changes.checked_prefix = "op/";
   return changes;
@@ -64,14 +64,14 @@
   return {
       {"server", server,
        [](const auto& text) {
-         (void)codec.DecodeItem({"servers/i-1", text, 1});
+         (void)codec.DecodeItem({"servers/i-1", text, {0, 1}});
        }},
       {"policy", policy,
        [](const auto& text) {
-         (void)codec.DecodeItem({"op/config", text, 1});
+         (void)codec.DecodeItem({"op/config", text, {0, 1}});
        }},
       {"page", page, decode_call(store::ReadRange{"", "", false})},
-      {"watch", watch, decode_call(store::WatchChanges{"", 1, std::chrono::milliseconds(1)})},
+      {"watch", watch, decode_call(store::WatchChanges{"", {0, 1}, std::chrono::milliseconds(1)})},
       {"lease", R"({"lease":7,"ttlS_time":3.0})",
        decode_call(store::GrantLease{std::chrono::milliseconds(3000)})},
       {"lookup", "/-/resolve?name=a%2Eexample&region=east&zone=east-a",
@@ -95,7 +95,7 @@
          (void)membership::DecodeInstance("vanilladeck/instances/edge-1", text);
        }},
       {"peer request", "/peer/changes?position=7&revision=40&epoch=edge-1/1",
-       [](const auto& text) { (void)gateway::DecodePeerRequest(text); }},
+       [](const auto& text) { (void)gateway::DecodePeerRequest(text, 0); }},
       {"item request", "/peer/item?key=6f702f",
        [](const auto& text) { (void)gateway::DecodeItemRequest(text); }},
       {"load report", "6,3,9,100", [](const auto& text) { (void)gateway::ParseLoadReport(text); }},
@@ -171,10 +171,10 @@
     }
     return std::string();
   };
-  const auto server = codec.DecodeItem({"servers/i-1", grow(text_of("server")), 1});
+  const auto server = codec.DecodeItem({"servers/i-1", grow(text_of("server")), {0, 1}});
   REQUIRE(std::holds_alternative<gateway::ServerItem>(server));
   CHECK(std::get<gateway::ServerItem>(server).report.slots == 9);
-  const auto policy = codec.DecodeItem({"op/config", grow(text_of("policy")), 1});
+  const auto policy = codec.DecodeItem({"op/config", grow(text_of("policy")), {0, 1}});
   REQUIRE(std::holds_alternative<gateway::PolicyItem>(policy));
   CHECK(std::get<gateway::PolicyItem>(policy).policy.routes.at(0).attempts == 2);
   const auto page = codec.Decode(store::ReadRange{"", "", false}, 200, grow(text_of("page")));
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -181,8 +181,8 @@
         }
         membership::PeerChanges changes;
         changes.epoch = "other/1";
-        changes.revision = 99;
-        changes.references = {{"op/config", 99}};
+        changes.position = {0, 99};
+        changes.references = {{"op/config", {0, 99}}};
         const std::string body = membership::EncodePeerChanges(changes);
         connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                           "\r\n\r\n" + body);
--- a/tests/platform/refused_instance_test.cc
+++ b/tests/platform/refused_instance_test.cc
@@ -46,9 +46,9 @@
              [this, seed_age](const ScriptedServer::ConnectionPtr& connection, const std::string&) {
                membership::PeerChanges state;
                state.epoch = "edge-3/1";
-               state.position = 3;
+               state.log_position = 3;
                state.full = true;
-               state.revision = 10;
+               state.position = {0, 10};
                state.age = seed_age;
                state.changes = {{OldPolicy(), false}, {OtherInstance(), false}};
                Respond(connection, "200 OK", membership::EncodePeerChanges(state));
@@ -63,12 +63,12 @@
   Fixture(const Fixture&) = delete;
   Fixture& operator=(const Fixture&) = delete;
 
-  static store::Item OldPolicy() { return {"op/config", Policy("0000000c"), 3}; }
+  static store::Item OldPolicy() { return {"op/config", Policy("0000000c"), {0, 3}}; }
   [[nodiscard]] store::Item OtherInstance() const {
     return {"vanilladeck/instances/edge-2",
             membership::EncodeInstance(
                 {"edge-2", "127.0.0.1:1", "east-a", "east", true, other.Address()}),
-            4};
+            {0, 4}};
   }
 
   [[nodiscard]] std::string ListingBody() const {
@@ -76,7 +76,8 @@
     for (const store::Item& it : {OldPolicy(), OtherInstance()}) {
       const auto call = codec.Encode(store::PutItem{it.key, it.value, 0});
       const auto encoded = nlohmann::json::parse(call.body)["setKeys"][0]["value"];
-      items.push_back({{"key", it.key}, {"value", encoded}, {"rev", it.revision}});
+      items.push_back(
+          {{"key", it.key}, {"value", encoded}, {"rev", it.position.revision().number}});
     }
     return nlohmann::json{{"items", items}, {"hasMore", false}, {"currentRev", 10}}.dump();
   }
@@ -85,16 +86,16 @@
     const std::string_view line(request);
     const auto begin = line.find(' ') + 1;
     const auto known =
-        gateway::DecodePeerRequest(line.substr(begin, line.find(' ', begin) - begin));
+        gateway::DecodePeerRequest(line.substr(begin, line.find(' ', begin) - begin), 0);
     REQUIRE(known.has_value());
     membership::PeerChanges changes;
     changes.epoch = "edge-2/1";
-    changes.full = known->revision == 0 && known->epoch.empty();
+    changes.full = known->position == store::Position() && known->epoch.empty();
     changes.age = 100ms;
     // Each answer holds the next policy.
-    const std::size_t next = known->epoch == changes.epoch ? known->position : 0;
-    changes.position = std::min(next + 1, policies.size());
-    changes.revision = policies[changes.position - 1].revision;
+    const std::size_t next = known->epoch == changes.epoch ? known->log_position : 0;
+    changes.log_position = std::min(next + 1, policies.size());
+    changes.position = policies[changes.log_position - 1].position;
     if (next < policies.size()) {
       changes.changes = {{policies[next], false}, {OtherInstance(), false}};
     }
@@ -129,7 +130,7 @@
   }
 
   int listings_left;
-  std::vector<store::Item> policies{{"op/config", Policy("0000000d"), 50}};
+  std::vector<store::Item> policies{{"op/config", Policy("0000000d"), {0, 50}}};
   boost::asio::io_context io;
   ScriptedServer store;
   ScriptedServer other;
@@ -167,7 +168,7 @@
 // newest.
 TEST_CASE("a policy that cannot be used does not keep a later one from being used") {
   Fixture f(1, 0s);
-  f.policies.insert(f.policies.begin(), {"op/config", "{}", 40});
+  f.policies.insert(f.policies.begin(), {"op/config", "{}", {0, 40}});
   REQUIRE(f.PolicyWithin(12, 4s));
   CHECK(f.PolicyWithin(13, 8s));
   CHECK(f.Events().find("\"event\":\"entry-rejected\"") != std::string::npos);
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -32,9 +32,9 @@
 
   /// What a copy of the store's data holds.
   struct Copy {
-    std::map<std::string, std::pair<std::string, store::Revision>> items;
-    std::map<std::string, store::Revision> removals;
-    store::Revision revision = 0;
+    std::map<std::string, std::pair<std::string, std::int64_t>> items;
+    std::map<std::string, std::int64_t> removals;
+    std::int64_t revision = 0;
   };
   [[nodiscard]] Copy TakeCopy() const {
     Copy copy{{}, removals_, revision_};
@@ -79,11 +79,11 @@
 
   struct StoredItem {
     std::string value;
-    store::Revision revision = 0;
+    std::int64_t revision = 0;
   };
   struct Watch {
     ScriptedServer::ConnectionPtr connection;
-    store::Revision after = 0;
+    std::int64_t after = 0;
     std::shared_ptr<boost::asio::steady_timer> timer;
   };
 
@@ -100,7 +100,7 @@
                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
-  [[nodiscard]] nlohmann::json ItemsAfter(const std::string& prefix, store::Revision after) const {
+  [[nodiscard]] nlohmann::json ItemsAfter(const std::string& prefix, std::int64_t after) const {
     auto list = nlohmann::json::array();
     for (const auto& [key, item] : items_) {
       if (key.rfind(prefix, 0) != 0 || item.revision <= after) continue;
@@ -157,8 +157,8 @@
 
   boost::asio::io_context& io_;
   std::map<std::string, StoredItem> items_;
-  std::map<std::string, store::Revision> removals_;
-  store::Revision revision_ = 10;
+  std::map<std::string, std::int64_t> removals_;
+  std::int64_t revision_ = 10;
   std::int64_t era_ = 1;
   std::vector<Watch> waiting_;
   ScriptedServer server_;
--- a/tests/platform/seeded_gateway.h
+++ b/tests/platform/seeded_gateway.h
@@ -11,26 +11,26 @@
 
 /// Item of a server of the service "s1".
 inline store::Item ServerItem(const std::string& id, const std::string& address, std::int64_t born,
-                              const std::string& zone, store::Revision revision) {
+                              const std::string& zone, std::int64_t revision) {
   const nlohmann::json server{
       {"address", address},
       {"born", born},
       {"info", {{"backend", "s1"}, {"version", "v1"}, {"zone", zone}, {"slots", 9}}},
       {"status", {{"state", "ready"}, {"seq", 4}, {"coldLeftS", 0}}}};
-  return {"servers/" + id, server.dump(), revision};
+  return {"servers/" + id, server.dump(), {0, revision}};
 }
 
 /// Response of an instance whose state is one route, instance edge-2 and `servers`.
 inline std::string StateResponse(const std::vector<store::Item>& servers) {
   membership::PeerChanges state;
   state.epoch = "edge-2/1";
-  state.position = 3;
+  state.log_position = 3;
   state.full = true;
-  state.revision = 40;
+  state.position = {0, 40};
   const membership::InstanceRecord instance{"edge-2", "127.0.0.1:2", "east-a", "east", true, ""};
   state.changes = {
-      {{"op/config", PolicyText({RouteResource("a.example", "/x/", {})}), 30}, false},
-      {{"vanilladeck/instances/edge-2", membership::EncodeInstance(instance), 32}, false}};
+      {{"op/config", PolicyText({RouteResource("a.example", "/x/", {})}), {0, 30}}, false},
+      {{"vanilladeck/instances/edge-2", membership::EncodeInstance(instance), {0, 32}}, false}};
   for (const store::Item& it : servers) state.changes.push_back({it, false});
   const std::string body = membership::EncodePeerChanges(state);
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
