Order the state by the era that the store states

Cause: the store had returned from an older copy. The follower kept the higher revision, so that it asked for changes from one that the store did not have, and dropped all that was written since as older. Change: every response of the store carries its era into the positions that it yields; responses of another era than the known one are not used. A new era, of a response or of another instance, starts a listing, or a full state of a reader. What the copy lacks is removed, and what it brings back is applied, only after the time in which servers and operators write again. The own record is written under a new lease.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -167,9 +167,15 @@
                 {peers_, settings_.peers, "peers", false},
                 {metrics_, settings_.metrics, "metrics", false}} {
   follower_channel_.SetProgressHandler([this] { follower_.OnProgress(core::RuntimeClock::now()); });
-  follower_channel_.SetEraHandler([this](const auto& era) { OnEra("follower", era); });
-  check_channel_.SetEraHandler([this](const auto& era) { OnEra("check", era); });
-  lease_channel_.SetEraHandler([this](const auto& era) { OnEra("lease", era); });
+  const auto handle_eras = [this](StoreChannel& channel, std::string_view name) {
+    channel.SetEraHandler([this] { return era_tracker_.era(); },
+                          [this, name](const store::EraReading& reading, store::Era sent_in) {
+                            return JudgeEra(name, reading, sent_in);
+                          });
+  };
+  handle_eras(follower_channel_, "follower");
+  handle_eras(check_channel_, "check");
+  handle_eras(lease_channel_, "lease");
   context_.max_region_policy_age =
       std::max(settings_.policy_delay, settings_.follower.poll_interval + kRelayTime);
 }
@@ -237,7 +243,7 @@
   const core::TimePoint now = core::RuntimeClock::now();
   auto call = follower_.Next(now);
   const membership::FeedPeer* peer = feed_source_.Choose(now);
-  if (call && peer != nullptr && membership::StoreFollower::CanAskPeer(*call)) {
+  if (call && peer != nullptr && follower_.CanAskPeer(*call)) {
     QueryPeer(*peer);
   } else if (call) {
     // Without a reader the limits arrive with the records of the instances.
@@ -309,31 +315,62 @@
                  {"silence_ms", Ms(core::RuntimeClock::now() - follower_.last_success())}});
 }
 
-void Gateway::OnEra(std::string_view channel, const store::EraReading& reading) {
-  const auto* era = std::get_if<store::Era>(&reading);
-  if (era == nullptr) {
-    ++context_.metrics.store_responses_without_era;
-    return;
+std::optional<store::Era> Gateway::JudgeEra(std::string_view channel,
+                                            const store::EraReading& reading, store::Era sent_in) {
+  const store::Era known = era_tracker_.era();
+  const auto judgement = era_tracker_.OnResponse(reading, sent_in);
+  ++context_.metrics.store_eras[static_cast<std::size_t>(judgement.finding)];
+  using store::EraFinding;
+  const bool expected =
+      judgement.finding == EraFinding::kSame || judgement.finding == EraFinding::kFirst ||
+      judgement.finding == EraFinding::kNext || judgement.finding == EraFinding::kAbsent;
+  if (!expected) {
+    const auto* era = std::get_if<store::Era>(&reading);
+    const auto* unreadable = std::get_if<store::UnreadableEra>(&reading);
+    events_.Write(
+        StreamEvent::kStoreEraOdd,
+        {{"finding", store::kEraFindingNames[static_cast<std::size_t>(judgement.finding)]},
+         {"known", known},
+         {"era", era != nullptr ? *era : 0},
+         {"text", unreadable != nullptr ? unreadable->text : std::string()},
+         {"channel", channel},
+         {"used", judgement.usable}});
   }
-  if (store_era_ == *era) return;
-  if (store_era_) ++context_.metrics.store_era_changes;
-  events_.Write(StreamEvent::kStoreEra, {{"known", store_era_.value_or(0)},
-                                         {"era", *era},
-                                         {"channel", channel},
-                                         {"revision", follower_.position().revision().number}});
-  store_era_ = *era;
+  if (judgement.changed) AdoptEra(known, channel);
+  if (!judgement.usable) return std::nullopt;
+  return era_tracker_.era();
+}
+
+void Gateway::OnPeerEra(const std::string& peer, store::Era era) {
+  const store::Era known = era_tracker_.era();
+  if (era_tracker_.OnPeer(era)) AdoptEra(known, peer);
+}
+
+void Gateway::AdoptEra(store::Era known, std::string_view source) {
+  const store::Era era = era_tracker_.era();
+  const core::TimePoint now = core::RuntimeClock::now();
+  events_.Write(StreamEvent::kStoreEra, {{"known", known},
+                                         {"era", era},
+                                         {"source", source},
+                                         {"revision", follower_.position().revision().number},
+                                         {"items", follower_.known_items()}});
+  follower_.OnEra(era, now);
+  registration_.OnEra(era, now);
 }
 
 void Gateway::LogListing() {
   const membership::ListingSummary& listing = follower_.listing();
   const bool dropped = std::any_of(listing.dropped.begin(), listing.dropped.end(),
                                    [](std::uint64_t n) { return n > 0; });
-  const bool went_back = listing.position < listing.known;
-  if (!std::exchange(history_lost_, false) && !dropped && !went_back && listing.kept == 0) return;
+  const bool new_era =
+      listing.known != store::Position() && listing.position.era() != listing.known.era();
+  const bool went_back = listing.position.revision().number < listing.known.revision().number;
+  const bool after_loss = std::exchange(history_lost_, false);
+  if (!after_loss && !dropped && !new_era && !went_back && listing.kept == 0) return;
   nlohmann::ordered_json fields{{"known", listing.known.revision().number},
                                 {"revision", listing.position.revision().number},
                                 {"went_back", went_back},
-                                {"era", store_era_.value_or(0)},
+                                {"era", listing.position.era()},
                                 {"pages", listing.pages},
                                 {"items", listing.items},
                                 {"missing", listing.missing},
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "vanilladeck/membership/load_meter.h"
 #include "vanilladeck/membership/registration.h"
 #include "vanilladeck/membership/store_follower.h"
+#include "vanilladeck/store/era_tracker.h"
 
 namespace vanilladeck::gateway {
 
@@ -133,8 +134,13 @@
                  const Transfer& transfer);
   /// Logs a watch that returned many changes, with the revisions that it led from and to.
   void LogChanges(const store::VersionedCall& call, const store::VersionedResult& result);
-  /// Notes the era that a response of the store states, and logs a change.
-  void OnEra(std::string_view channel, const store::EraReading& reading);
+  /// Returns the era of a response of the store, or none if it must not be used.
+  std::optional<store::Era> JudgeEra(std::string_view channel, const store::EraReading& reading,
+                                     store::Era sent_in);
+  /// Another instance states the era of its state.
+  void OnPeerEra(const std::string& peer, store::Era era);
+  /// The era has changed: all state is ordered anew. `source` told of it.
+  void AdoptEra(store::Era known, std::string_view source);
   /// Logs what a listing brought, if it followed a lost history or did not apply everything.
   void LogListing();
   void ServeLocalRequest(ResponseSlot& slot, const Request& request);
@@ -205,8 +211,8 @@
   bool stopped_ = false;
   bool was_ready_ = false;
   bool policy_outdated_ = false;
-  std::optional<store::Era> store_era_;  ///< As last stated by the store.
-  bool history_lost_ = false;            ///< A watch was refused since the last listing.
+  store::EraTracker era_tracker_;
+  bool history_lost_ = false;  ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
 
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -151,7 +151,7 @@
   gauges.policy_unconfirmed_s =
       std::chrono::duration<double>(now - follower_.current_as_of()).count();
   gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
-  gauges.store_era = store_era_.value_or(0);
+  gauges.store_era = era_tracker_.era();
   gauges.items_dropped = follower_.dropped();
   gauges.instances = instances_.size();
   gauges.servers = context_.servers.size();
--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -54,8 +54,7 @@
   std::array<std::uint64_t, 8> attempts{};        ///< By `steering::AttemptEnd`.
   std::array<std::uint64_t, 16> store_calls{};    ///< By kind of call.
   std::array<std::uint64_t, 16> store_errors{};   ///< By `store::CallErrorCode`.
-  std::uint64_t store_era_changes = 0;
-  std::uint64_t store_responses_without_era = 0;  ///< Or with one that cannot be read.
+  std::array<std::uint64_t, 8> store_eras{};      ///< Responses, by `store::EraFinding`.
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t control_bytes = 0;  ///< Received from the store and other instances.
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -48,13 +48,21 @@
     changes = membership::DecodePeerChanges(outcome.response.body());
     if (!changes) reason = "malformed";
   }
-  if (changes) follower_.OnPeerHeardStore(now - changes->unheard);
+  if (changes) {
+    OnPeerEra(peer.name, changes->position.era());
+    follower_.OnPeerHeardStore(now - changes->unheard);
+  }
+  const bool same_era = changes && changes->position.era() == follower_.era();
+  if (changes && !same_era && follower_.AwaitsPeerEra(now)) {
+    follower_.OnPeerBehind(membership::FeedSource::kPollInterval, now);
+    return;
+  }
   // A peer that lists the store hears it with each page, but lacks the changes made since the start
   // of the listing.
   const bool current =
       changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
                                                    settings_.follower.poll_interval);
-  if (current && !changes->relayed) {
+  if (current && same_era && !changes->relayed) {
     peer_positions_[peer.name] = {changes->epoch, changes->log_position, changes->position};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
@@ -62,7 +70,11 @@
     ReadAwaitedItem(peer);
     return;
   }
-  if (changes) reason = current ? "asks another instance itself" : "state of the peer is too old";
+  if (changes && !same_era) {
+    reason = "state of the peer is of an older era";
+  } else if (changes) {
+    reason = current ? "asks another instance itself" : "state of the peer is too old";
+  }
   feed_source_.OnFailure(peer.name, now);
   events_.Write(StreamEvent::kPeerFailed, {{"peer", peer.name},
                                            {"reason", reason},
@@ -168,6 +180,7 @@
   if (instances_.count(name) > 0) {
     peer_positions_[name] = {changes->epoch, changes->log_position, changes->position};
   }
+  OnPeerEra(name, changes->position.era());
   follower_.OnPeerHeardStore(now - changes->unheard);
   follower_.OnFallbackChanges(*changes, now);
   context_.policy_as_of = follower_.current_as_of();
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -3,6 +3,7 @@
 #include <sstream>
 
 #include "vanilladeck/steering/server_set.h"
+#include "vanilladeck/store/era_tracker.h"
 #include "vanilladeck/store/versioned_call.h"
 
 namespace vanilladeck::gateway {
@@ -88,6 +89,11 @@
     out << "vanilladeck_items_dropped_total{reason=\"" << membership::kDropReasonNames[i] << "\"} "
         << gauges.items_dropped[i] << '\n';
   }
+  out << "# TYPE vanilladeck_store_eras_total counter\n";
+  for (std::size_t i = 0; i < store::kEraFindingNames.size(); ++i) {
+    out << "vanilladeck_store_eras_total{finding=\"" << store::kEraFindingNames[i] << "\"} "
+        << metrics.store_eras[i] << '\n';
+  }
   out << "# TYPE vanilladeck_load_reports_total counter\n"
       << "vanilladeck_load_reports_total{result=\"read\"} " << metrics.load_reports_read << '\n'
       << "vanilladeck_load_reports_total{result=\"unreadable\"} " << metrics.load_reports_unreadable
@@ -109,9 +115,6 @@
   value("vanilladeck_policy_unconfirmed_seconds", gauges.policy_unconfirmed_s);
   value("vanilladeck_store_silence_seconds", gauges.store_silence_s);
   value("vanilladeck_store_era", static_cast<double>(gauges.store_era));
-  value("vanilladeck_store_era_changes_total", static_cast<double>(metrics.store_era_changes));
-  value("vanilladeck_store_responses_without_era_total",
-        static_cast<double>(metrics.store_responses_without_era));
   value("vanilladeck_customers", static_cast<double>(gauges.customers));
   value("vanilladeck_customer_keys", static_cast<double>(gauges.customer_keys));
   value("vanilladeck_allotment_admitted_total", static_cast<double>(gauges.allotments_admitted));
--- a/src/vanilladeck/gateway/metrics_text.h
+++ b/src/vanilladeck/gateway/metrics_text.h
@@ -24,7 +24,7 @@
   double policy_age_s = 0;
   double policy_unconfirmed_s = 0;  ///< Since the policy was known to be the newest.
   double store_silence_s = 0;       ///< Time since the store's last response.
-  std::int64_t store_era = 0;       ///< As last stated by the store; 0 if it states none.
+  std::int64_t store_era = 0;       ///< Of the store; 0 if it states none.
   /// Items read that were not applied, by `membership::DropReason`.
   membership::DropCounts items_dropped{};
   std::uint64_t customers = 0;  ///< Of the policy in force.
--- a/src/vanilladeck/gateway/store_channel.cc
+++ b/src/vanilladeck/gateway/store_channel.cc
@@ -60,9 +60,10 @@
 void StoreChannel::Send(const store::VersionedCall& call, core::TimePoint deadline,
                         const Done& done) {
   const auto connection = connection_;
+  const store::Era sent_in = known_era_ ? known_era_() : 0;
   connection->Exchange(
       RequestText(codec_.Encode(call), host_), false, deadline, nullptr,
-      [this, connection, call, done](ExchangeOutcome outcome) {
+      [this, connection, call, sent_in, done](ExchangeOutcome outcome) {
         if (connection->reusable()) connection->WatchIdle(nullptr);
         if (outcome.status != ExchangeStatus::kResponse) {
           const auto name = kExchangeStatusNames[static_cast<std::size_t>(outcome.status)];
@@ -71,11 +72,17 @@
                outcome.transfer);
           return;
         }
-        if (on_era_) {
-          on_era_(codec_.DecodeEra(
-              [&outcome](std::string_view name) { return FieldValue(outcome.response, name); }));
+        const auto field = [&outcome](std::string_view name) {
+          return FieldValue(outcome.response, name);
+        };
+        const auto era = on_era_ ? on_era_(codec_.DecodeEra(field), sent_in) : sent_in;
+        if (!era) {
+          done(store::CallError{store::CallErrorCode::kOtherEra,
+                                "status " + std::to_string(outcome.response.result_int())},
+               outcome.transfer);
+          return;
         }
-        done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body()),
+        done(codec_.Decode(call, outcome.response.result_int(), outcome.response.body(), *era),
              outcome.transfer);
       });
 }
--- a/src/vanilladeck/gateway/store_channel.h
+++ b/src/vanilladeck/gateway/store_channel.h
@@ -24,8 +24,13 @@
     on_progress_ = std::move(on_progress);
   }
 
-  /// `on_era` runs with each response, before its result is handed over.
-  void SetEraHandler(std::function<void(const store::EraReading&)> on_era) {
+  /// Runs with each response before it is decoded. `sent_in` is the era that was known when the
+  /// call was sent. Returns the era of the response, or none if the response must not be used.
+  using EraHandler =
+      std::function<std::optional<store::Era>(const store::EraReading&, store::Era sent_in)>;
+  /// `era` is the known one at any time.
+  void SetEraHandler(std::function<store::Era()> era, EraHandler on_era) {
+    known_era_ = std::move(era);
     on_era_ = std::move(on_era);
   }
 
@@ -44,7 +49,8 @@
   const store::VersionedCodec& codec_;
   std::shared_ptr<UpstreamConnection> connection_;
   std::function<void()> on_progress_;
-  std::function<void(const store::EraReading&)> on_era_;
+  std::function<store::Era()> known_era_;
+  EraHandler on_era_;
 };
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -103,6 +103,11 @@
   if (state_ == State::kRegistered) state_ = State::kNoLease;
 }
 
+void Registration::OnEra(store::Era /*era*/, core::TimePoint /*now*/) {
+  if (state_ == State::kLeased || state_ == State::kRegistered) state_ = State::kNoLease;
+  due_ = core::TimePoint{};
+}
+
 std::optional<store::VersionedCall> Registration::Next(core::TimePoint now) {
   if (in_flight_ || now < due_) return std::nullopt;
   switch (state_) {
--- a/src/vanilladeck/membership/registration.h
+++ b/src/vanilladeck/membership/registration.h
@@ -63,6 +63,9 @@
   void Withdraw();
   /// Call when the store no longer has the record although the lease is still valid.
   void OnRecordMissing();
+  /// The store has returned from an older copy: the lease may be gone, or be another instance's, as
+  /// its number may have been given out again. The record is written again under a new lease.
+  void OnEra(store::Era era, core::TimePoint now);
 
   [[nodiscard]] std::optional<store::VersionedCall> Next(core::TimePoint now);
   void OnAnswer(const store::VersionedResult& result, core::TimePoint now);
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -55,8 +55,32 @@
                              std::chrono::duration_cast<std::chrono::milliseconds>(wait)};
 }
 
+void StoreFollower::OnEra(store::Era era, core::TimePoint now) {
+  if (era <= era_) return;
+  era_ = era;
+  call_outdated_ = in_flight_;
+  check_outdated_ = checking_;
+  check_page_after_.clear();
+  StartListing();
+  due_ = now;
+  if (known_positions_.empty()) {
+    call_outdated_ = false;
+    return;
+  }
+  era_began_ = now;
+  ask_peer_for_state_ = true;
+  recovered_at_ = now;
+  held_.clear();
+  for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
+}
+
 void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
   in_flight_ = false;
+  if (std::exchange(call_outdated_, false)) {
+    if (result) NoteSuccess(now);
+    due_ = now;
+    return;
+  }
   if (!result) {
     OnFailure(result.error(), now);
   } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
@@ -84,6 +108,10 @@
 
 void StoreFollower::OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now) {
   checking_ = false;
+  if (std::exchange(check_outdated_, false)) {
+    if (result) NoteReachable(now);
+    return;
+  }
   if (!result) {
     check_page_after_.clear();
     last_check_ = now;
@@ -157,6 +185,7 @@
       ++summary_.kept;
     }
   }
+  std::erase_if(held_, [this](const auto& it) { return listed_keys_.count(it.first) == 0; });
   summary_.missing = missing.size();
   last_summary_ = summary_;
   for (const std::string& it : missing) RemoveOrDefer(it, listing_position_, now);
@@ -165,6 +194,7 @@
   complete_position_ = std::max(complete_position_, listing_position_);
   ForgetAwaited(listing_position_);
   listing_ = false;
+  ask_peer_for_state_ = false;
   last_listing_ = now;
   last_check_ = now;
   due_ = now;
@@ -175,10 +205,21 @@
   if (sink_.on_synced) sink_.on_synced();
 }
 
+bool StoreFollower::IsUsable(const PeerChanges& changes) const noexcept {
+  if (changes.position.era() != era_) return false;
+  return changes.full || position_.era() == era_ || known_positions_.empty();
+}
+
 void StoreFollower::OnPeerChanges(const PeerChanges& changes, core::Duration pause,
                                   core::TimePoint now) {
   in_flight_ = false;
+  call_outdated_ = false;
+  if (!IsUsable(changes)) {
+    due_ = now;
+    return;
+  }
   catching_up_ = false;
+  if (std::exchange(ask_peer_for_state_, false)) listing_ = false;
   source_ = ItemSource::kPeer;
   const core::TimePoint answered = now - changes.age;
   if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
@@ -190,7 +231,7 @@
 }
 
 void StoreFollower::OnFallbackChanges(const PeerChanges& changes, core::TimePoint now) {
-  if (!synced_once_ && !changes.full) return;
+  if (!IsUsable(changes) || (!synced_once_ && !changes.full)) return;
   source_ = listed_once_ ? ItemSource::kPeer : ItemSource::kSeed;
   const core::TimePoint answered = now - changes.age;
   // Before the first state, the time of the start stands in for that of an answer.
@@ -259,9 +300,15 @@
 
 void StoreFollower::OnPeerFailed(core::TimePoint now) {
   in_flight_ = false;
+  call_outdated_ = false;
   due_ = now;
 }
 
+void StoreFollower::OnPeerBehind(core::Duration pause, core::TimePoint now) {
+  OnPeerFailed(now);
+  due_ = now + pause;
+}
+
 void StoreFollower::OnCheck(const store::RangePage& page, core::TimePoint now) {
   source_ = ItemSource::kCheck;
   if (check_page_after_.empty()) {
@@ -293,6 +340,8 @@
   source_ = ItemSource::kWatch;
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
+      const auto held = held_.find(it.item.key);
+      if (held != held_.end() && held->second.position < it.item.position) held_.erase(held);
       const auto known = known_positions_.find(it.item.key);
       if (known != known_positions_.end() && known->second < it.item.position) {
         RemoveOrDefer(it.item.key, it.item.position, now);
@@ -353,12 +402,23 @@
     CountDrop(DropReason::kAbsent);
     return;
   }
+  if (item.position.era() < position_.era()) {
+    // A peer may still have it, since the copy lacks it.
+    if (known_positions_.count(item.key) == 0) CountDrop(DropReason::kOlderEra);
+    return;
+  }
   const auto removed = tombstones_.find(item.key);
   if (removed != tombstones_.end()) {
     if (item.position <= removed->second.position) {
       CountDrop(DropReason::kRemoved);
       return;
     }
+    if (IsBroughtBack(item, removed->second)) {
+      held_[item.key] = item;
+      CountDrop(DropReason::kHeld);
+      return;
+    }
+    held_.erase(item.key);
     tombstones_.erase(removed);
   }
   const auto deferred = deferred_removals_.find(item.key);
@@ -389,7 +449,7 @@
                                   core::TimePoint now) {
   if (now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{}) {
     const auto [it, added] = deferred_removals_.try_emplace(
-        key, Removal{position, recovered_at_ + settings_.removal_grace});
+        key, Removal{position, recovered_at_ + settings_.removal_grace, {}});
     if (!added) it->second.position = std::max(it->second.position, position);
     return;
   }
@@ -398,13 +458,32 @@
 
 void StoreFollower::ApplyRemoval(const std::string& key, store::Position position,
                                  core::TimePoint now) {
+  const auto known = known_positions_.find(key);
+  const store::Position last_write = known != known_positions_.end() ? known->second : position;
   known_positions_.erase(key);
   deferred_removals_.erase(key);
-  tombstones_[key] = Removal{position, now};
+  tombstones_[key] = Removal{position, now, last_write};
   removal_position_ = position;
   if (sink_.on_removed) sink_.on_removed(key);
 }
 
+bool StoreFollower::IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept {
+  // A watch returns only what was written after the return. A listing may also contain that, which
+  // is then held as well: the copy's revision is not known.
+  if (source_ == ItemSource::kWatch || removed.position.era() >= item.position.era()) return false;
+  // Of a write from before the copy, the number is that of the earlier era.
+  return item.position.revision().number <= removed.last_write.revision().number;
+}
+
+void StoreFollower::ApplyHeld(core::TimePoint now) {
+  if (held_.empty() || now - recovered_at_ < settings_.removal_grace) return;
+  for (const auto& [key, item] : std::exchange(held_, {})) {
+    tombstones_.erase(key);
+    source_ = ItemSource::kListing;
+    ApplyItem(item, item.position);
+  }
+}
+
 core::TimePoint StoreFollower::AnswerTime(core::TimePoint now) const noexcept {
   const bool stalled = call_sent_ < stalled_until_ || now - last_tick_ > kStallTime;
   return stalled ? call_sent_ : now;
@@ -431,6 +510,7 @@
     const auto [key, removal] = *it++;
     ApplyRemoval(key, removal.position, now);
   }
+  ApplyHeld(now);
 }
 
 }  // namespace vanilladeck::membership
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -41,6 +41,8 @@
   std::string check_prefix;  ///< Prefix of these items; empty disables the check.
   /// How long a removal overrides stale reads; peers and replicas lag by seconds.
   core::Duration tombstone_retention = std::chrono::seconds(120);
+  /// Time after the store's return for which an instance that asks a reader waits for its listing.
+  core::Duration peer_era_wait = std::chrono::milliseconds(1200);
   /// Time without an answer after which the store counts as unreachable.
   core::Duration outage_timeout = std::chrono::milliseconds(2500);
 };
@@ -53,12 +55,15 @@
 
 /// Why an item that was read was not applied.
 enum class DropReason : std::uint8_t {
-  kOlder,    ///< A later write of the key is known.
-  kRemoved,  ///< A later removal of the key is known.
-  kAbsent,   ///< The key was absent from a later listing.
+  kOlder,     ///< A later write of the key is known.
+  kRemoved,   ///< A later removal of the key is known.
+  kAbsent,    ///< The key was absent from a later listing.
+  kOlderEra,  ///< The state is of a later era than the item.
+  kHeld,      ///< An older copy brought back what had been removed; applied after the grace period.
 };
 
-inline constexpr std::array<std::string_view, 3> kDropReasonNames{"older", "removed", "absent"};
+inline constexpr std::array<std::string_view, 5> kDropReasonNames{"older", "removed", "absent",
+                                                                  "older-era", "held"};
 
 using DropCounts = std::array<std::uint64_t, kDropReasonNames.size()>;
 
@@ -77,6 +82,10 @@
 ///
 /// State machine without I/O: `Next` returns the call to make, `OnAnswer` takes its result.
 /// Removals are deferred around an outage of the store.
+///
+/// When the store has returned from an older copy (`OnEra`), all of it is listed again, or taken
+/// from a peer that has done so. What the copy lacks, or brings back, takes effect only after
+/// `removal_grace`, in which servers and operators write again.
 class StoreFollower {
  public:
   struct Sink {
@@ -97,9 +106,22 @@
   [[nodiscard]] std::optional<store::VersionedCall> NextCheck(core::TimePoint now);
   void OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now);
 
-  /// True if `call`, returned by `Next`, reads changes, which a peer can serve as well.
-  [[nodiscard]] static bool CanAskPeer(const store::VersionedCall& call) noexcept {
-    return std::holds_alternative<store::WatchChanges>(call);
+  /// The store is in another era, which is later than the known one. Answers to calls in flight do
+  /// not count; those of an older era must not be passed on to the follower any more.
+  void OnEra(store::Era era, core::TimePoint now);
+  [[nodiscard]] store::Era era() const noexcept { return era_; }
+
+  /// True if `call`, returned by `Next`, reads what a peer can serve as well: changes, or the whole
+  /// state after the store has returned from an older copy.
+  [[nodiscard]] bool CanAskPeer(const store::VersionedCall& call) const noexcept {
+    if (std::holds_alternative<store::WatchChanges>(call)) return true;
+    return std::holds_alternative<store::ReadRange>(call) && ask_peer_for_state_ &&
+           page_after_.empty();
+  }
+  /// True if a peer that is still in an older era may be asked again instead of the store: all
+  /// instances learn of a new era at once, and readers need time to list the store.
+  [[nodiscard]] bool AwaitsPeerEra(core::TimePoint now) const noexcept {
+    return ask_peer_for_state_ && now - era_began_ < settings_.peer_era_wait;
   }
   /// Part of the store's response to the call in flight has arrived: the store is reachable,
   /// although the response may take long.
@@ -110,6 +132,7 @@
   void OnPeerHeardStore(core::TimePoint at);
 
   /// Applies changes relayed by a peer, in place of `OnAnswer`; the next call is due `pause` later.
+  /// Changes of another era than `era()` are not applied, nor a delta unless the state is of it.
   void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
   /// Applies the state or changes of another instance that was asked because the store does not
   /// answer this one. The call to the store stays due.
@@ -122,6 +145,8 @@
   void OnItemRead(const store::Item& item);
   /// The peer did not answer or lags; the call is due again at once.
   void OnPeerFailed(core::TimePoint now);
+  /// The peer does not know the new era yet; the call is due `pause` later.
+  void OnPeerBehind(core::Duration pause, core::TimePoint now);
 
   /// Applies removals whose grace period has ended and detects outages; call several times a
   /// second.
@@ -136,7 +161,9 @@
   [[nodiscard]] core::TimePoint last_success() const noexcept { return last_success_; }
   /// Last sign of the store, also a part of a response, here or at a peer.
   [[nodiscard]] core::TimePoint last_heard() const noexcept { return last_heard_; }
+  /// Of an older era than `era()` until the state is known after the store's return.
   [[nodiscard]] store::Position position() const noexcept { return position_; }
+  [[nodiscard]] std::size_t known_items() const noexcept { return known_positions_.size(); }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
@@ -151,12 +178,25 @@
   [[nodiscard]] const DropCounts& dropped() const noexcept { return dropped_; }
 
  private:
+  struct Removal {
+    store::Position position;
+    /// For `deferred_removals_`: when to apply it; for `tombstones_`: when it was applied.
+    core::TimePoint at;
+    store::Position last_write;  ///< Of the removed item, as far as known.
+  };
+
   void OnPage(const store::RangePage& page, core::TimePoint now);
   void OnCheck(const store::RangePage& page, core::TimePoint now);
   void OnChanges(const store::Changes& changes, core::TimePoint now);
   [[nodiscard]] bool MayBeCutShort(const store::Changes& changes) const;
   void OnFailure(const store::CallError& error, core::TimePoint now);
   [[nodiscard]] core::Duration RetryPause() const noexcept;
+  /// True if the message can be applied in the current era.
+  [[nodiscard]] bool IsUsable(const PeerChanges& changes) const noexcept;
+  /// True if the item, read from a copy of the store, had been removed in an earlier era.
+  [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
+  /// Applies what the copy brought back, after the grace period.
+  void ApplyHeld(core::TimePoint now);
   /// True if the item was removed after `position`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
@@ -182,7 +222,13 @@
   FollowerSettings settings_;
   Sink sink_;
   bool in_flight_ = false;
-  std::uint32_t failures_ = 0;  ///< Consecutive failed calls.
+  store::Era era_ = 0;
+  core::TimePoint era_began_;  ///< When `era_` became known, if a state was known before.
+  /// The store has returned from a copy, and a peer may have listed it.
+  bool ask_peer_for_state_ = false;
+  bool call_outdated_ = false;   ///< The call in flight was sent before the era changed.
+  bool check_outdated_ = false;  ///< The same for the check in flight.
+  std::uint32_t failures_ = 0;   ///< Consecutive failed calls.
   bool listing_ = true;
   bool synced_once_ = false;
   bool reachable_ = true;
@@ -195,11 +241,7 @@
   ListingSummary last_summary_;
   DropCounts dropped_{};
   std::map<std::string, store::Position> known_positions_;
-  struct Removal {
-    store::Position position;
-    /// For `deferred_removals_`: when to apply it; for `tombstones_`: when it was applied.
-    core::TimePoint at;
-  };
+  std::map<std::string, store::Item> held_;  ///< What a copy brought back, by key.
   /// Removals around an outage, not yet applied.
   std::map<std::string, Removal> deferred_removals_;
   std::map<std::string, Removal> tombstones_;  ///< Older items of these keys are ignored.
--- /dev/null
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -0,0 +1,42 @@
+#include "vanilladeck/store/era_tracker.h"
+
+namespace vanilladeck::store {
+
+EraTracker::Judgement EraTracker::OnResponse(const EraReading& reading, Era sent_in) {
+  const auto* era = std::get_if<Era>(&reading);
+  if (era == nullptr) {
+    const auto finding =
+        std::holds_alternative<NoEra>(reading) ? EraFinding::kAbsent : EraFinding::kUnreadable;
+    // If the era has changed since the call was sent, the response may be of either.
+    return {finding, sent_in == this->era(), false};
+  }
+  if (!era_) {
+    const bool changed = *era != 0;
+    era_ = *era;
+    return {EraFinding::kFirst, true, changed};
+  }
+  if (*era == *era_) {
+    unconfirmed_.reset();
+    return {EraFinding::kSame, true, false};
+  }
+  if (*era < *era_) {
+    return {sent_in < *era_ ? EraFinding::kOlder : EraFinding::kFell, false, false};
+  }
+  const bool next = *era == *era_ + 1;
+  if (!next && unconfirmed_ != *era) {
+    unconfirmed_ = *era;
+    return {EraFinding::kJump, false, false};
+  }
+  unconfirmed_.reset();
+  era_ = *era;
+  return {next ? EraFinding::kNext : EraFinding::kJump, true, true};
+}
+
+bool EraTracker::OnPeer(Era era) noexcept {
+  if (era <= this->era()) return false;
+  unconfirmed_.reset();
+  era_ = era;
+  return true;
+}
+
+}  // namespace vanilladeck::store
--- a/src/vanilladeck/store/versioned_call.h
+++ b/src/vanilladeck/store/versioned_call.h
@@ -97,10 +97,12 @@
   kLeaseEnded,   ///< No such lease.
   kConflict,     ///< A condition did not hold; no effect.
   kMalformed,    ///< The response cannot be parsed.
+  kOtherEra,     ///< The response is of another era than the known one; a write may have been lost.
 };
 
-inline constexpr std::array<std::string_view, 7> kCallErrorNames{
-    "unreachable", "no-answer", "refused", "history-lost", "lease-ended", "conflict", "malformed"};
+inline constexpr std::array<std::string_view, 8> kCallErrorNames{
+    "unreachable", "no-answer", "refused",   "history-lost",
+    "lease-ended", "conflict",  "malformed", "other-era"};
 
 struct CallError {
   CallErrorCode code = CallErrorCode::kUnreachable;
@@ -125,8 +127,9 @@
   virtual ~VersionedCodec() = default;
   [[nodiscard]] virtual EraReading DecodeEra(const FieldOf& field) const = 0;
   [[nodiscard]] virtual EncodedCall Encode(const VersionedCall& call) const = 0;
+  /// `era` is that of the response.
   [[nodiscard]] virtual VersionedResult Decode(const VersionedCall& call, unsigned status,
-                                               const std::string& body) const = 0;
+                                               const std::string& body, Era era) const = 0;
 };
 
 }  // namespace vanilladeck::store
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -68,7 +68,8 @@
     return store::NoEra{};
   }
   [[nodiscard]] store::VersionedResult Decode(const store::VersionedCall& /*call*/, unsigned status,
-                                              const std::string& /*body*/) const override {
+                                              const std::string& /*body*/,
+                                              store::Era /*era*/) const override {
     if (status == 200) return store::VersionedAnswer{store::Done{}};
     return store::CallError{store::CallErrorCode::kMalformed, std::to_string(status)};
   }
--- a/tests/membership/feed_source_test.cc
+++ b/tests/membership/feed_source_test.cc
@@ -104,7 +104,7 @@
     if (!call) Send(now);
   }
   [[nodiscard]] bool AsksReader() const {
-    return reader != nullptr && StoreFollower::CanAskPeer(*call);
+    return reader != nullptr && follower.CanAskPeer(*call);
   }
   void Send(core::TimePoint now) {
     call = follower.Next(now);
--- a/tests/membership/store_follower_test.cc
+++ b/tests/membership/store_follower_test.cc
@@ -547,7 +547,7 @@
   missed.position = Rev(60);
   const core::TimePoint start = f.now;
   while (f.applied.at("op/config") == Rev(3) && f.now < start + 20s) {
-    REQUIRE(StoreFollower::CanAskPeer(f.NextCall()));
+    REQUIRE(f.follower.CanAskPeer(f.NextCall()));
     f.follower.OnPeerChanges(missed, 400ms, f.now);
     if (const auto check = f.follower.NextCheck(f.now)) {
       CHECK(std::get<store::ReadRange>(*check).prefix == "op/");
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -185,23 +185,24 @@
     const json body{{"items", {{{"key", "k"}, {"value", encoded}, {"rev", 4}}}},
                     {"hasMore", true},
                     {"currentRev", 9}};
-    const auto result = codec.Decode(store::ReadRange{}, 200, body.dump());
+    const auto result = codec.Decode(store::ReadRange{}, 200, body.dump(), 3);
     REQUIRE(result.has_value());
     const auto& page = std::get<store::RangePage>(result.value());
     CHECK(page.more);
-    CHECK(page.position == store::Position(0, 9));
+    CHECK(page.position == store::Position(3, 9));
     CHECK(page.items.at(0).value == plain);
   }
   const json events{{"events", {{{"key", "k"}, {"rev", 5}, {"tombstone", true}}}},
                     {"currentRev", 5}};
-  const auto changes = codec.Decode(store::WatchChanges{}, 200, events.dump());
+  const auto changes = codec.Decode(store::WatchChanges{}, 200, events.dump(), 3);
   REQUIRE(changes.has_value());
   CHECK(std::get<store::Changes>(changes.value()).changes.at(0).removed);
   using store::CallErrorCode;
-  CHECK(codec.Decode(store::WatchChanges{}, 410, "").error().code == CallErrorCode::kHistoryLost);
-  CHECK(codec.Decode(store::RenewLease{}, 404, "").error().code == CallErrorCode::kLeaseEnded);
-  CHECK(codec.Decode(store::ReadRange{}, 429, "").error().code == CallErrorCode::kRefused);
-  CHECK(codec.Decode(store::ReadRange{}, 200, "[").error().code == CallErrorCode::kMalformed);
+  CHECK(codec.Decode(store::WatchChanges{}, 410, "", 3).error().code ==
+        CallErrorCode::kHistoryLost);
+  CHECK(codec.Decode(store::RenewLease{}, 404, "", 3).error().code == CallErrorCode::kLeaseEnded);
+  CHECK(codec.Decode(store::ReadRange{}, 429, "", 3).error().code == CallErrorCode::kRefused);
+  CHECK(codec.Decode(store::ReadRange{}, 200, "[", 3).error().code == CallErrorCode::kMalformed);
 }
 
 // Guards against an unreadable era that is taken for a number, such as 0.
--- a/tests/platform/decoder_fuzz_test.cc
+++ b/tests/platform/decoder_fuzz_test.cc
@@ -59,7 +59,7 @@
       R"({"events":[{"key":"a","value":"eA==","rev":3},{"key":"b","rev":4,"tombstone":true}],
       "currentRev":9})";
   const auto decode_call = [](const store::VersionedCall& call) {
-    return [call](const std::string& text) { (void)codec.Decode(call, 200, text); };
+    return [call](const std::string& text) { (void)codec.Decode(call, 200, text, 1); };
   };
   return {
       {"server", server,
@@ -177,7 +177,7 @@
   const auto policy = codec.DecodeItem({"op/config", grow(text_of("policy")), {0, 1}});
   REQUIRE(std::holds_alternative<gateway::PolicyItem>(policy));
   CHECK(std::get<gateway::PolicyItem>(policy).policy.routes.at(0).attempts == 2);
-  const auto page = codec.Decode(store::ReadRange{"", "", false}, 200, grow(text_of("page")));
+  const auto page = codec.Decode(store::ReadRange{"", "", false}, 200, grow(text_of("page")), 1);
   REQUIRE(page.has_value());
   CHECK(std::get<store::RangePage>(page.value()).items.at(0).value == "x");
   json changes = json::parse(text_of("changes"));
