--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -57,6 +57,8 @@
     }
   }
 
+  static constexpr store::Era kFirstEra = 1;
+
   bool lose_history = false;  ///< All watches are answered 410.
   bool hold_checks = false;   ///< Reads that may be stale get no response.
 
@@ -159,7 +161,7 @@
   std::map<std::string, StoredItem> items_;
   std::map<std::string, std::int64_t> removals_;
   std::int64_t revision_ = 10;
-  std::int64_t era_ = 1;
+  store::Era era_ = kFirstEra;
   std::vector<Watch> waiting_;
   ScriptedServer server_;
 };
