Give an instance of an earlier era the whole state of a change log

Cause: a log stayed complete as of its first listing, so an instance that stated a position of the era before the store's return got a delta and kept items that the store had lost.

--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -188,7 +188,10 @@
 }
 
 void ChangeLog::OnListed(store::Position position) noexcept {
-  if (!complete_since_) complete_since_ = position;
+  if (complete_since_ && position.era() <= complete_since_->era()) return;
+  // Up to here, the log does not tell what the older copy lacks.
+  if (complete_since_) oldest_log_position_ = ++log_position_;
+  complete_since_ = position;
 }
 
 void ChangeLog::Remove(const std::string& key, store::Position position, store::Position applied_at,
@@ -230,7 +233,12 @@
   PeerChanges changes;
   changes.epoch = epoch_;
   changes.log_position = log_position_;
-  const bool by_position = known.epoch == epoch_ && known.log_position >= oldest_log_position_ &&
+  const store::Era known_era = known.position.era();
+  const store::Era era = complete_since_ ? complete_since_->era() : known_era;
+  // An instance of a later era uses nothing of an earlier one.
+  if (known_era > era) return changes;
+  const bool by_position = known_era == era && known.epoch == epoch_ &&
+                           known.log_position >= oldest_log_position_ &&
                            known.log_position <= log_position_;
   // An instance that switches readers is at most seconds behind. Sending a full snapshot to all
   // that switch at once would exceed their request timeout on a 10 Mbit/s link.
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -69,7 +69,8 @@
   /// other changes were applied here, which is later if the removal was deferred.
   void Remove(const std::string& key, store::Position position, store::Position applied_at,
               core::TimePoint now);
-  /// Records that the log is complete as of `position`; later calls are ignored.
+  /// Records that the log is complete as of `position`. Within an era, later calls are ignored; a
+  /// later era begins the log anew.
   void OnListed(store::Position position) noexcept;
 
   /// Values of more bytes are only referred to.
@@ -81,6 +82,9 @@
   /// Returns the changes after `known`: a delta by log position, a delta by store position if the
   /// instance read another log before, or a full snapshot if neither can be served. A delta by
   /// store position repeats some changes, since the other log may have missed them.
+  ///
+  /// An instance of an earlier era gets a full snapshot, since it may know items that the store
+  /// has lost and that this log never had; one of a later era gets nothing.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -109,6 +109,95 @@
   CHECK(changes.changes.size() == 1);
 }
 
+// Guards against an instance that keeps what the store has lost: a delta by a position of the
+// earlier era does not tell which items are gone.
+TEST_CASE("an instance of an earlier era gets a full snapshot") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", Rev(590, 1)}, true, At(0s));
+  log.OnListed(Rev(600, 1));
+  const std::uint64_t position = log.Since({}, At(0s)).log_position;
+  log.Put({"servers/y", "v", Rev(480, 2)}, true, At(1s));
+  log.OnListed(Rev(500, 2));
+  const PeerChanges by_log = log.Since({"b/1", position, Rev(700, 1)}, At(1s));
+  CHECK(by_log.full);
+  CHECK(by_log.changes.size() == 2);
+  CHECK(log.Since({"a/1", 55, Rev(700, 1)}, At(1s)).full);
+  // Also if it read this log after the listing, but is not complete in the new era.
+  CHECK(log.Since({"b/1", by_log.log_position, Rev(700, 1)}, At(1s)).full);
+  CHECK_FALSE(log.Since({"b/1", by_log.log_position, Rev(510, 2)}, At(1s)).full);
+}
+
+// Guards against a delta that lacks removals from before the first listing of the new era.
+TEST_CASE("a listing of a later era sets the position from which a log is complete") {
+  ChangeLog log("b/1");
+  log.OnListed(Rev(600, 1));
+  log.OnListed(Rev(500, 2));
+  CHECK(log.Since({"a/1", 55, Rev(499, 2)}, At(0s)).full);
+  CHECK_FALSE(log.Since({"a/1", 55, Rev(500, 2)}, At(0s)).full);
+  log.OnListed(Rev(550, 2));
+  CHECK_FALSE(log.Since({"a/1", 55, Rev(500, 2)}, At(0s)).full);
+}
+
+// Guards against a position that an instance of an earlier version, which states no era, read from
+// this log before the store returned.
+TEST_CASE("a log position from before a later era yields a full snapshot") {
+  ChangeLog log("b/1");
+  log.OnListed(Rev(600, 1));
+  const std::uint64_t position = log.Since({}, At(0s)).log_position;
+  log.OnListed(Rev(500, 2));
+  const PeerChanges changes = log.Since({"b/1", position, Rev(400, 2)}, At(0s));
+  CHECK(changes.full);
+  CHECK_FALSE(log.Since({"b/1", changes.log_position, Rev(400, 2)}, At(0s)).full);
+}
+
+// Guards against servers that a full snapshot leaves out, or gives a position of the new era, while
+// the older copy lacks them.
+TEST_CASE("what an older copy lacks stays in a full snapshot with its own position") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", Rev(590, 1)}, true, At(0s));
+  log.OnListed(Rev(600, 1));
+  log.OnListed(Rev(500, 2));
+  PeerChanges sent = log.Since({"b/1", 1, Rev(600, 1)}, At(1s));
+  sent.position = Rev(500, 2);
+  const auto read = DecodePeerChanges(EncodePeerChanges(sent));
+  REQUIRE(read.has_value());
+  CHECK(read->full);
+  REQUIRE(read->changes.size() == 1);
+  CHECK(read->changes[0].item.position == Rev(590, 1));
+  CHECK(read->position == Rev(500, 2));
+}
+
+// Guards against a removal of the earlier era that counts as later than the new one, because its
+// revision is higher.
+TEST_CASE("pruning a removal of an earlier era does not affect the new one") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", Rev(590, 1)}, true, At(0s));
+  log.Put({"servers/y", "v", Rev(591, 1)}, true, At(0s));
+  log.OnListed(Rev(600, 1));
+  log.Remove("servers/x", Rev(900, 1), Rev(900, 1), At(0s));
+  log.OnListed(Rev(500, 2));
+  log.Remove("servers/y", Rev(505, 2), Rev(505, 2), At(60s));
+  const PeerChanges changes = log.Since({"a/1", 3, Rev(504, 2)}, At(60s));
+  CHECK_FALSE(changes.full);
+  REQUIRE(changes.changes.size() == 1);
+  CHECK(changes.changes[0].item.key == "servers/y");
+  CHECK(log.Since({"a/1", 3, Rev(950, 1)}, At(60s)).full);
+}
+
+// Guards against whole states that are sent to instances that cannot use them.
+TEST_CASE("an instance of a later era gets nothing from a log of an earlier one") {
+  ChangeLog log("b/1", "op/");
+  log.Put({"op/config", "v", Rev(590, 1)}, true, At(0s));
+  log.OnListed(Rev(600, 1));
+  for (const PeerPosition& known :
+       {PeerPosition{"b/1", 1, Rev(500, 2)}, PeerPosition{"a/1", 1, Rev(700, 2)}}) {
+    const PeerChanges changes = log.Since(known, At(0s));
+    CHECK_FALSE(changes.full);
+    CHECK(changes.changes.empty());
+    CHECK(changes.references.empty());
+  }
+}
+
 TEST_CASE("peer changes round-trip any value, and malformed messages are rejected") {
   ChangeLog log("a/1");
   log.Put({"op/config", "{\"version\":\"0000000c\"}", Rev(5)}, true, At(0s));
