--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -163,11 +163,11 @@
 
 // Guards against an instance that keeps asking a reader for a policy that it does not pass on.
 TEST_CASE("a policy that the reader does not pass on is read from the store") {
-  const std::string response =
-      GENERATE("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
-               "HTTP/1.1 200 OK\r\nItem-Revision: 99\r\nContent-Length: 4\r\n\r\nnope",
-               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-               "HTTP/1.1 200 OK\r\nItem-Revision: 99\r\nContent-Length: 900000\r\n\r\nends early");
+  const std::string response = GENERATE(
+      "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nItem-Revision: 99\r\nEra: 1\r\nContent-Length: 4\r\n\r\nnope",
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nItem-Revision: 99\r\nEra: 1\r\nContent-Length: 900000\r\n\r\nends early");
   CAPTURE(response);
   RelayFixture f(SmallPolicy());
   std::size_t item_requests = 0;
@@ -181,8 +181,9 @@
         }
         membership::PeerChanges changes;
         changes.epoch = "other/1";
-        changes.position = {0, 99};
-        changes.references = {{"op/config", {0, 99}}};
+        // In the era that the store states, as a state of an older one is not used.
+        changes.position = {1, 99};
+        changes.references = {{"op/config", {1, 99}}};
         const std::string body = membership::EncodePeerChanges(changes);
         connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                           "\r\n\r\n" + body);
@@ -205,6 +206,7 @@
       f.io, [relayed](const ScriptedServer::ConnectionPtr& connection, const std::string&) {
         membership::PeerChanges changes;
         changes.epoch = "other/1";
+        changes.position = {1, 0};
         changes.relayed = relayed;
         if (!relayed) changes.behind = 5s;
         const std::string body = membership::EncodePeerChanges(changes);
