Confirm a jump of the era that another instance states

Cause: while a higher era is known, no response of the store is used, so one damaged message of another instance could stop the reading of the store. Change: an era of a message that is more than one above the known one counts only if the next message or response confirms it, as for the store's. Measured: the new test fails without the change and passes with it.

--- a/src/vanilladeck/store/era_tracker.cc
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -34,6 +34,12 @@
 
 bool EraTracker::OnPeer(Era era) noexcept {
   if (era <= this->era()) return false;
+  // The store's responses are not used while a higher era is known, so that one damaged message
+  // must not set it.
+  if (era_ && era != *era_ + 1 && unconfirmed_ != era) {
+    unconfirmed_ = era;
+    return false;
+  }
   unconfirmed_.reset();
   era_ = era;
   return true;
--- a/src/vanilladeck/store/era_tracker.h
+++ b/src/vanilladeck/store/era_tracker.h
@@ -40,7 +40,8 @@
   /// `sent_in` is the era that was known when the call was sent.
   Judgement OnResponse(const EraReading& reading, Era sent_in);
 
-  /// Another instance states the era; true if it is newer than the known one and now known.
+  /// Another instance states the era; true if it is newer than the known one and now known. A jump
+  /// counts only if the next message or response with a newer era confirms it.
   bool OnPeer(Era era) noexcept;
 
   /// 0 before any was stated.
