Use a state without an era as long as nothing is known

Cause: an instance that knew the store's era could not start from the state of an instance of the earlier version, which states none. Change: such a state is used while no item is known; IsUsable is public, so that the gateway judges a message as the follower does.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -206,7 +206,9 @@
 }
 
 bool StoreFollower::IsUsable(const PeerChanges& changes) const noexcept {
-  if (changes.position.era() != era_) return false;
+  // The state of an instance of an earlier version, which states no era, is better than none.
+  const bool without_era = changes.position.era() == 0 && known_positions_.empty();
+  if (changes.position.era() != era_ && !without_era) return false;
   return changes.full || position_.era() == era_ || known_positions_.empty();
 }
 
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -131,6 +131,8 @@
   /// peer's state is too old to be used.
   void OnPeerHeardStore(core::TimePoint at);
 
+  /// True if the message can be applied in the current era.
+  [[nodiscard]] bool IsUsable(const PeerChanges& changes) const noexcept;
   /// Applies changes relayed by a peer, in place of `OnAnswer`; the next call is due `pause` later.
   /// Changes of another era than `era()` are not applied, nor a delta unless the state is of it.
   void OnPeerChanges(const PeerChanges& changes, core::Duration pause, core::TimePoint now);
@@ -191,8 +193,6 @@
   [[nodiscard]] bool MayBeCutShort(const store::Changes& changes) const;
   void OnFailure(const store::CallError& error, core::TimePoint now);
   [[nodiscard]] core::Duration RetryPause() const noexcept;
-  /// True if the message can be applied in the current era.
-  [[nodiscard]] bool IsUsable(const PeerChanges& changes) const noexcept;
   /// True if the item, read from a copy of the store, had been removed in an earlier era.
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
   /// Applies what the copy brought back, after the grace period.
