Learn the era from the requests of others and take their whole state

Cause: a request stated only the era of the sender's position, a state of another era did not make a cut-off instance ask another one, and a whole state of a peer did not begin the change log anew. Change: requests state the known era (Era) and that of the position (Position-Era) if it differs; instances learn a newer era from both requests and items, from requests only at the listener for instances. A request without an era is of the earlier version and counts as one of the current state.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -149,7 +149,11 @@
       proxy_handler_(std::make_unique<ProxyHandler>(context_)),
       local_handler_(
           std::make_unique<LocalHandler>([this](ResponseSlot& slot, const Request& request) {
-            ServeLocalRequest(slot, request);
+            ServeLocalRequest(slot, request, RequestSource::kAny);
+          })),
+      peer_handler_(
+          std::make_unique<LocalHandler>([this](ResponseSlot& slot, const Request& request) {
+            ServeLocalRequest(slot, request, RequestSource::kInstance);
           })),
       clients_(context, context_.deadlines, context_.messages, *proxy_handler_,
                settings_.process.client_sessions()),
@@ -159,7 +163,7 @@
                settings_.process.lookup_sessions()),
       metrics_(context, context_.deadlines, context_.messages, *local_handler_,
                settings_.process.service_sessions()),
-      peers_(context, context_.deadlines, context_.messages, *local_handler_,
+      peers_(context, context_.deadlines, context_.messages, *peer_handler_,
              settings_.process.service_sessions()),
       bindings_{{clients_, settings_.clients, "clients", true},
                 {readiness_, settings_.readiness, "readiness", true},
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -78,6 +78,9 @@
   /// Stands for the reader that relays the limits that others state; no instance has this name.
   static constexpr std::string_view kRelay{};
 
+  /// Listener that a request arrived at. Clients reach the others as well.
+  enum class RequestSource : std::uint8_t { kAny, kInstance };
+
   /// A listener and its endpoint.
   struct Binding {
     Listener& listener;
@@ -143,7 +146,7 @@
   void AdoptEra(store::Era known, std::string_view source);
   /// Logs what a listing brought, if it followed a lost history or did not apply everything.
   void LogListing();
-  void ServeLocalRequest(ResponseSlot& slot, const Request& request);
+  void ServeLocalRequest(ResponseSlot& slot, const Request& request, RequestSource source);
   /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
   /// Selects the instances that a lookup names; `query` needs no losses.
@@ -187,6 +190,7 @@
   std::map<std::string, std::map<std::string, double>> logged_splits_;
   std::unique_ptr<RequestHandler> proxy_handler_;
   std::unique_ptr<RequestHandler> local_handler_;
+  std::unique_ptr<RequestHandler> peer_handler_;
   Listener clients_;
   Listener readiness_;
   Listener lookups_;
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -72,7 +72,7 @@
   return std::move(choice.addresses);
 }
 
-void Gateway::ServeLocalRequest(ResponseSlot& slot, const Request& request) {
+void Gateway::ServeLocalRequest(ResponseSlot& slot, const Request& request, RequestSource source) {
   const std::string_view target(request.target().data(), request.target().size());
   constexpr std::string_view kEmpty503 =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
@@ -90,7 +90,14 @@
     ReplyWith(slot, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
     return;
   }
-  if (const auto known = DecodePeerRequest(target, DecodePeerEra(request).value_or(0))) {
+  const auto eras = DecodePeerEras(request);
+  // An instance of an earlier version knows no eras; its revision counts as one of this state's.
+  const store::Era era = eras ? eras->position : follower_.position().era();
+  if (const auto known = DecodePeerRequest(target, era)) {
+    const auto sender = DecodePeerSender(request);
+    if (eras && source == RequestSource::kInstance) {
+      OnPeerEra(sender ? sender->name : std::string(), eras->known);
+    }
     // An instance that has just started has no state to pass on.
     if (!follower_.synced()) {
       slot.Reply(std::string(kEmpty503), {});
@@ -98,7 +105,7 @@
     }
     const core::TimePoint now = core::RuntimeClock::now();
     membership::PeerChanges changes = change_log_.Since(*known, now);
-    if (const auto sender = DecodePeerSender(request)) {
+    if (sender) {
       // Its record in the store states the same, but arrives later.
       context_.server_limits.OnStated(sender->name, sender->server_limits, now);
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -26,7 +26,8 @@
 }  // namespace
 
 PeerSender Gateway::Sender() const {
-  return {settings_.instance, context_.server_limits.Stated(core::RuntimeClock::now())};
+  return {settings_.instance, context_.server_limits.Stated(core::RuntimeClock::now()),
+          follower_.era()};
 }
 
 void Gateway::QueryPeer(const membership::FeedPeer& peer) {
@@ -52,8 +53,8 @@
     OnPeerEra(peer.name, changes->position.era());
     follower_.OnPeerHeardStore(now - changes->unheard);
   }
-  const bool same_era = changes && changes->position.era() == follower_.era();
-  if (changes && !same_era && follower_.AwaitsPeerEra(now)) {
+  const bool usable = changes && follower_.IsUsable(*changes);
+  if (changes && !usable && follower_.AwaitsPeerEra(now)) {
     follower_.OnPeerBehind(membership::FeedSource::kPollInterval, now);
     return;
   }
@@ -62,16 +63,20 @@
   const bool current =
       changes && membership::FeedSource::IsCurrent(std::max(changes->age, changes->behind),
                                                    settings_.follower.poll_interval);
-  if (current && same_era && !changes->relayed) {
+  if (current && usable && !changes->relayed) {
     peer_positions_[peer.name] = {changes->epoch, changes->log_position, changes->position};
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
+    if (changes->full) change_log_.OnListed(follower_.position());
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
     context_.policy_as_of = follower_.current_as_of();
     ReadAwaitedItem(peer);
     return;
   }
-  if (changes && !same_era) {
-    reason = "state of the peer is of an older era";
+  if (changes && !usable) {
+    const store::Era era = changes->position.era();
+    reason = era < follower_.era()   ? "state of the peer is of an older era"
+             : era > follower_.era() ? "era of the peer is not confirmed"
+                                     : "the peer sent no whole state of the new era";
   } else if (changes) {
     reason = current ? "asks another instance itself" : "state of the peer is too old";
   }
@@ -100,12 +105,16 @@
   std::string reason = outcome.detail;
   if (outcome.status == ExchangeStatus::kResponse) {
     const auto item = DecodeItemResponse(awaited.key, outcome.response);
-    if (item && item->position >= awaited.position) {
+    if (item) OnPeerEra(peer.name, item->position.era());
+    const bool confirmed = item && item->position.era() <= follower_.era();
+    if (confirmed && item->position >= awaited.position) {
       follower_.OnItemRead(*item);
       ReadAwaitedItem(peer);
       return;
     }
-    reason = item ? "item of the peer is too old" : "malformed item";
+    reason = !item       ? "malformed item"
+             : confirmed ? "item of the peer is too old"
+                         : "era of the peer is not confirmed";
   }
   // The next poll asks another instance or the store.
   feed_source_.OnFailure(peer.name, core::RuntimeClock::now());
@@ -167,22 +176,25 @@
         {{"peer", name}, {"reason", reason}, {"age_ms", 0}, {"bytes", outcome.transfer.bytes}});
     return;
   }
-  if (!membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
+  OnPeerEra(name, changes->position.era());
+  follower_.OnPeerHeardStore(now - changes->unheard);
+  const bool usable = follower_.IsUsable(*changes);
+  if (!usable ||
+      !membership::FeedSource::IsCurrent(changes->age, settings_.follower.poll_interval)) {
     feed_source_.OnFailure(name, now);
   }
-  if (changes->full) {
+  if (usable && changes->full) {
     events_.Write(StreamEvent::kSeedState,
                   {{"seed", name},
                    {"revision", changes->position.revision().number},
                    {"age_ms", Ms(changes->age)},
                    {"items", changes->changes.size() + changes->references.size()}});
   }
-  if (instances_.count(name) > 0) {
+  if (usable && instances_.count(name) > 0) {
     peer_positions_[name] = {changes->epoch, changes->log_position, changes->position};
   }
-  OnPeerEra(name, changes->position.era());
-  follower_.OnPeerHeardStore(now - changes->unheard);
   follower_.OnFallbackChanges(*changes, now);
+  if (usable && changes->full) change_log_.OnListed(follower_.position());
   context_.policy_as_of = follower_.current_as_of();
   ReadAwaitedItem(peer);
 }
--- a/src/vanilladeck/gateway/peer_request.cc
+++ b/src/vanilladeck/gateway/peer_request.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kItemPath = "/peer/item?key=";
 constexpr std::string_view kItemRevision = "Item-Revision";
 constexpr std::string_view kEra = "Era";
+constexpr std::string_view kPositionEra = "Position-Era";
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr std::string_view kInstance = "Instance";
 constexpr std::string_view kServerLimits = "Server-Limits";
@@ -26,15 +27,16 @@
   return ec == std::errc{} && end == text.data() + text.size();
 }
 
-std::string EncodeEraField(store::Era era) {
-  return std::string(kEra) + ": " + std::to_string(era) + "\r\n";
+std::string EncodeEraField(std::string_view name, store::Era era) {
+  return std::string(name) + ": " + std::to_string(era) + "\r\n";
 }
 
-/// The era that a message states; 0 without one, as instances of an earlier version send none.
+/// The era that a message states; `absent` without one, none if it is malformed.
 template <class Message>
-std::optional<store::Era> DecodeEraField(const Message& message) {
-  const auto field = message.find(kEra);
-  if (field == message.end()) return 0;
+std::optional<store::Era> DecodeEraField(const Message& message, std::string_view name,
+                                         std::optional<store::Era> absent) {
+  const auto field = message.find(name);
+  if (field == message.end()) return absent;
   store::Era era = 0;
   const std::string_view text(field->value().data(), field->value().size());
   if (!ParseWhole(text, era) || era < 0) return std::nullopt;
@@ -49,7 +51,10 @@
   text.append(kRevision).append(std::to_string(known.position.revision().number));
   text.append(kEpoch).append(known.epoch).append(" HTTP/1.1\r\nHost: peer\r\n");
   text.append(kInstance).append(": ").append(sender.name).append("\r\n");
-  text.append(EncodeEraField(known.position.era()));
+  text.append(EncodeEraField(kEra, sender.era));
+  if (known.position.era() != sender.era) {
+    text.append(EncodeEraField(kPositionEra, known.position.era()));
+  }
   const std::string limits = nlohmann::json(sender.server_limits)
                                  .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
   if (limits.size() <= kMaxLimitsBytes) {
@@ -58,8 +63,11 @@
   return text + "\r\n";
 }
 
-std::optional<store::Era> DecodePeerEra(const MessageReader<true>::Message& request) {
-  return DecodeEraField(request);
+std::optional<PeerEras> DecodePeerEras(const MessageReader<true>::Message& request) {
+  const auto known = DecodeEraField(request, kEra, std::nullopt);
+  const auto position = DecodeEraField(request, kPositionEra, known);
+  if (!known || !position) return std::nullopt;
+  return PeerEras{*known, *position};
 }
 
 std::optional<PeerSender> DecodePeerSender(const MessageReader<true>::Message& request) {
@@ -107,7 +115,7 @@
 
 std::string EncodeItemFields(store::Position position) {
   return std::string(kItemRevision) + ": " + std::to_string(position.revision().number) + "\r\n" +
-         EncodeEraField(position.era());
+         EncodeEraField(kEra, position.era());
 }
 
 std::optional<store::Item> DecodeItemResponse(const std::string& key,
@@ -118,7 +126,8 @@
   item.key = key;
   const std::string_view text(field->value().data(), field->value().size());
   std::int64_t revision = 0;
-  const auto era = DecodeEraField(response);
+  // Instances of an earlier version do not state it.
+  const auto era = DecodeEraField(response, kEra, 0);
   auto value = core::Inflate(response.body(), kMaxItemBytes);
   if (!ParseWhole(text, revision) || !era || !value) return std::nullopt;
   item.position = {*era, revision};
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -14,6 +14,13 @@
 struct PeerSender {
   std::string name;
   std::map<std::string, double> server_limits;
+  store::Era era = 0;  ///< That it knows; its position may still be of an earlier one.
+};
+
+/// The eras that a request states.
+struct PeerEras {
+  store::Era known = 0;     ///< That the sender knows.
+  store::Era position = 0;  ///< Of the sender's position.
 };
 
 /// Builds the HTTP request for the changes of a peer since `known`.
@@ -24,11 +31,11 @@
 [[nodiscard]] std::optional<PeerSender> DecodePeerSender(
     const MessageReader<true>::Message& request);
 
-/// The era of the store that the sender knows: 0 if the request states none, none if it is
-/// malformed.
-[[nodiscard]] std::optional<store::Era> DecodePeerEra(const MessageReader<true>::Message& request);
+/// Returns none if the request states no era, as those of an earlier version do, or a malformed
+/// one.
+[[nodiscard]] std::optional<PeerEras> DecodePeerEras(const MessageReader<true>::Message& request);
 
-/// Returns none if `target` is another resource or malformed. `era` is that of the request.
+/// Returns none if `target` is another resource or malformed. `era` is that of the position.
 [[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target,
                                                                         store::Era era);
 
--- a/tests/platform/slow_link.h
+++ b/tests/platform/slow_link.h
@@ -26,6 +26,14 @@
     return acceptors_.back().local_endpoint();
   }
 
+  /// Closes all connections; later ones are refused.
+  void Cut() {
+    for (tcp::acceptor& it : acceptors_) it.close();
+    for (const std::weak_ptr<Pair>& it : pairs_) {
+      if (const auto pair = it.lock()) pair->Close();
+    }
+  }
+
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
 
  private:
@@ -51,6 +59,7 @@
     acceptor.async_accept([this, &acceptor, target](boost::system::error_code ec, tcp::socket it) {
       if (ec) return;
       const auto pair = std::make_shared<Pair>(io_, std::move(it));
+      pairs_.push_back(pair);
       pair->server.async_connect(target, [this, pair](boost::system::error_code connect_ec) {
         if (connect_ec) {
           pair->Close();
@@ -104,6 +113,7 @@
   boost::asio::io_context& io_;
   double bytes_per_second_;
   std::list<tcp::acceptor> acceptors_;
+  std::vector<std::weak_ptr<Pair>> pairs_;
   std::chrono::steady_clock::time_point free_at_;
   std::size_t bytes_ = 0;
 };
