Write the instance's record again under a new lease after the store's return

Cause: after the store's return from an older copy all instances gave up their lease and wrote again in the same moment, a grant that was under way became the lease of the new era, a withdrawal counted as complete by a deletion that the store may have lost, and a response of an unconfirmed era left the old lease in use.

Change: the answer to a call in flight does not count. The record is written under a new lease after a pause of up to 0.5 s that follows from the instance's name and the era; a withdrawal is made again at once. After a response of another era only a new lease is asked for. Lost leases are counted by their cause.

--- a/src/vanilladeck/membership/registration.cc
+++ b/src/vanilladeck/membership/registration.cc
@@ -1,5 +1,8 @@
 #include "vanilladeck/membership/registration.h"
 
+#include <utility>
+
+#include "vanilladeck/core/hash.h"
 #include "vanilladeck/core/json.h"
 
 namespace vanilladeck::membership {
@@ -100,12 +103,30 @@
 }
 
 void Registration::OnRecordMissing() {
-  if (state_ == State::kRegistered) state_ = State::kNoLease;
+  if (state_ == State::kRegistered) LoseLease(LeaseLoss::kRecordMissing);
 }
 
-void Registration::OnEra(store::Era /*era*/, core::TimePoint /*now*/) {
-  if (state_ == State::kLeased || state_ == State::kRegistered) state_ = State::kNoLease;
-  due_ = core::TimePoint{};
+void Registration::LoseLease(LeaseLoss loss) noexcept {
+  if (state_ != State::kLeased && state_ != State::kRegistered) return;
+  state_ = State::kNoLease;
+  ++lease_losses_[static_cast<std::size_t>(loss)];
+}
+
+void Registration::OnEra(store::Era era, core::TimePoint now) {
+  call_outdated_ = in_flight_;
+  if (state_ == State::kWithdrawing || state_ == State::kWithdrawn) {
+    // The copy may contain the record.
+    state_ = State::kWithdrawing;
+    due_ = core::TimePoint{};
+    return;
+  }
+  const bool starting = state_ == State::kNoLease && !in_flight_ && renewed_ == core::TimePoint{};
+  LoseLease(LeaseLoss::kStoreReturned);
+  if (starting) return;
+  const auto spread_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kReturnSpread).count();
+  const std::uint64_t hash = core::Hash64(record_.name, static_cast<std::uint64_t>(era));
+  due_ = now + std::chrono::milliseconds(hash % static_cast<std::uint64_t>(spread_ms));
 }
 
 std::optional<store::VersionedCall> Registration::Next(core::TimePoint now) {
@@ -144,16 +165,19 @@
 
 void Registration::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
   in_flight_ = false;
-  const bool deleted = deleting_;
-  deleting_ = false;
+  const bool deleted = std::exchange(deleting_, false);
+  if (std::exchange(call_outdated_, false)) return;
   // Ignore the answer to a call that was sent before the withdrawal.
   if (state_ == State::kWithdrawing && !deleted) return;
   if (!result) {
     due_ = now + settings_.retry_pause;
     if (state_ == State::kWithdrawing) return;
     if (result.error().code == store::CallErrorCode::kLeaseEnded) {
-      state_ = State::kNoLease;
+      LoseLease(LeaseLoss::kEnded);
       due_ = now;
+    } else if (result.error().code == store::CallErrorCode::kOtherEra) {
+      // If the store has returned, the lease may be another instance's; to ask for one is harmless.
+      LoseLease(LeaseLoss::kOtherEra);
     } else if (state_ == State::kRegistered) {
       record_changed_ = true;
     }
--- a/src/vanilladeck/membership/registration.h
+++ b/src/vanilladeck/membership/registration.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "vanilladeck/core/runtime_clock.h"
 #include "vanilladeck/store/versioned_call.h"
@@ -50,6 +52,17 @@
   core::Duration load_interval = std::chrono::milliseconds(2000);
 };
 
+/// Why the lease of an instance's record was given up.
+enum class LeaseLoss : std::uint8_t {
+  kEnded,          ///< The store no longer has it, although it has not returned from a copy.
+  kStoreReturned,  ///< The store has returned from an older copy, with or without the lease.
+  kOtherEra,       ///< A response was of another era than the known one.
+  kRecordMissing,  ///< The store has the lease, but not the record.
+};
+
+inline constexpr std::array<std::string_view, 4> kLeaseLossNames{"ended", "store-returned",
+                                                                 "other-era", "record-missing"};
+
 /// Keeps this instance's record in the store under a lease. State machine without I/O.
 class Registration {
  public:
@@ -64,7 +77,9 @@
   /// Call when the store no longer has the record although the lease is still valid.
   void OnRecordMissing();
   /// The store has returned from an older copy: the lease may be gone, or be another instance's, as
-  /// its number may have been given out again. The record is written again under a new lease.
+  /// its number may have been given out again. The record is written again under a new lease, after
+  /// a pause of up to `kReturnSpread`, and a withdrawal is made again. Answers to calls in flight
+  /// do not count.
   void OnEra(store::Era era, core::TimePoint now);
 
   [[nodiscard]] std::optional<store::VersionedCall> Next(core::TimePoint now);
@@ -76,14 +91,26 @@
   [[nodiscard]] bool withdrawn() const noexcept { return state_ == State::kWithdrawn; }
   [[nodiscard]] std::string Key() const;
 
+  using LeaseLossCounts = std::array<std::uint64_t, kLeaseLossNames.size()>;
+  [[nodiscard]] const LeaseLossCounts& lease_losses() const noexcept { return lease_losses_; }
+
+  /// All instances learn of the store's return within a second and write twice each. Of 295, this
+  /// leaves about 1,200 writes a second; the store refuses more than 3,200. Records are to be back
+  /// within 2 s of the return.
+  static constexpr core::Duration kReturnSpread = std::chrono::milliseconds(500);
+
  private:
   enum class State : std::uint8_t { kNoLease, kLeased, kRegistered, kWithdrawing, kWithdrawn };
 
+  /// Gives up the lease, if there is one.
+  void LoseLease(LeaseLoss loss) noexcept;
+
   RegistrationSettings settings_;
   InstanceRecord record_;
   State state_ = State::kNoLease;
   bool in_flight_ = false;
-  bool deleting_ = false;  ///< The call in flight deletes the record.
+  bool deleting_ = false;       ///< The call in flight deletes the record.
+  bool call_outdated_ = false;  ///< The call in flight was sent before the store's return.
   bool record_changed_ = false;
   std::int64_t lease_ = 0;
   core::TimePoint due_;
@@ -91,6 +118,7 @@
   core::TimePoint renewed_;       ///< Sending time of the last one that succeeded.
   core::TimePoint limits_due_;
   core::TimePoint load_due_;
+  LeaseLossCounts lease_losses_{};
 };
 
 }  // namespace vanilladeck::membership
--- a/tests/membership/registration_test.cc
+++ b/tests/membership/registration_test.cc
@@ -1,5 +1,6 @@
 #include "vanilladeck/membership/registration.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 namespace vanilladeck::membership {
@@ -16,7 +17,8 @@
 }
 
 struct Fixture {
-  Fixture() : registration({}, Record()), now(core::TimePoint(100s)) {
+  explicit Fixture(InstanceRecord record = Record())
+      : registration({}, std::move(record)), now(core::TimePoint(100s)) {
     registration.SetReady(true);
   }
 
@@ -171,6 +173,230 @@
   CHECK(f.registration.withdrawn());
 }
 
+// Time until a registered instance makes its next call after the store has returned.
+core::Duration PauseAfterReturn(Fixture& f, store::Era era) {
+  const core::TimePoint returned = f.now;
+  f.registration.OnEra(era, f.now);
+  while (f.now - returned < 5s) {
+    if (const auto call = f.registration.Next(f.now)) {
+      CHECK(std::holds_alternative<store::GrantLease>(*call));
+      break;
+    }
+    f.now += 1ms;
+  }
+  return f.now - returned;
+}
+
+// Guards against a lost record that is missing until its lease would have ended, and against a
+// record under the old lease, whose number may be another instance's by now.
+TEST_CASE("after the store's return the record is written under a new lease") {
+  Fixture f;
+  f.Register();
+  f.now += 300ms;
+  CHECK(PauseAfterReturn(f, 2) < Registration::kReturnSpread);
+  f.Answer(store::LeaseGranted{9, 3000ms});
+  const auto put = f.Expect<store::PutItem>();
+  CHECK(put.lease == 9);
+  CHECK(DecodeInstance(put.key, put.value) == f.registration.record());
+  f.Answer(store::Done{});
+  f.now += 1100ms;
+  CHECK(f.Expect<store::RenewLease>().lease == 9);
+}
+
+// Guards against a fleet of 295 instances whose writes come in the same moment and are refused, and
+// against an instance that waits another time in each run.
+TEST_CASE("the instances of a fleet are spread over the time after the store's return") {
+  std::array<int, 5> tenths{};
+  for (int i = 0; i < 295; ++i) {
+    InstanceRecord record = Record();
+    record.name = "edge-" + std::to_string(i);
+    Fixture f(record);
+    f.Register();
+    Fixture again(record);
+    again.Register();
+    const core::Duration pause = PauseAfterReturn(f, 7);
+    REQUIRE(pause == PauseAfterReturn(again, 7));
+    REQUIRE(pause < Registration::kReturnSpread);
+    ++tenths[static_cast<std::size_t>(pause / 100ms)];
+  }
+  // 59 instances each on average; two writes each, of which 3,200 a second are allowed.
+  for (const int n : tenths) {
+    CHECK(n > 30);
+    CHECK(n < 100);
+  }
+}
+
+// Guards against a lease of the store's earlier era that is taken for a valid one.
+TEST_CASE("a lease granted before the store returned is not used") {
+  Fixture f;
+  (void)f.Expect<store::GrantLease>();
+  f.registration.OnEra(2, f.now);
+  f.Answer(store::LeaseGranted{7, 3000ms});
+  f.now += Registration::kReturnSpread;
+  (void)f.Expect<store::GrantLease>();
+  f.Answer(store::LeaseGranted{8, 3000ms});
+  CHECK(f.Expect<store::PutItem>().lease == 8);
+}
+
+// Guards against an instance that counts as registered by the answer to a call that the store
+// executed before it lost its data, or to a renewal of another instance's lease.
+TEST_CASE("answers to calls from before the store's return count for nothing") {
+  Fixture f;
+  SECTION("a renewal") {
+    f.Register();
+    const core::TimePoint renewed = f.registration.renewed();
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.registration.OnEra(2, f.now);
+    f.Answer(store::Done{});
+    CHECK(f.registration.renewed() == renewed);
+  }
+  SECTION("a renewal of a lease that is gone") {
+    f.Register();
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.registration.OnEra(2, f.now);
+    f.Fail(CallErrorCode::kLeaseEnded);
+  }
+  SECTION("the first write of the record") {
+    (void)f.Expect<store::GrantLease>();
+    f.Answer(store::LeaseGranted{7, 3000ms});
+    (void)f.Expect<store::PutItem>();
+    f.registration.OnEra(2, f.now);
+    f.Answer(store::Done{});
+  }
+  SECTION("a write of a changed record") {
+    f.Register();
+    f.registration.SetServerLimits({{"i-1", 3}}, f.now);
+    (void)f.Expect<store::PutItem>();
+    f.registration.OnEra(2, f.now);
+    f.Fail(CallErrorCode::kOtherEra);
+  }
+  SECTION("a call without an answer") {
+    f.Register();
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.registration.OnEra(2, f.now);
+    f.Fail(CallErrorCode::kNoAnswer);
+  }
+  f.now += Registration::kReturnSpread;
+  (void)f.Expect<store::GrantLease>();
+  f.Answer(store::LeaseGranted{8, 3000ms});
+  CHECK(f.Expect<store::PutItem>().lease == 8);
+}
+
+// Guards against a record that is tied to another instance's lease while the store's era is not
+// certain yet: the number of the own lease may have been given out again.
+TEST_CASE("after an answer of another era only a new lease is asked for") {
+  Fixture f;
+  f.Register();
+  SECTION("to a renewal") {
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+  }
+  SECTION("to a write") {
+    f.registration.SetServerLimits({{"i-1", 3}}, f.now);
+    (void)f.Expect<store::PutItem>();
+  }
+  f.Fail(CallErrorCode::kOtherEra);
+  (void)f.Expect<store::GrantLease>();
+  f.Fail(CallErrorCode::kOtherEra);
+  (void)f.Expect<store::GrantLease>();
+  f.Answer(store::LeaseGranted{8, 3000ms});
+  CHECK(f.Expect<store::PutItem>().lease == 8);
+}
+
+// Guards against a stopped instance that is listed again by an older copy of the store.
+TEST_CASE("a withdrawal is made again after the store's return") {
+  Fixture f;
+  f.Register();
+  f.registration.Withdraw();
+  SECTION("in progress") {
+    (void)f.Expect<store::DeleteItem>();
+    f.registration.OnEra(2, f.now);
+    f.Answer(store::Done{});
+  }
+  SECTION("waiting after a failure") {
+    (void)f.Expect<store::DeleteItem>();
+    f.registration.OnAnswer(VersionedResult(CallError{CallErrorCode::kNoAnswer, ""}), f.now);
+    f.registration.OnEra(2, f.now);
+  }
+  SECTION("complete") {
+    (void)f.Expect<store::DeleteItem>();
+    f.Answer(store::Done{});
+    REQUIRE(f.registration.withdrawn());
+    f.registration.OnEra(2, f.now);
+  }
+  SECTION("not sent") { f.registration.OnEra(2, f.now); }
+  CHECK_FALSE(f.registration.withdrawn());
+  // At once: a stopped instance has a few seconds left, and few stop at the same time.
+  (void)f.Expect<store::DeleteItem>();
+  f.Answer(store::Done{});
+  CHECK(f.registration.withdrawn());
+}
+
+// Guards against a withdrawal that counts as complete by a deletion in the era before.
+TEST_CASE("the store may return several times in a row") {
+  Fixture f;
+  f.Register();
+  f.registration.OnEra(2, f.now);
+  f.now += Registration::kReturnSpread;
+  (void)f.Expect<store::GrantLease>();
+  f.registration.OnEra(3, f.now);
+  f.registration.OnEra(4, f.now);
+  f.Answer(store::LeaseGranted{8, 3000ms});
+  f.now += Registration::kReturnSpread;
+  (void)f.Expect<store::GrantLease>();
+  f.Answer(store::LeaseGranted{9, 3000ms});
+  CHECK(f.Expect<store::PutItem>().lease == 9);
+  f.registration.Withdraw();
+  f.Answer(store::Done{});
+  (void)f.Expect<store::DeleteItem>();
+  f.registration.OnEra(5, f.now);
+  f.registration.OnEra(6, f.now);
+  f.Answer(store::Done{});
+  CHECK_FALSE(f.registration.withdrawn());
+  (void)f.Expect<store::DeleteItem>();
+}
+
+// Guards against a start that is delayed because the first era counts as a return.
+TEST_CASE("an instance that has no lease yet does not wait when the era becomes known") {
+  Fixture f;
+  f.registration.OnEra(1, f.now);
+  (void)f.Expect<store::GrantLease>();
+}
+
+// Guards against metrics that do not tell a lease that ended from one that was lost.
+TEST_CASE("lost leases are counted by their cause") {
+  Fixture f;
+  f.Register();
+  using Count = Registration::LeaseLossCounts;
+  CHECK(f.registration.lease_losses() == Count{0, 0, 0, 0});
+  SECTION("the store returned") {
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.registration.OnEra(2, f.now);
+    f.Fail(CallErrorCode::kLeaseEnded);
+    CHECK(f.registration.lease_losses() == Count{0, 1, 0, 0});
+  }
+  SECTION("it ended") {
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.Fail(CallErrorCode::kLeaseEnded);
+    CHECK(f.registration.lease_losses() == Count{1, 0, 0, 0});
+  }
+  SECTION("an answer of another era") {
+    f.now += 1100ms;
+    (void)f.Expect<store::RenewLease>();
+    f.Fail(CallErrorCode::kOtherEra);
+    CHECK(f.registration.lease_losses() == Count{0, 0, 1, 0});
+  }
+  SECTION("the record is missing") {
+    f.registration.OnRecordMissing();
+    CHECK(f.registration.lease_losses() == Count{0, 0, 0, 1});
+  }
+}
+
 TEST_CASE("malformed instance records are ignored") {
   CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", "not json").has_value());
   CHECK_FALSE(DecodeInstance("vanilladeck/instances/x", "[1,2]").has_value());
