Do not use a server that left before the store lost its leaving

Cause: the set of servers forgets a server with its entry. When the store returns from an older copy, the entry is back with a report from before the leaving; after the time for which it is held it was applied as new, and requests went to the server.

Change: for two minutes after a removal the start time, the counter and the leaving of the server's last report are remembered, with the era. In a later era a report of the same lifetime that is not newer, or of an earlier lifetime, is dropped and logged (server-report-dropped); a newer one of a server that had reported that it leaves stays draining. The gateway's functions for servers are now in a file of their own.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -385,7 +385,7 @@
   DecodedItem decoded = codec_.DecodeItem(item);
   bool matters = true;
   if (auto* server = std::get_if<ServerItem>(&decoded)) {
-    matters = ApplyServerReport(server->report);
+    matters = ApplyServerReport(std::move(server->report), item.position.era());
   } else if (auto* policy = std::get_if<PolicyItem>(&decoded)) {
     ApplyPolicy(std::move(policy->policy), item.position);
   } else if (auto* evacuation = std::get_if<EvacuationItem>(&decoded)) {
@@ -438,79 +438,10 @@
   }
 }
 
-bool Gateway::ApplyServerReport(const steering::ServerReport& report) {
-  const auto old = context_.servers.Find(report.id);
-  const auto holders = context_.servers.AddressHolders(report.address);
-  const bool was_cold = old && old->report.cold_left > core::Duration::zero();
-  const auto old_report = old ? old->report : report;
-  const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
-  LogReturned();
-  using Change = steering::ServerSet::Change;
-  if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
-  if (old && (old->gone || old->draining)) context_.pool.CloseIdleConnections(*old);
-  if (old_report.failure_domain != report.failure_domain) {
-    events_.Write(StreamEvent::kServerMoved, {{"server", report.id},
-                                              {"born", report.born_ms},
-                                              {"known_born", old_report.born_ms},
-                                              {"sequence", report.sequence},
-                                              {"known_sequence", old_report.sequence},
-                                              {"from", old_report.failure_domain},
-                                              {"to", report.failure_domain}});
-  }
-  LogServer(change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
-            report);
-  if (const auto server = context_.servers.Find(report.id); server->gone) LogSuperseded(*server);
-  for (const auto& it : holders) {
-    if (!it->gone || it->report.id == report.id) continue;
-    context_.pool.CloseIdleConnections(*it);
-    LogSuperseded(*it);
-  }
-  return true;
-}
-
-void Gateway::LogServer(StreamEvent event, const steering::ServerReport& report) {
-  events_.Write(event, {{"server", report.id},
-                        {"born", report.born_ms},
-                        {"service", report.service},
-                        {"address", report.address},
-                        {"failure_domain", report.failure_domain},
-                        {"sequence", report.sequence},
-                        {"cold_ms", Ms(report.cold_left)},
-                        {"draining", report.state == steering::ServerState::kDraining},
-                        {"source", SourceName()}});
-}
-
-void Gateway::LogReturned() {
-  for (const auto& it : context_.servers.TakeReturned()) {
-    LogServer(StreamEvent::kServerAdded, it->report);
-  }
-}
-
-void Gateway::LogSuperseded(const steering::Server& superseded) {
-  for (const auto& it : context_.servers.AddressHolders(superseded.report.address)) {
-    events_.Write(StreamEvent::kAddressShared, {{"server", it->report.id},
-                                                {"region", it->region},
-                                                {"born", it->report.born_ms},
-                                                {"superseded", superseded.report.id},
-                                                {"superseded_region", superseded.region},
-                                                {"superseded_born", superseded.report.born_ms},
-                                                {"address", it->report.address}});
-  }
-}
-
 std::string_view Gateway::SourceName() const noexcept {
   return membership::kItemSourceNames[static_cast<std::size_t>(follower_.source())];
 }
 
-void Gateway::RemoveServer(const std::string& id, std::string_view reason) {
-  const auto server = context_.servers.Find(id);
-  if (!context_.servers.OnRemoved(id)) return;
-  LogReturned();
-  context_.pool.CloseIdleConnections(*server);
-  events_.Write(StreamEvent::kServerRemoved,
-                {{"server", id}, {"reason", reason}, {"source", SourceName()}});
-}
-
 void Gateway::ApplyPolicy(config::RoutingPolicy policy, store::Position position) {
   if (context_.routes && policy.version <= context_.routes->version()) {
     if (policy.version < context_.routes->version()) {
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "vanilladeck/membership/load_meter.h"
 #include "vanilladeck/membership/registration.h"
 #include "vanilladeck/membership/store_follower.h"
+#include "vanilladeck/steering/departed_servers.h"
 #include "vanilladeck/store/era_tracker.h"
 
 namespace vanilladeck::gateway {
@@ -113,7 +114,10 @@
   void OnSynced();
   void ApplyPolicy(config::RoutingPolicy policy, store::Position position);
   /// True if the change must be passed on to other instances.
-  bool ApplyServerReport(const steering::ServerReport& report);
+  bool ApplyServerReport(steering::ServerReport report, store::Era era);
+  /// False, and logged, if a copy of the store brought back the report, read in `era`, of a server
+  /// that has left. A server that had reported that it leaves still does.
+  bool JudgeReturned(steering::ServerReport& report, store::Era era);
   void RemoveServer(const std::string& id, std::string_view reason);
   void LogServer(telemetry::StreamEvent event, const steering::ServerReport& report);
   /// Logs servers that got their address back.
@@ -183,6 +187,7 @@
   EntryGauges entries_;          ///< Of the own region, as of the last update.
   std::set<std::string> named_instances_;  ///< In lookups of the own region, as last logged.
   std::set<std::string> evacuated_;
+  steering::DepartedServers departed_servers_;
   /// Shares by region of each service, as last logged.
   std::map<std::string, std::map<std::string, double>> logged_splits_;
   std::unique_ptr<RequestHandler> proxy_handler_;
--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -55,6 +55,8 @@
   std::array<std::uint64_t, 16> store_calls{};    ///< By kind of call.
   std::array<std::uint64_t, 16> store_errors{};   ///< By `store::CallErrorCode`.
   std::array<std::uint64_t, 8> store_eras{};      ///< Responses, by `store::EraFinding`.
+  /// Of servers that had left, from a copy that the store returned from.
+  std::uint64_t server_reports_dropped = 0;
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t control_bytes = 0;  ///< Received from the store and other instances.
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -105,6 +105,8 @@
   const auto value = [&out](std::string_view name, double n) { out << name << ' ' << n << '\n'; };
   value("vanilladeck_repeats_total", static_cast<double>(metrics.retries));
   value("vanilladeck_repeats_denied_total", static_cast<double>(metrics.retries_denied));
+  value("vanilladeck_server_reports_dropped_total",
+        static_cast<double>(metrics.server_reports_dropped));
   value("vanilladeck_control_bytes_total", static_cast<double>(metrics.control_bytes));
   value("vanilladeck_lookups_total", static_cast<double>(metrics.lookups));
   value("vanilladeck_lookups_refused_total", static_cast<double>(metrics.lookups_refused));
--- /dev/null
+++ b/src/vanilladeck/steering/departed_servers.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "vanilladeck/steering/server.h"
+#include "vanilladeck/store/era.h"
+
+namespace vanilladeck::steering {
+
+/// What the last reports of servers said that are no longer listed.
+///
+/// When the platform's store returns from an older copy, it may list a server again that has left,
+/// with a report from before. Reports of one lifetime are ordered by the server's own counter, so
+/// that such a report is recognized although its position in the store is new.
+class DepartedServers {
+ public:
+  struct Departure {
+    std::string service;
+    std::string address;
+    std::string failure_domain;
+    std::int64_t born_ms = 0;
+    std::int64_t sequence = 0;
+    bool draining = false;
+    store::Era era = 0;  ///< In which the removal was read.
+    core::TimePoint at;
+  };
+
+  /// `server` was removed from the list in `era`.
+  void OnRemoved(const Server& server, store::Era era, core::TimePoint now);
+
+  enum class Verdict : std::uint8_t {
+    kNew,       ///< The report is to be used.
+    kLeaving,   ///< Also, and its server had reported before that it leaves.
+    kOutdated,  ///< The report is not newer than what was known when its server left.
+  };
+
+  /// Judges a report, read in `era`, of a server that is not listed. A report that is used ends the
+  /// memory of its server. Within the era of the removal all reports are new.
+  Verdict OnReport(const ServerReport& report, store::Era era, core::TimePoint now);
+
+  /// Null if none is remembered.
+  [[nodiscard]] const Departure* Find(const std::string& id) const;
+  [[nodiscard]] std::size_t size() const noexcept { return departures_.size(); }
+
+  /// A copy is some seconds old. The rest covers a store that is away before it returns.
+  static constexpr core::Duration kMemory = std::chrono::seconds(120);
+  /// Bounds the memory if servers come and go all the time; the oldest are forgotten first.
+  static constexpr std::size_t kMaxServers = 4096;
+
+ private:
+  std::map<std::string, Departure> departures_;  ///< By server id.
+};
+
+}  // namespace vanilladeck::steering
--- a/tests/platform/returned_store_test.cc
+++ b/tests/platform/returned_store_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <sstream>
 
 #include "platform/logged_gateway.h"
 #include "platform/scripted_store.h"
@@ -13,6 +14,8 @@
 constexpr core::Duration kStartTimeout = 5000ms;
 // Longer than the pause between two watches, after which the instance knows what was written.
 constexpr core::Duration kReadTime = 1200ms;
+// Longer than the time for which what a copy brings back is held.
+constexpr core::Duration kHeldTime = 4000ms;
 // Writes between the copy and the return, so that what is written afterwards has lower revisions.
 constexpr int kLostWrites = 300;
 
@@ -53,6 +56,17 @@
     Run(kReadTime);
   }
 
+  /// Number of times that the server was added to those in use.
+  [[nodiscard]] std::size_t Added(const std::string& id) const {
+    std::istringstream lines(gateway.Events());
+    std::size_t n = 0;
+    for (std::string line; std::getline(lines, line);) {
+      const bool added = line.find("\"event\":\"server-added\"") != std::string::npos;
+      if (added && line.find("\"server\":\"" + id + '"') != std::string::npos) ++n;
+    }
+    return n;
+  }
+
   void Run(core::Duration time) { io.run_for(time); }
   template <class Predicate>
   bool RunUntil(Predicate predicate, core::Duration limit) {
@@ -95,6 +109,27 @@
   CHECK(f.RunUntil([&] { return f.gateway.KnowsDraining(); }, kBound));
 }
 
+// Guards against requests to a server whose leaving the store has lost: the copy lists it as ready
+// after the time for which it is held back.
+TEST_CASE("a server that left before the store returned from an older copy is not used") {
+  ReturnedStoreFixture f;
+  const auto copy = f.store.TakeCopy();
+  f.store.Put("servers/i-1", Server("draining", 5));
+  f.WriteMore();
+  f.store.Remove("servers/i-1");
+  f.store.Put("servers/i-2", ReturnedStoreFixture::OtherServer());
+  REQUIRE(f.RunUntil([&] { return f.gateway.Logged("server-removed"); }, kBound));
+  const std::size_t added = f.Added("i-1");
+  f.store.ReturnFrom(copy);
+  f.Run(kHeldTime);
+  CHECK(f.Added("i-1") == added);
+  CHECK(f.gateway.Logged("server-report-dropped"));
+  // A newer report of the server that reported that it leaves.
+  f.store.Put("servers/i-1", Server("ready", 6));
+  REQUIRE(f.RunUntil([&] { return f.Added("i-1") > added; }, kBound));
+  CHECK(f.gateway.Logged("\"sequence\":6,\"cold_ms\":0,\"draining\":true"));
+}
+
 // Guards against changes that a store without history delays.
 TEST_CASE("changes are known in time although the store keeps no history") {
   ReturnedStoreFixture f;
