Log what the grace period after the store's return changed

Cause: the log told when an era was adopted and what the listing brought, but not how many items were kept for the grace period, nor what was removed or brought back when it ended. Instances that read from others list nothing and had no line at all.

Change: listing-read states the deferred removals, store-era-settled the end of the grace period; the metrics count changes of the era, also those told by other instances, and lost leases by cause.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -215,7 +215,7 @@
   // Scheduled first, so that ticks continue if this one throws.
   context_.deadlines->Add(now + kTickInterval, [this] { Tick(); });
   OpenListeners();
-  follower_.Tick(now);
+  TickFollower(now);
   // Once for all changes since the last tick: a region that returns changes hundreds of records.
   if (std::exchange(instances_changed_, false)) {
     UpdateFeedPeers();
@@ -349,6 +349,8 @@
 void Gateway::AdoptEra(store::Era known, std::string_view source) {
   const store::Era era = era_tracker_.era();
   const core::TimePoint now = core::RuntimeClock::now();
+  ++context_.metrics.store_era_changes;
+  if (follower_.known_items() > 0) era_settling_ = EraSettling{now};
   events_.Write(StreamEvent::kStoreEra, {{"known", known},
                                          {"era", era},
                                          {"source", source},
@@ -374,7 +376,8 @@
                                 {"pages", listing.pages},
                                 {"items", listing.items},
                                 {"missing", listing.missing},
-                                {"kept", listing.kept}};
+                                {"kept", listing.kept},
+                                {"deferred", follower_.deferred_removals()}};
   for (std::size_t i = 0; i < listing.dropped.size(); ++i) {
     fields[std::string(membership::kDropReasonNames[i])] = listing.dropped[i];
   }
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -88,6 +89,13 @@
     bool failed = false;
   };
 
+  /// What the grace period after a change of the era has changed so far.
+  struct EraSettling {
+    core::TimePoint since;
+    std::size_t removed = 0;
+    std::size_t brought_back = 0;
+  };
+
   void Tick();
   void OpenListeners();
   void LogEvictions();
@@ -145,6 +153,8 @@
   void OnPeerEra(const std::string& peer, store::Era era);
   /// The era has changed: all state is ordered anew. `source` told of it.
   void AdoptEra(store::Era known, std::string_view source);
+  /// Applies what is due by now, and logs the end of the grace period after a change of the era.
+  void TickFollower(core::TimePoint now);
   /// Logs what a listing brought, if it followed a lost history or did not apply everything.
   void LogListing();
   void ServeLocalRequest(ResponseSlot& slot, const Request& request);
@@ -217,6 +227,7 @@
   bool was_ready_ = false;
   bool policy_outdated_ = false;
   store::EraTracker era_tracker_;
+  std::optional<EraSettling> era_settling_;
   bool history_lost_ = false;  ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -153,6 +153,7 @@
   gauges.store_silence_s = std::chrono::duration<double>(now - follower_.last_success()).count();
   gauges.store_era = era_tracker_.era();
   gauges.items_dropped = follower_.dropped();
+  gauges.leases_lost = registration_.lease_losses();
   gauges.instances = instances_.size();
   gauges.servers = context_.servers.size();
   gauges.connections_opened = context_.pool.opened();
--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -55,6 +55,7 @@
   std::array<std::uint64_t, 16> store_calls{};    ///< By kind of call.
   std::array<std::uint64_t, 16> store_errors{};   ///< By `store::CallErrorCode`.
   std::array<std::uint64_t, 8> store_eras{};      ///< Responses, by `store::EraFinding`.
+  std::uint64_t store_era_changes = 0;            ///< Told by the store or by other instances.
   /// Of servers that had left, from a copy that the store returned from.
   std::uint64_t server_reports_dropped = 0;
   std::uint64_t retries = 0;
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -94,6 +94,11 @@
     out << "vanilladeck_store_eras_total{finding=\"" << store::kEraFindingNames[i] << "\"} "
         << metrics.store_eras[i] << '\n';
   }
+  out << "# TYPE vanilladeck_leases_lost_total counter\n";
+  for (std::size_t i = 0; i < membership::kLeaseLossNames.size(); ++i) {
+    out << "vanilladeck_leases_lost_total{reason=\"" << membership::kLeaseLossNames[i] << "\"} "
+        << gauges.leases_lost[i] << '\n';
+  }
   out << "# TYPE vanilladeck_load_reports_total counter\n"
       << "vanilladeck_load_reports_total{result=\"read\"} " << metrics.load_reports_read << '\n'
       << "vanilladeck_load_reports_total{result=\"unreadable\"} " << metrics.load_reports_unreadable
@@ -105,6 +110,7 @@
   const auto value = [&out](std::string_view name, double n) { out << name << ' ' << n << '\n'; };
   value("vanilladeck_repeats_total", static_cast<double>(metrics.retries));
   value("vanilladeck_repeats_denied_total", static_cast<double>(metrics.retries_denied));
+  value("vanilladeck_store_era_changes_total", static_cast<double>(metrics.store_era_changes));
   value("vanilladeck_server_reports_dropped_total",
         static_cast<double>(metrics.server_reports_dropped));
   value("vanilladeck_control_bytes_total", static_cast<double>(metrics.control_bytes));
--- a/src/vanilladeck/gateway/metrics_text.h
+++ b/src/vanilladeck/gateway/metrics_text.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "vanilladeck/gateway/gateway_metrics.h"
+#include "vanilladeck/membership/registration.h"
 #include "vanilladeck/membership/store_follower.h"
 
 namespace vanilladeck::gateway {
@@ -27,7 +28,8 @@
   std::int64_t store_era = 0;       ///< Of the store; 0 if it states none.
   /// Items read that were not applied, by `membership::DropReason`.
   membership::DropCounts items_dropped{};
-  std::uint64_t customers = 0;  ///< Of the policy in force.
+  membership::Registration::LeaseLossCounts leases_lost{};  ///< By `membership::LeaseLoss`.
+  std::uint64_t customers = 0;                              ///< Of the policy in force.
   std::uint64_t customer_keys = 0;
   std::uint64_t instances = 0;
   std::uint64_t servers = 0;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -164,6 +164,10 @@
   /// Of an older era than `era()` until the state is known after the store's return.
   [[nodiscard]] store::Position position() const noexcept { return position_; }
   [[nodiscard]] std::size_t known_items() const noexcept { return known_positions_.size(); }
+  /// Items that are kept for the grace period although they were removed.
+  [[nodiscard]] std::size_t deferred_removals() const noexcept { return deferred_removals_.size(); }
+  /// Items that a copy brought back and that are not applied before the grace period ends.
+  [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
