Do not name an instance that left before the store lost its leaving

Cause: the record of a stopped instance came back with the copy and was applied after the time for which it is held; lookups named the instance until the lease in the copy ended.

Change: a record that was removed before the return and was not written again within the grace period is not used, and logged (entry-rejected). A live instance writes its record again.

Measured: platform_test "an instance that had left*" found two addresses instead of one before the change and passes now.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -395,7 +395,14 @@
     evacuated_.insert(evacuation->failure_domain);
     ApplyEvacuations();
   } else if (std::holds_alternative<OtherItem>(decoded)) {
-    if (auto record = membership::DecodeInstance(item.key, item.value)) {
+    auto record = membership::DecodeInstance(item.key, item.value);
+    if (record && applying_held_) {
+      // A live instance would have written it again; the record's lease is about to end.
+      events_.Write(StreamEvent::kEntryRejected,
+                    {{"key", item.key},
+                     {"revision", item.position.revision().number},
+                     {"reason", "the instance had left before the store returned"}});
+    } else if (record) {
       instances_[record->name] = *record;
       context_.server_limits.OnStated(record->name, record->server_limits,
                                       core::RuntimeClock::now());
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -228,6 +228,9 @@
   bool policy_outdated_ = false;
   store::EraTracker era_tracker_;
   std::optional<EraSettling> era_settling_;
+  /// The item that is being applied was removed before the store returned from a copy that contains
+  /// it, and was not written again within the grace period.
+  bool applying_held_ = false;
   bool history_lost_ = false;  ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
--- a/src/vanilladeck/gateway/gateway_era.cc
+++ b/src/vanilladeck/gateway/gateway_era.cc
@@ -8,7 +8,9 @@
 void Gateway::TickFollower(core::TimePoint now) {
   const std::size_t deferred = follower_.deferred_removals();
   const std::size_t held = follower_.held_items();
+  applying_held_ = true;
   follower_.Tick(now);
+  applying_held_ = false;
   if (!era_settling_) return;
   era_settling_->removed += deferred - follower_.deferred_removals();
   era_settling_->brought_back += held - follower_.held_items();
--- a/tests/platform/returned_state_test.cc
+++ b/tests/platform/returned_state_test.cc
@@ -106,6 +106,22 @@
   CHECK(f.Count(kEvacuated) == 1);
 }
 
+// Guards against lookups that name a stopped instance until the lease ends that a copy brings back.
+TEST_CASE("an instance that had left is not named because a copy lists it again") {
+  ReturnedStateFixture f;
+  f.store.Put(kOtherInstance, f.OtherInstance());
+  REQUIRE(f.RunUntil([&] { return f.Named() == 2; }, kReadTimeout));
+  const auto copy = f.store.TakeCopy();
+  f.Remove(kOtherInstance);
+  REQUIRE(f.RunUntil([&] { return f.Named() == 1; }, kReadTimeout));
+  f.store.ReturnFrom(copy);
+  f.Run(kGraceTime);
+  CHECK(f.Named() == 1);
+  // It has started again.
+  f.store.Put(kOtherInstance, f.OtherInstance());
+  CHECK(f.RunUntil([&] { return f.Named() == 2; }, kReadTimeout));
+}
+
 // Guards against lookups that omit live instances because the copy lacks their records, which they
 // write again.
 TEST_CASE("an instance whose record the store lost stays named until it is written again") {
