--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
 #include "vanilladeck/membership/load_meter.h"
 #include "vanilladeck/membership/registration.h"
 #include "vanilladeck/membership/store_follower.h"
+#include "vanilladeck/steering/departed_servers.h"
 #include "vanilladeck/store/era_tracker.h"
 
 namespace vanilladeck::gateway {
@@ -90,6 +92,13 @@
     bool failed = false;
   };
 
+  /// What the grace period after a change of the era has changed so far.
+  struct EraSettling {
+    core::TimePoint since;
+    std::size_t removed = 0;
+    std::size_t brought_back = 0;
+  };
+
   void Tick();
   void OpenListeners();
   void LogEvictions();
@@ -116,7 +125,10 @@
   void OnSynced();
   void ApplyPolicy(config::RoutingPolicy policy, store::Position position);
   /// True if the change must be passed on to other instances.
-  bool ApplyServerReport(const steering::ServerReport& report);
+  bool ApplyServerReport(steering::ServerReport report, store::Era era);
+  /// False, and logged, if a copy of the store brought back the report, read in `era`, of a server
+  /// that has left. A server that had reported that it leaves still does.
+  bool JudgeReturned(steering::ServerReport& report, store::Era era);
   void RemoveServer(const std::string& id, std::string_view reason);
   void LogServer(telemetry::StreamEvent event, const steering::ServerReport& report);
   /// Logs servers that got their address back.
@@ -144,6 +156,8 @@
   void OnPeerEra(const std::string& peer, store::Era era);
   /// The era has changed: all state is ordered anew. `source` told of it.
   void AdoptEra(store::Era known, std::string_view source);
+  /// Applies what is due by now, and logs the end of the grace period after a change of the era.
+  void TickFollower(core::TimePoint now);
   /// Logs what a listing brought, if it followed a lost history or did not apply everything.
   void LogListing();
   void ServeLocalRequest(ResponseSlot& slot, const Request& request, RequestSource source);
@@ -186,6 +200,7 @@
   EntryGauges entries_;          ///< Of the own region, as of the last update.
   std::set<std::string> named_instances_;  ///< In lookups of the own region, as last logged.
   std::set<std::string> evacuated_;
+  steering::DepartedServers departed_servers_;
   /// Shares by region of each service, as last logged.
   std::map<std::string, std::map<std::string, double>> logged_splits_;
   std::unique_ptr<RequestHandler> proxy_handler_;
@@ -216,6 +231,10 @@
   bool was_ready_ = false;
   bool policy_outdated_ = false;
   store::EraTracker era_tracker_;
+  std::optional<EraSettling> era_settling_;
+  /// The item that is being applied was removed before the store returned from a copy that contains
+  /// it, and was not written again within the grace period.
+  bool applying_held_ = false;
   bool history_lost_ = false;  ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
