Relay the first write of an era

Cause: the first report of a server after the store's return is no change at the reader, so the change log did not relay it; instances that ask the reader defer the removal of what the copy lacked and then removed a live server. Change: ChangeLog::Put relays an item whose era differs from the known one. Measured: the new test fails without the change and passes with it.

--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -176,6 +176,7 @@
   const auto [it, added] = entries_.try_emplace(item.key);
   Entry& entry = it->second;
   const bool was_removed = entry.removed;
+  relay = relay || entry.item.position.era() != item.position.era();
   entry.item = item;
   entry.removed = false;
   if (!added && !was_removed && !relay) return;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -63,7 +63,8 @@
   explicit ChangeLog(std::string epoch, std::string checked_prefix = {})
       : epoch_(std::move(epoch)), checked_prefix_(std::move(checked_prefix)) {}
 
-  /// `relay` is false for a change that other instances do not need.
+  /// `relay` is false for a change that other instances do not need. The first write of an era is
+  /// relayed in any case: others may defer the removal of what an older copy of the store lacked.
   void Put(const store::Item& item, bool relay, core::TimePoint now);
   /// `position` is one at which the key was absent; `applied_at` is the position up to which all
   /// other changes were applied here, which is later if the removal was deferred.
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -38,6 +38,17 @@
   CHECK(second.changes[1].removed);
 }
 
+// Guards against a live server that stays out of use: its first report after the store's return is
+// no change at the reader, while the instances that ask it are about to remove its entry.
+TEST_CASE("the first write of an era is relayed") {
+  ChangeLog log("a/1");
+  log.Put({"servers/x", "v1", Rev(50, 1)}, true, At(0s));
+  log.OnListed(Rev(60, 1));
+  const auto position = log.Since({}, At(0s)).log_position;
+  log.Put({"servers/x", "v2", Rev(40, 2)}, false, At(1s));
+  CHECK(log.Since({"a/1", position, Rev(60, 1)}, At(1s)).changes.size() == 1);
+}
+
 // Guards against accepting positions of a reader's log from before its restart.
 TEST_CASE("a position of another log or a pruned position yields a full snapshot") {
   ChangeLog log("a/2");
