Relay an item that was held back to instances that switch readers

Cause: a delta for an instance that switches readers has the changes after its position; an item held back after the store's return has an earlier one and was left out. Change: the entry's change counts at the follower's position if that is later. Measured: the new test fails without the change and passes with it.

--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -172,7 +172,8 @@
   return changes;
 }
 
-void ChangeLog::Put(const store::Item& item, bool relay, core::TimePoint now) {
+void ChangeLog::Put(const store::Item& item, bool relay, core::TimePoint now,
+                    store::Position applied_at) {
   const auto [it, added] = entries_.try_emplace(item.key);
   Entry& entry = it->second;
   const bool was_removed = entry.removed;
@@ -181,7 +182,7 @@
   entry.removed = false;
   if (!added && !was_removed && !relay) return;
   entry.log_position = ++log_position_;
-  entry.changed_at = item.position;
+  entry.changed_at = std::max(item.position, applied_at);
   // The items of the first listing are not changes.
   if (complete_since_ && IsChecked(item.key)) {
     entry.repeat_until = now + kRepeatTime;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -65,7 +65,10 @@
 
   /// `relay` is false for a change that other instances do not need. The first write of an era is
   /// relayed in any case: others may defer the removal of what an older copy of the store lacked.
-  void Put(const store::Item& item, bool relay, core::TimePoint now);
+  /// `applied_at` is the position up to which all other changes were applied here, which is later
+  /// than that of the item if it was held back.
+  void Put(const store::Item& item, bool relay, core::TimePoint now,
+           store::Position applied_at = {});
   /// `position` is one at which the key was absent; `applied_at` is the position up to which all
   /// other changes were applied here, which is later if the removal was deferred.
   void Remove(const std::string& key, store::Position position, store::Position applied_at,
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -49,6 +49,15 @@
   CHECK(log.Since({"a/1", position, Rev(60, 1)}, At(1s)).changes.size() == 1);
 }
 
+// Guards against an item that a change of readers leaves out: it was held back after the return, so
+// that its position is before that of the requesting instance.
+TEST_CASE("an item that was held back reaches an instance that switches readers") {
+  ChangeLog log("a/1");
+  log.OnListed(Rev(40, 2));
+  log.Put({"servers/x", "v", Rev(35, 2)}, true, At(1s), Rev(70, 2));
+  CHECK(log.Since({"b/1", 3, Rev(60, 2)}, At(1s)).changes.size() == 1);
+}
+
 // Guards against accepting positions of a reader's log from before its restart.
 TEST_CASE("a position of another log or a pruned position yields a full snapshot") {
   ChangeLog log("a/2");
