Relay a server's report after an outdated one from the store's copy

Cause: an instance that knew the newer report saw no change in the next one and did not relay it, while instances that started from the copy use the older one. Change: the servers whose last item was outdated are noted, and their next report is relayed. Measured: no test of its own; the platform tests pass.

--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -201,6 +201,8 @@
   std::set<std::string> named_instances_;  ///< In lookups of the own region, as last logged.
   std::set<std::string> evacuated_;
   steering::DepartedServers departed_servers_;
+  /// Servers whose last item is an older report than the known one, from a copy of the store.
+  std::set<std::string> outdated_items_;
   /// Shares by region of each service, as last logged.
   std::map<std::string, std::map<std::string, double>> logged_splits_;
   std::unique_ptr<RequestHandler> proxy_handler_;
--- a/src/vanilladeck/gateway/gateway_servers.cc
+++ b/src/vanilladeck/gateway/gateway_servers.cc
@@ -19,13 +19,22 @@
   const auto old = context_.servers.Find(report.id);
   // Other instances judge the report by what they know of the server.
   if (!old && !JudgeReturned(report, era)) return true;
+  const bool outdated =
+      old && (report.born_ms < old->report.born_ms ||
+              (report.born_ms == old->report.born_ms && report.sequence < old->report.sequence));
+  // Instances that got the outdated item from elsewhere need the next report, though it is no
+  // change here.
+  const bool was_outdated = outdated_items_.erase(report.id) > 0;
+  if (outdated) outdated_items_.insert(report.id);
   const auto holders = context_.servers.AddressHolders(report.address);
   const bool was_cold = old && old->report.cold_left > core::Duration::zero();
   const auto old_report = old ? old->report : report;
   const auto change = context_.servers.OnReport(report, core::RuntimeClock::now());
   LogReturned();
   using Change = steering::ServerSet::Change;
-  if (change == Change::kNone) return was_cold || report.cold_left > core::Duration::zero();
+  if (change == Change::kNone) {
+    return was_outdated || was_cold || report.cold_left > core::Duration::zero();
+  }
   if (old && (old->gone || old->draining)) context_.pool.CloseIdleConnections(*old);
   if (old_report.failure_domain != report.failure_domain) {
     events_.Write(StreamEvent::kServerMoved, {{"server", report.id},
@@ -103,6 +112,7 @@
 void Gateway::RemoveServer(const std::string& id, std::string_view reason) {
   const auto server = context_.servers.Find(id);
   if (!context_.servers.OnRemoved(id)) return;
+  outdated_items_.erase(id);
   departed_servers_.OnRemoved(*server, follower_.removal_position().era(),
                               core::RuntimeClock::now());
   LogReturned();
