Do not let a peer's state end a listing that the instance needs

Cause: after a change of the era the follower took a peer's state in place of any listing. Change: only an instance that has been synced asks a peer, and the store is listed as long as the position is of another era than the known one.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -37,7 +37,9 @@
   if (in_flight_ || now < due_) return std::nullopt;
   in_flight_ = true;
   call_sent_ = now;
-  if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
+  // Changes after a position of an earlier era would be those of what the store has lost.
+  const bool other_era = position_.era() != era_;
+  if (!listing_ && (other_era || now - last_listing_ >= settings_.relist_interval)) StartListing();
   if (listing_) return store::ReadRange{"", page_after_, false};
   if (catching_up_) {
     return store::WatchChanges{"", position_,
@@ -68,7 +70,8 @@
     return;
   }
   era_began_ = now;
-  ask_peer_for_state_ = true;
+  // The first listing of a start is continued: only the store itself tells that it is complete.
+  ask_peer_for_state_ = synced_once_;
   recovered_at_ = now;
   held_.clear();
   for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
@@ -217,7 +220,7 @@
   in_flight_ = false;
   call_outdated_ = false;
   if (!IsUsable(changes)) {
-    due_ = now;
+    due_ = now + pause;
     return;
   }
   catching_up_ = false;
--- /dev/null
+++ b/tests/membership/lost_data_test.cc
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/positions.h"
+#include "vanilladeck/membership/store_follower.h"
+
+namespace vanilladeck::membership {
+namespace {
+
+using namespace std::chrono_literals;
+using store::testing::Rev;
+
+/// A follower that has listed a store, and the items that it reported to its sink.
+struct Fixture {
+  Fixture()
+      : follower(FollowerSettings{},
+                 {[this](const store::Item& item) { items[item.key] = item.value; },
+                  [this](const std::string& key) { items.erase(key); },
+                  [this] { ++synced; },
+                  {}}),
+        now(core::TimePoint(100s)) {}
+
+  /// Advances until a call is due and returns it.
+  store::VersionedCall NextCall() {
+    for (int i = 0; i < 100; ++i) {
+      follower.Tick(now);
+      if (auto call = follower.Next(now)) return *call;
+      now += 100ms;
+    }
+    FAIL("no call is due");
+    return store::ReadRange{};
+  }
+  [[nodiscard]] bool Lists() { return std::holds_alternative<store::ReadRange>(NextCall()); }
+  void Answer(store::VersionedAnswer answer) {
+    follower.OnAnswer(store::VersionedResult(std::move(answer)), now);
+  }
+  void AnswerList(std::vector<store::Item> listed, store::Position position) {
+    REQUIRE(Lists());
+    Answer(store::RangePage{std::move(listed), false, position});
+  }
+
+  StoreFollower follower;
+  core::TimePoint now;
+  std::map<std::string, std::string> items;
+  int synced = 0;
+};
+
+}  // namespace
+
+// Guards against an instance that never says that it is ready: the store returned during its first
+// listing, and the state of a peer took the place of the rest.
+TEST_CASE("a first listing during which the store returns is not left to a peer") {
+  Fixture f;
+  f.follower.OnEra(1, f.now);
+  REQUIRE(f.Lists());
+  f.Answer(store::RangePage{{{"servers/a", "1", Rev(5, 1)}}, true, Rev(9, 1)});
+  f.follower.OnEra(2, f.now);
+  const auto call = f.NextCall();
+  REQUIRE(std::holds_alternative<store::ReadRange>(call));
+  CHECK_FALSE(f.follower.CanAskPeer(call));
+  f.Answer(store::RangePage{{{"servers/a", "1", Rev(5, 2)}}, false, Rev(6, 2)});
+  CHECK(f.follower.synced());
+}
+
+// Guards against a watch from a revision of what the store has lost: the peer's state refers to an
+// item that is not known yet, so that the state is not of the new era.
+TEST_CASE("the store is listed while the known state is of an earlier era") {
+  Fixture f;
+  f.follower.OnEra(1, f.now);
+  f.AnswerList({{"servers/a", "1", Rev(5, 1)}}, Rev(60, 1));
+  f.follower.OnEra(2, f.now);
+  REQUIRE(f.follower.CanAskPeer(f.NextCall()));
+  PeerChanges changes;
+  changes.full = true;
+  changes.position = Rev(20, 2);
+  changes.references = {{"op/config", Rev(65, 1)}};
+  f.follower.OnPeerChanges(changes, 100ms, f.now);
+  f.now += 1s;
+  CHECK(f.Lists());
+}
+
+}  // namespace vanilladeck::membership
