Take a lower era of the store if it is stated twice

Cause: an era never fell, so that an instance whose known era was too high, from a damaged message of another instance, used no response of the store any more. Change: a second response with the lower era confirms it; the order of the known state is then forgotten, and what the next listing lacks is kept for the grace period. Eras that the store has contradicted are not taken from other instances.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -58,7 +58,8 @@
 }
 
 void StoreFollower::OnEra(store::Era era, core::TimePoint now) {
-  if (era <= era_) return;
+  if (era == era_) return;
+  if (era < era_) ForgetOrder();
   era_ = era;
   call_outdated_ = in_flight_;
   check_outdated_ = checking_;
@@ -77,6 +78,15 @@
   for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
 }
 
+void StoreFollower::ForgetOrder() {
+  for (auto& [key, position] : known_positions_) position = {};
+  for (auto& [key, removal] : deferred_removals_) removal.position = {};
+  tombstones_.clear();
+  awaited_.clear();
+  position_ = {};
+  complete_position_ = {};
+}
+
 void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
   in_flight_ = false;
   if (std::exchange(call_outdated_, false)) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -106,8 +106,9 @@
   [[nodiscard]] std::optional<store::VersionedCall> NextCheck(core::TimePoint now);
   void OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now);
 
-  /// The store is in another era, which is later than the known one. Answers to calls in flight do
-  /// not count; those of an older era must not be passed on to the follower any more.
+  /// The store is in another era than the known one. Answers to calls in flight do not count; those
+  /// of another era must not be passed on to the follower any more. A lower era means that the
+  /// known one was wrong: the state is kept as after a return, but its order is forgotten.
   void OnEra(store::Era era, core::TimePoint now);
   [[nodiscard]] store::Era era() const noexcept { return era_; }
 
@@ -221,6 +222,8 @@
   /// the call, during which the answer may have waited, the time of the call.
   [[nodiscard]] core::TimePoint AnswerTime(core::TimePoint now) const noexcept;
   void StartListing() noexcept;
+  /// Any state that is read from now on is newer than the known one.
+  void ForgetOrder();
   void CountDrop(DropReason reason) noexcept { ++dropped_[static_cast<std::size_t>(reason)]; }
 
   FollowerSettings settings_;
--- a/src/vanilladeck/store/era_tracker.cc
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -1,5 +1,7 @@
 #include "vanilladeck/store/era_tracker.h"
 
+#include <algorithm>
+
 namespace vanilladeck::store {
 
 EraTracker::Judgement EraTracker::OnResponse(const EraReading& reading, Era sent_in) {
@@ -20,7 +22,15 @@
     return {EraFinding::kSame, true, false};
   }
   if (*era < *era_) {
-    return {sent_in < *era_ ? EraFinding::kOlder : EraFinding::kFell, false, false};
+    if (sent_in < *era_) return {EraFinding::kOlder, false, false};
+    if (unconfirmed_ != *era) {
+      unconfirmed_ = *era;
+      return {EraFinding::kFell, false, false};
+    }
+    unconfirmed_.reset();
+    contradicted_ = *era_;
+    era_ = *era;
+    return {EraFinding::kFell, true, true};
   }
   const bool next = *era == *era_ + 1;
   if (!next && unconfirmed_ != *era) {
@@ -33,7 +43,7 @@
 }
 
 bool EraTracker::OnPeer(Era era) noexcept {
-  if (era <= this->era()) return false;
+  if (era <= std::max(this->era(), contradicted_)) return false;
   // The store's responses are not used while a higher era is known, so that one damaged message
   // must not set it.
   if (era_ && era != *era_ + 1 && unconfirmed_ != era) {
--- a/src/vanilladeck/store/era_tracker.h
+++ b/src/vanilladeck/store/era_tracker.h
@@ -27,8 +27,9 @@
 /// Decides by the era that a response of the store states whether the response is used.
 ///
 /// Calls are under way on several connections, so that responses of an older era arrive after the
-/// store has returned. A jump counts only if the next response that states an era confirms it, and
-/// an era never falls: the store raises it by one at each return.
+/// store has returned. A jump or a fall counts only if the next response that states an era
+/// confirms it: the store raises its era by one at each return, so that after a fall the known one
+/// was wrong.
 class EraTracker {
  public:
   struct Judgement {
@@ -42,6 +43,7 @@
 
   /// Another instance states the era; true if it is newer than the known one and now known. A jump
   /// counts only if the next message or response with a newer era confirms it.
+  /// One that the store has contradicted does not count.
   bool OnPeer(Era era) noexcept;
 
   /// 0 before any was stated.
@@ -49,7 +51,8 @@
 
  private:
   std::optional<Era> era_;
-  std::optional<Era> unconfirmed_;  ///< A jump that the next response may confirm.
+  std::optional<Era> unconfirmed_;  ///< A jump or fall that the next response may confirm.
+  Era contradicted_ = 0;            ///< Known era from which the last one fell.
 };
 
 }  // namespace vanilladeck::store
--- a/tests/membership/lost_data_test.cc
+++ b/tests/membership/lost_data_test.cc
@@ -82,4 +82,19 @@
   CHECK(f.Lists());
 }
 
+// Guards against an instance that applies nothing more after its known era was too high.
+TEST_CASE("state of a lower era replaces what is known after the era fell") {
+  Fixture f;
+  f.follower.OnEra(7, f.now);
+  f.AnswerList({{"servers/a", "1", Rev(50, 7)}, {"servers/b", "1", Rev(55, 7)}}, Rev(60, 7));
+  f.follower.OnEra(3, f.now);
+  f.AnswerList({{"servers/a", "2", Rev(61, 3)}}, Rev(62, 3));
+  CHECK(f.items["servers/a"] == "2");
+  CHECK(f.follower.position() == Rev(62, 3));
+  CHECK(f.items.count("servers/b") == 1);
+  f.now += FollowerSettings{}.removal_grace;
+  f.follower.Tick(f.now);
+  CHECK(f.items.count("servers/b") == 0);
+}
+
 }  // namespace vanilladeck::membership
--- a/tests/store/peer_era_test.cc
+++ b/tests/store/peer_era_test.cc
@@ -26,5 +26,34 @@
   SECTION("unless it is the next one") { CHECK(tracker.OnPeer(4)); }
 }
 
+// Guards against an instance that uses no response of the store any more, since its known era is
+// too high, and against two halves of a fleet that raise and lower each other's era.
+TEST_CASE("a fall of the era must be confirmed by the store and is not undone by other instances") {
+  EraTracker tracker;
+  REQUIRE(tracker.OnResponse(Era{3}, 0).usable);
+  REQUIRE(tracker.OnPeer(4));
+  CHECK_FALSE(tracker.OnResponse(Era{3}, 3).usable);
+  CHECK_FALSE(tracker.OnResponse(Era{3}, 4).usable);
+  CHECK(tracker.era() == 4);
+  const auto fell = tracker.OnResponse(Era{3}, 4);
+  CHECK(fell.usable);
+  CHECK(fell.changed);
+  CHECK(tracker.era() == 3);
+  CHECK_FALSE(tracker.OnPeer(4));
+  CHECK(tracker.OnResponse(Era{4}, 3).changed);
+  CHECK(tracker.OnPeer(5));
+}
+
+// Guards against a fall of the era that two responses on different connections seem to confirm,
+// while a third one states the known era.
+TEST_CASE("a response of the known era ends the doubt about it") {
+  EraTracker tracker;
+  REQUIRE(tracker.OnResponse(Era{4}, 0).usable);
+  CHECK_FALSE(tracker.OnResponse(Era{3}, 4).usable);
+  CHECK(tracker.OnResponse(Era{4}, 4).usable);
+  CHECK_FALSE(tracker.OnResponse(Era{3}, 4).usable);
+  CHECK(tracker.era() == 4);
+}
+
 }  // namespace
 }  // namespace vanilladeck::store
