Notice lost data also if the store states no era

Cause: the state was ordered anew only when the store's era rose. A store that states none was still followed by revision alone: each watch was refused with 410, and what was written since was dropped as older. Callers saw an older policy and servers that had said that they leave. Change: two listings in a row that are older than what was known when they were sent count as a return of the store; the instance raises the era, and others learn it from its messages. Nothing is removed before the second listing.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -258,6 +258,7 @@
           CountCall(call, result, transfer);
           LogChanges(call, result);
           follower_.OnAnswer(result, core::RuntimeClock::now());
+          if (follower_.data_lost()) OnDataLost();
           context_.policy_as_of = follower_.current_as_of();
           // The next page, or the next watch after one without changes, follows
           // immediately.
@@ -350,6 +351,11 @@
   if (era_tracker_.OnPeer(era)) AdoptEra(known, peer);
 }
 
+void Gateway::OnDataLost() {
+  const store::Era known = era_tracker_.era();
+  if (era_tracker_.OnDataLost()) AdoptEra(known, "revisions");
+}
+
 void Gateway::AdoptEra(store::Era known, std::string_view source) {
   const store::Era era = era_tracker_.era();
   const core::TimePoint now = core::RuntimeClock::now();
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -154,6 +154,8 @@
                                      store::Era sent_in);
   /// Another instance states the era of its state.
   void OnPeerEra(const std::string& peer, store::Era era);
+  /// The store's revisions have gone back, in an era of which it does not tell.
+  void OnDataLost();
   /// The era has changed: all state is ordered anew. `source` told of it.
   void AdoptEra(store::Era known, std::string_view source);
   /// Applies what is due by now, and logs the end of the grace period after a change of the era.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -40,7 +40,10 @@
   // Changes after a position of an earlier era would be those of what the store has lost.
   const bool other_era = position_.era() != era_;
   if (!listing_ && (other_era || now - last_listing_ >= settings_.relist_interval)) StartListing();
-  if (listing_) return store::ReadRange{"", page_after_, false};
+  if (listing_) {
+    if (page_after_.empty()) sent_position_ = position_;
+    return store::ReadRange{"", page_after_, false};
+  }
   if (catching_up_) {
     return store::WatchChanges{"", position_,
                                std::chrono::duration_cast<std::chrono::milliseconds>(kCatchUpWait)};
@@ -61,6 +64,7 @@
   if (era == era_) return;
   if (era < era_) ForgetOrder();
   era_ = era;
+  went_back_listings_ = 0;
   call_outdated_ = in_flight_;
   check_outdated_ = checking_;
   check_page_after_.clear();
@@ -165,7 +169,7 @@
     listing_position_ = page.position;
     listed_as_of_ = AnswerTime(now);
     summary_ = ListingSummary{};
-    summary_.known = position_;
+    summary_.known = sent_position_;
     summary_.position = page.position;
   }
   ++summary_.pages;
@@ -189,6 +193,15 @@
     }
     return;
   }
+  const bool went_back =
+      listing_position_.era() == sent_position_.era() && listing_position_ < sent_position_;
+  went_back_listings_ = went_back ? went_back_listings_ + 1 : 0;
+  if (went_back && !data_lost()) {
+    // Nothing is removed before a second listing has confirmed it.
+    StartListing();
+    due_ = now;
+    return;
+  }
   std::vector<std::string> missing;
   for (const auto& [key, position] : known_positions_) {
     if (listed_keys_.count(key) > 0) continue;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -69,7 +69,7 @@
 
 /// What a complete listing brought.
 struct ListingSummary {
-  store::Position known;     ///< Position of the state before the listing.
+  store::Position known;     ///< Position of the state when the listing was sent.
   store::Position position;  ///< Position that the listing states.
   std::size_t pages = 0;
   std::size_t items = 0;
@@ -110,6 +110,11 @@
   /// of another era must not be passed on to the follower any more. A lower era means that the
   /// known one was wrong: the state is kept as after a return, but its order is forgotten.
   void OnEra(store::Era era, core::TimePoint now);
+  /// The store has lost data without stating another era: listings in a row were older than what
+  /// was known when they were sent. Until `OnEra`.
+  [[nodiscard]] bool data_lost() const noexcept {
+    return went_back_listings_ >= kConfirmingListings;
+  }
   [[nodiscard]] store::Era era() const noexcept { return era_; }
 
   /// True if `call`, returned by `Next`, reads what a peer can serve as well: changes, or the whole
@@ -185,6 +190,9 @@
   [[nodiscard]] const DropCounts& dropped() const noexcept { return dropped_; }
 
  private:
+  /// Listings in a row that must be older than the known state for data to count as lost.
+  static constexpr int kConfirmingListings = 2;
+
   struct Removal {
     store::Position position;
     /// For `deferred_removals_`: when to apply it; for `tombstones_`: when it was applied.
@@ -243,6 +251,8 @@
   ItemSource source_ = ItemSource::kListing;
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
+  store::Position sent_position_;     ///< Known when the listing's first page was asked for.
+  int went_back_listings_ = 0;        ///< Listings in a row that were older than that.
   std::set<std::string> listed_keys_;
   ListingSummary summary_;  ///< Of the listing in progress.
   ListingSummary last_summary_;
--- a/src/vanilladeck/store/era_tracker.cc
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -12,6 +12,7 @@
     // If the era has changed since the call was sent, the response may be of either.
     return {finding, sent_in == this->era(), false};
   }
+  stated_ = true;
   if (!era_) {
     const bool changed = *era != 0;
     era_ = *era;
@@ -55,4 +56,11 @@
   return true;
 }
 
+bool EraTracker::OnDataLost() noexcept {
+  if (stated_) return false;
+  unconfirmed_.reset();
+  era_ = era() + 1;
+  return true;
+}
+
 }  // namespace vanilladeck::store
--- a/src/vanilladeck/store/era_tracker.h
+++ b/src/vanilladeck/store/era_tracker.h
@@ -30,6 +30,8 @@
 /// store has returned. A jump or a fall counts only if the next response that states an era
 /// confirms it: the store raises its era by one at each return, so that after a fall the known one
 /// was wrong.
+///
+/// While the store states no era, the returns that its revisions show are counted (`OnDataLost`).
 class EraTracker {
  public:
   struct Judgement {
@@ -46,6 +48,10 @@
   /// One that the store has contradicted does not count.
   bool OnPeer(Era era) noexcept;
 
+  /// The store's revisions have gone back. True if `era()` was raised, which it is only if the
+  /// store has stated none.
+  bool OnDataLost() noexcept;
+
   /// 0 before any was stated.
   [[nodiscard]] Era era() const noexcept { return era_.value_or(0); }
 
@@ -53,6 +59,7 @@
   std::optional<Era> era_;
   std::optional<Era> unconfirmed_;  ///< A jump or fall that the next response may confirm.
   Era contradicted_ = 0;            ///< Known era from which the last one fell.
+  bool stated_ = false;             ///< The store has stated an era.
 };
 
 }  // namespace vanilladeck::store
--- a/tests/membership/lost_data_test.cc
+++ b/tests/membership/lost_data_test.cc
@@ -41,6 +41,11 @@
     REQUIRE(Lists());
     Answer(store::RangePage{std::move(listed), false, position});
   }
+  void LoseHistory() {
+    REQUIRE_FALSE(Lists());
+    follower.OnAnswer(
+        store::VersionedResult(store::CallError{store::CallErrorCode::kHistoryLost, ""}), now);
+  }
 
   StoreFollower follower;
   core::TimePoint now;
@@ -82,6 +87,50 @@
   CHECK(f.Lists());
 }
 
+// Guards against state that is dropped as older for ever: the store has lost data and states no
+// era, so that only the revisions of its listings tell.
+TEST_CASE("two listings in a row that are older than the known state tell of lost data") {
+  Fixture f;
+  f.AnswerList({{"servers/a", "1", Rev(50)}, {"servers/b", "1", Rev(55)}}, Rev(60));
+  f.LoseHistory();
+  f.AnswerList({{"servers/a", "0", Rev(5)}}, Rev(20));
+  CHECK_FALSE(f.follower.data_lost());
+  // Nothing is given up before a second listing confirms it.
+  f.follower.Tick(f.now);
+  CHECK(f.items.size() == 2);
+  SECTION("confirmed") {
+    f.AnswerList({{"servers/a", "0", Rev(5)}}, Rev(20));
+    REQUIRE(f.follower.data_lost());
+    f.follower.OnEra(1, f.now);
+    CHECK_FALSE(f.follower.data_lost());
+    f.AnswerList({{"servers/a", "2", Rev(5, 1)}}, Rev(21, 1));
+    CHECK(f.items["servers/a"] == "2");
+    CHECK(f.items.count("servers/b") == 1);
+    CHECK(f.follower.position() == Rev(21, 1));
+  }
+  SECTION("not confirmed") {
+    f.AnswerList({{"servers/a", "1", Rev(50)}, {"servers/b", "1", Rev(55)}}, Rev(61));
+    CHECK_FALSE(f.follower.data_lost());
+    CHECK(f.synced == 2);
+  }
+}
+
+// Guards against a loss of data that is only the late response to a listing, during which another
+// instance passed on newer state.
+TEST_CASE("a listing that was sent before newer state became known tells of no lost data") {
+  Fixture f;
+  f.AnswerList({{"servers/a", "1", Rev(50)}}, Rev(60));
+  for (int i = 0; i < 2; ++i) {
+    f.now += FollowerSettings{}.relist_interval;
+    REQUIRE(f.Lists());
+    PeerChanges changes;
+    changes.position = Rev(70 + 10 * i);
+    f.follower.OnFallbackChanges(changes, f.now);
+    f.Answer(store::RangePage{{{"servers/a", "1", Rev(50)}}, false, Rev(65 + 10 * i)});
+    CHECK_FALSE(f.follower.data_lost());
+  }
+}
+
 // Guards against an instance that applies nothing more after its known era was too high.
 TEST_CASE("state of a lower era replaces what is known after the era fell") {
   Fixture f;
--- a/tests/platform/returned_store_test.cc
+++ b/tests/platform/returned_store_test.cc
@@ -29,7 +29,8 @@
 
 /// An instance that has listed a store with a policy of version 12 and the server i-1.
 struct ReturnedStoreFixture {
-  ReturnedStoreFixture() : store(io), gateway(io, Settings()) {
+  explicit ReturnedStoreFixture(bool state_era = true) : store(io), gateway(io, Settings()) {
+    store.state_era = state_era;
     store.Put("op/config", Policy(12));
     store.Put("servers/i-1", Server("ready", 4));
     store.Put("servers/i-2", OtherServer());
@@ -84,7 +85,8 @@
 
 // Guards against a policy that is dropped as older than what the store lost.
 TEST_CASE("a policy written after the store returned from an older copy comes into force") {
-  ReturnedStoreFixture f;
+  const bool state_era = GENERATE(true, false);
+  ReturnedStoreFixture f(state_era);
   const auto copy = f.store.TakeCopy();
   f.WriteMore();
   f.store.Put("op/config", Policy(13));
@@ -98,7 +100,8 @@
 // Guards against requests to a server whose report of leaving is dropped as older than what the
 // store lost.
 TEST_CASE("a leaving reported after the store returned from an older copy is known") {
-  ReturnedStoreFixture f;
+  const bool state_era = GENERATE(true, false);
+  ReturnedStoreFixture f(state_era);
   const auto copy = f.store.TakeCopy();
   f.WriteMore();
   f.store.Put("servers/i-1", Server("ready", 5));
@@ -112,7 +115,8 @@
 // Guards against requests to a server whose leaving the store has lost: the copy lists it as ready
 // after the time for which it is held back.
 TEST_CASE("a server that left before the store returned from an older copy is not used") {
-  ReturnedStoreFixture f;
+  const bool state_era = GENERATE(true, false);
+  ReturnedStoreFixture f(state_era);
   const auto copy = f.store.TakeCopy();
   f.store.Put("servers/i-1", Server("draining", 5));
   f.WriteMore();
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -59,6 +59,7 @@
 
   static constexpr store::Era kFirstEra = 1;
 
+  bool state_era = true;
   bool lose_history = false;  ///< All watches are answered 410.
   bool hold_checks = false;   ///< Reads that may be stale get no response.
 
@@ -98,7 +99,8 @@
 
   void Respond(const ScriptedServer::ConnectionPtr& connection, const std::string& status,
                const std::string& body) const {
-    connection->Write("HTTP/1.1 " + status + "\r\nStore-Era: " + std::to_string(era_) +
+    const std::string era = state_era ? "\r\nStore-Era: " + std::to_string(era_) : "";
+    connection->Write("HTTP/1.1 " + status + era +
                       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
--- a/tests/store/peer_era_test.cc
+++ b/tests/store/peer_era_test.cc
@@ -55,5 +55,18 @@
   CHECK(tracker.era() == 4);
 }
 
+// Guards against instances that count other returns than those which the store states.
+TEST_CASE("lost data raises the era only if the store states none") {
+  EraTracker tracker;
+  REQUIRE(tracker.OnResponse(NoEra{}, 0).usable);
+  CHECK(tracker.OnDataLost());
+  CHECK(tracker.era() == 1);
+  // Of the call that was under way it is not known which data the response tells of.
+  CHECK_FALSE(tracker.OnResponse(NoEra{}, 0).usable);
+  CHECK(tracker.OnResponse(NoEra{}, 1).usable);
+  CHECK(tracker.OnResponse(Era{1}, 1).usable);
+  CHECK_FALSE(tracker.OnDataLost());
+}
+
 }  // namespace
 }  // namespace vanilladeck::store
