--- a/tests/process/gateway_process.h
+++ b/tests/process/gateway_process.h
@@ -33,7 +33,6 @@
       const boost::asio::ip::tcp::acceptor probe(io_, Endpoint(0));
       port = probe.local_endpoint().port();
     }
-    setenv("VANILLADECK_SETTINGS", SettingsPath().c_str(), 1);
   }
   ~GatewayProcess() {
     process_.reset();
@@ -51,12 +50,15 @@
         << ':' << ports_[4] << '\n'
         << extra_settings;
   }
+  /// Starts the process, or another one after it has ended, with an output file of its own.
   void Start() {
+    setenv("VANILLADECK_SETTINGS", SettingsPath().c_str(), 1);
     process_.emplace(
         std::vector<std::string>{std::string(VANILLADECK_BINARY_DIR) + "/vanilladeck-gateway"},
-        directory_ / "out");
+        directory_ / ("out-" + std::to_string(++starts_)));
   }
   Child& process() { return *process_; }
+  [[nodiscard]] const std::filesystem::path& directory() const noexcept { return directory_; }
 
   [[nodiscard]] std::uint16_t client_port() const { return ports_[0]; }
   [[nodiscard]] std::uint16_t readiness_port() const { return ports_[1]; }
@@ -87,6 +89,7 @@
   std::string address_;
   std::filesystem::path directory_;
   std::array<std::uint16_t, 5> ports_{};
+  int starts_ = 0;
   std::optional<Child> process_;
 };
 
