Drop what a copy of the store brought back once it is removed

After the store has returned from an older copy, an item that had been removed is held for the grace period.

Each of these sources now drops the held item and reports the removal, so that it is relayed.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -185,7 +185,7 @@
       ++summary_.kept;
     }
   }
-  std::erase_if(held_, [this](const auto& it) { return listed_keys_.count(it.first) == 0; });
+  DropAbsentHeld("", listed_keys_, listing_position_, now);
   summary_.missing = missing.size();
   last_summary_ = summary_;
   for (const std::string& it : missing) RemoveOrDefer(it, listing_position_, now);
@@ -255,6 +255,8 @@
       ApplyItem(it.item, changes.position);
     } else if (known != known_positions_.end() && known->second <= it.item.position) {
       RemoveOrDefer(it.item.key, it.item.position, now);
+    } else {
+      DropHeld(it.item.key, it.item.position, now);
     }
   }
   for (const ItemReference& it : changes.references) present.insert(it.key);
@@ -267,6 +269,7 @@
       if (present.count(key) == 0 && position <= changes.position) missing.push_back(key);
     }
     for (const std::string& it : missing) RemoveOrDefer(it, changes.position, now);
+    DropAbsentHeld("", present, changes.position, now);
   }
   // Until an awaited item is known, the state is not complete, and a watch must start before it.
   store::Position complete = changes.position;
@@ -336,14 +339,14 @@
     if (covered && checked_keys_.count(key) == 0) missing.push_back(key);
   }
   for (const std::string& it : missing) RemoveOrDefer(it, check_position_, now);
+  DropAbsentHeld(settings_.check_prefix, checked_keys_, check_position_, now);
 }
 
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
   source_ = ItemSource::kWatch;
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
-      const auto held = held_.find(it.item.key);
-      if (held != held_.end() && held->second.position < it.item.position) held_.erase(held);
+      DropHeld(it.item.key, it.item.position, now);
       const auto known = known_positions_.find(it.item.key);
       if (known != known_positions_.end() && known->second < it.item.position) {
         RemoveOrDefer(it.item.key, it.item.position, now);
@@ -486,6 +489,24 @@
   }
 }
 
+void StoreFollower::DropHeld(const std::string& key, store::Position position,
+                             core::TimePoint now) {
+  const auto held = held_.find(key);
+  if (held == held_.end() || held->second.position > position) return;
+  held_.erase(held);
+  // Instances that took the item over from the copy must learn of its removal.
+  ApplyRemoval(key, position, now);
+}
+
+void StoreFollower::DropAbsentHeld(const std::string& prefix, const std::set<std::string>& present,
+                                   store::Position position, core::TimePoint now) {
+  std::vector<std::string> absent;
+  for (const auto& [key, item] : held_) {
+    if (key.rfind(prefix, 0) == 0 && present.count(key) == 0) absent.push_back(key);
+  }
+  for (const std::string& it : absent) DropHeld(it, position, now);
+}
+
 core::TimePoint StoreFollower::AnswerTime(core::TimePoint now) const noexcept {
   const bool stalled = call_sent_ < stalled_until_ || now - last_tick_ > kStallTime;
   return stalled ? call_sent_ : now;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -201,6 +201,11 @@
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
   /// Applies what the copy brought back, after the grace period.
   void ApplyHeld(core::TimePoint now);
+  /// The key was absent at `position`: what the copy brought back before is not applied.
+  void DropHeld(const std::string& key, store::Position position, core::TimePoint now);
+  /// The same for all keys below `prefix` that are not in `present`.
+  void DropAbsentHeld(const std::string& prefix, const std::set<std::string>& present,
+                      store::Position position, core::TimePoint now);
   /// True if the item was removed after `position`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
