Do not take what a reader only keeps for present

After a return of the store, the whole state that a reader passes on contains the entries that the copy lacked and that it keeps for the grace period. The instance that asked took them for present, so that it depended on the reader's later removal: if the reader failed meanwhile, an entry whose server had ended stayed until the next listing (found by a generated schedule). An instance that started in the grace period removed them at once when it listed the store, though the servers had not had the time to write again.

Entries of an earlier era than the message now count as missing, and an instance without a state takes them over and applies the grace period from then on. Both new tests failed before (five checks) and pass.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -247,8 +247,30 @@
 }
 
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
+  // What the peer has from an earlier era was not in the copy, and is kept there for the grace
+  // period. An instance without a state uses it as well, and keeps it for that time.
+  const auto is_kept = [&changes](store::Position position) {
+    return position.era() < changes.position.era();
+  };
+  bool takes_kept = false;
   std::set<std::string> present;
+  std::vector<ItemReference> references;
+  for (const ItemReference& it : changes.references) {
+    if (!is_kept(it.position)) {
+      present.insert(it.key);
+    } else if (synced_once_) {
+      continue;
+    }
+    takes_kept = takes_kept || is_kept(it.position);
+    references.push_back(it);
+  }
   for (const store::Change& it : changes.changes) {
+    if (!it.removed && is_kept(it.item.position)) {
+      if (synced_once_) continue;
+      takes_kept = true;
+      ApplyItem(it.item, changes.position);
+      continue;
+    }
     present.insert(it.item.key);
     const auto known = known_positions_.find(it.item.key);
     if (!it.removed) {
@@ -259,10 +281,10 @@
       DropHeld(it.item.key, it.item.position, now);
     }
   }
-  for (const ItemReference& it : changes.references) present.insert(it.key);
+  if (takes_kept) recovered_at_ = now;
   // What is still present at the peer is in its references.
   ForgetAwaited(changes.position);
-  Await(changes.references);
+  Await(references);
   if (changes.full) {
     std::vector<std::string> missing;
     for (const auto& [key, position] : known_positions_) {
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -160,5 +160,54 @@
   CHECK(it.present.count("op/a") == 0);
 }
 
+// Guards against an entry that stays after its server has ended: the reader kept it for the grace
+// period, and the instance that had asked it read the store itself before the reader removed it.
+TEST_CASE("what a reader only keeps is not present for an instance that asks it") {
+  Instance reader;
+  Instance asker;
+  for (Instance* it : {&reader, &asker}) {
+    it->follower.OnEra(1, it->now);
+    it->List({{"op/a", "", Rev(4, 1)}, {"servers/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}},
+             Rev(20, 1));
+    it->follower.OnEra(2, it->now);
+  }
+  reader.List({{"servers/z", "", Rev(6, 2)}}, Rev(10, 2));
+  REQUIRE(reader.follower.deferred_removals() == 2);
+  asker.Ask(reader);
+  CHECK(asker.follower.position() == Rev(10, 2));
+  CHECK(asker.follower.deferred_removals() == 2);
+  SECTION("which removes it after its own grace period") {
+    asker.Advance(2100ms);
+    CHECK(asker.present.size() == 3);
+    asker.Advance(200ms);
+    CHECK(asker.present == std::set<std::string>{"servers/z"});
+  }
+  SECTION("which keeps it if the server writes again") {
+    asker.Watch({Write("servers/a", Rev(11, 2))}, Rev(11, 2));
+    asker.Advance(3s);
+    CHECK(asker.present == std::set<std::string>{"servers/a", "servers/z"});
+  }
+}
+
+// Guards against an instance that starts during the grace period and has an entry for good, or not
+// at all, that is only kept at the instance whose state it takes.
+TEST_CASE("an instance that starts in the grace period applies it to what others keep") {
+  Instance reader;
+  reader.follower.OnEra(1, reader.now);
+  reader.List({{"servers/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}}, Rev(20, 1));
+  reader.follower.OnEra(2, reader.now);
+  reader.List({{"servers/z", "", Rev(6, 2)}}, Rev(10, 2));
+  Instance started;
+  started.follower.OnEra(2, started.now);
+  (void)started.NextCall();
+  started.follower.OnFallbackChanges(reader.StateFor({}), started.now);
+  CHECK(started.present == std::set<std::string>{"servers/a", "servers/z"});
+  started.Answer(store::RangePage{{{"servers/z", "", Rev(6, 2)}}, false, Rev(10, 2)});
+  started.Advance(2100ms);
+  CHECK(started.present == std::set<std::string>{"servers/a", "servers/z"});
+  started.Advance(200ms);
+  CHECK(started.present == std::set<std::string>{"servers/z"});
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
