Read the state once more before the grace period ends

Servers write again within 2 s after a return or an outage of the store, and what is missing is removed after 2.2 s. But after a watch with changes the next one comes 1 s later, so that what a server had written in time could be read only after its removal; an instance that asks a reader could also learn of the era up to a second before the reader did.

Both new tests failed before and pass.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -14,6 +14,12 @@
 // Wait of a watch that follows one that may have been cut short. An empty response to it states
 // that nothing is missing, so it must come soon.
 constexpr core::Duration kCatchUpWait = std::chrono::milliseconds(1);
+// The grace period is longer by this time than the one in which servers write again; the rest is
+// for reading what they wrote. Instances that ask a reader read later than the reader.
+constexpr core::Duration kLastReadTime = std::chrono::milliseconds(200);
+constexpr core::Duration kLastPeerReadTime = std::chrono::milliseconds(100);
+// Shortest pause between reads at the end of the grace period.
+constexpr core::Duration kLastReadPause = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -229,7 +235,7 @@
   // The peer's own listings and checks arrive here as well.
   last_listing_ = now;
   if (changes.checked_prefix == settings_.check_prefix) last_check_ = now;
-  due_ = now + pause;
+  due_ = DueInGrace(now + pause, kLastPeerReadTime, now);
 }
 
 void StoreFollower::OnFallbackChanges(const PeerChanges& changes, core::TimePoint now) {
@@ -281,7 +287,9 @@
       DropHeld(it.item.key, it.item.position, now);
     }
   }
-  if (takes_kept) recovered_at_ = now;
+  // Live servers' writes arrive here after the peer's own grace period has ended there.
+  const bool first_of_era = !known_positions_.empty() && position_.era() < changes.position.era();
+  if (takes_kept || (first_of_era && IsInGrace(now))) BeginGrace(now);
   // What is still present at the peer is in its references.
   ForgetAwaited(changes.position);
   Await(references);
@@ -383,7 +391,7 @@
   if (catching_up_) {
     due_ = now;
   } else if (caught_up || !changes.changes.empty() || now < due_) {
-    due_ = watch_sent_ + settings_.poll_interval;
+    due_ = DueInGrace(watch_sent_ + settings_.poll_interval, kLastReadTime, now);
   }
   if (changes_may_be_lost_ && now - last_listing_ >= settings_.min_listing_interval) {
     changes_may_be_lost_ = false;
@@ -472,9 +480,25 @@
   if (sink_.on_item) sink_.on_item(item);
 }
 
+bool StoreFollower::IsInGrace(core::TimePoint now) const noexcept {
+  return now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{};
+}
+
+void StoreFollower::BeginGrace(core::TimePoint now) {
+  recovered_at_ = now;
+  for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
+}
+
+core::TimePoint StoreFollower::DueInGrace(core::TimePoint due, core::Duration before_end,
+                                          core::TimePoint now) const noexcept {
+  if (!IsInGrace(now)) return due;
+  const core::TimePoint last_read = recovered_at_ + settings_.removal_grace - before_end;
+  return std::min(due, std::max(now + kLastReadPause, last_read));
+}
+
 void StoreFollower::RemoveOrDefer(const std::string& key, store::Position position,
                                   core::TimePoint now) {
-  if (now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{}) {
+  if (IsInGrace(now)) {
     const auto [it, added] = deferred_removals_.try_emplace(
         key, Removal{position, recovered_at_ + settings_.removal_grace, {}});
     if (!added) it->second.position = std::max(it->second.position, position);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -211,6 +211,12 @@
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
   /// `read_at` is the position of the state that contains the item.
   void ApplyItem(const store::Item& item, store::Position read_at);
+  /// True for `removal_grace` after the store has recovered or returned.
+  [[nodiscard]] bool IsInGrace(core::TimePoint now) const noexcept;
+  void BeginGrace(core::TimePoint now);
+  /// `due`, or `before_end` before the end of the grace period if that is earlier.
+  [[nodiscard]] core::TimePoint DueInGrace(core::TimePoint due, core::Duration before_end,
+                                           core::TimePoint now) const noexcept;
   /// `position` is one at which the key was absent.
   void RemoveOrDefer(const std::string& key, store::Position position, core::TimePoint now);
   void ApplyRemoval(const std::string& key, store::Position position, core::TimePoint now);
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -209,5 +209,55 @@
   CHECK(started.present == std::set<std::string>{"servers/z"});
 }
 
+// Guards against the removal of a live server that had written again in time: after a watch with
+// changes, the next one came only after the end of the grace period.
+TEST_CASE("the state is read once more before the grace period ends") {
+  Instance it;
+  it.follower.OnEra(1, it.now);
+  it.List({{"servers/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}}, Rev(20, 1));
+  it.follower.OnEra(2, it.now);
+  it.List({{"servers/z", "", Rev(6, 2)}}, Rev(10, 2));
+  it.Advance(400ms);
+  SECTION("from the store") {
+    // The watches of an instance that others write to are about a second apart.
+    it.Watch({Write("servers/z", Rev(11, 2))}, Rev(11, 2));
+    it.Watch({Write("servers/z", Rev(12, 2))}, Rev(12, 2));
+    REQUIRE(it.now == kBegan + 1400ms);
+    // Servers write again within 2 s.
+    it.Watch({Write("servers/a", Rev(13, 2))}, Rev(13, 2));
+  }
+  SECTION("from another instance") {
+    it.Advance(1500ms);
+    (void)it.NextCall();
+    it.follower.OnPeerChanges(FromPeer(Rev(11, 2), false, {}), 400ms, it.now);
+    (void)it.NextCall();
+    it.follower.OnPeerChanges(FromPeer(Rev(12, 2), false, {Write("servers/a", Rev(12, 2))}), 400ms,
+                              it.now);
+  }
+  it.Advance(3s);
+  CHECK(it.removed.empty());
+}
+
+// Guards against an instance that learns of the era before its reader does, and removes a live
+// server before the reader knows that it has written again.
+TEST_CASE("the grace period of an instance that asks a reader begins with its state") {
+  Instance reader;
+  Instance asker;
+  for (Instance* it : {&reader, &asker}) {
+    it->follower.OnEra(1, it->now);
+    it->List({{"servers/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}}, Rev(20, 1));
+  }
+  asker.follower.OnEra(2, asker.now);
+  reader.Advance(800ms);
+  asker.Advance(800ms);
+  reader.follower.OnEra(2, reader.now);
+  reader.List({{"servers/z", "", Rev(6, 2)}}, Rev(10, 2));
+  asker.Ask(reader);
+  asker.Advance(2100ms);
+  CHECK(asker.removed.empty());
+  asker.Advance(200ms);
+  CHECK(asker.removed == std::set<std::string>{"servers/a"});
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
