State to other instances which entries are only kept

After an outage an instance keeps what has expired for 2.2 s, and passes on a state that contains it. An instance that had noticed no outage took such an entry for present and read on from a revision beyond the removal; if it then read the store itself, it never learned of the removal before its next listing. One that had deferred the removal itself ended that by a state in which the sender kept the entry (found by generated schedules: evacuations that had ended stayed at one instance).

Messages now state the kept keys and the time that is left, to each instance once and in each whole state. The receiver keeps these entries for no longer than the sender, or for its own grace period. With an empty list in place of the keys the new tests fail; with it they pass.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -111,6 +111,7 @@
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
     }
     changes.position = follower_.position();
+    changes.kept = follower_.Kept(changes.full ? store::Position() : known->position, now);
     changes.age = now - follower_.last_success();
     changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -18,7 +18,7 @@
 constexpr std::int64_t kMaxAgeMs = std::int64_t{30} * 24 * 3600 * 1000;
 
 /// The age that a message states; nullopt if it is missing, negative or too long.
-std::optional<core::Duration> AgeOf(const nlohmann::json& message, const char* name) {
+std::optional<core::Duration> AgeOf(const nlohmann::json& message, const std::string& name) {
   const auto it = message.find(name);
   if (it == message.end() || !it->is_number_integer()) return std::nullopt;
   const auto ms = it->get<std::int64_t>();
@@ -94,6 +94,7 @@
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
   if (changes.relayed) message["relayed"] = true;
+  for (const auto& [key, time] : changes.kept) message["kept"][key] = ms(time);
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
@@ -158,6 +159,15 @@
       changes.references.push_back(std::move(*reference));
     }
   }
+  // Instances of an earlier version do not state what they keep.
+  if (const auto kept = field("kept"); kept != json.end()) {
+    if (!kept->is_object()) return std::nullopt;
+    for (const auto& it : kept->items()) {
+      const auto time = AgeOf(*kept, it.key());
+      if (!time) return std::nullopt;
+      changes.kept.emplace(it.key(), *time);
+    }
+  }
   if (const auto limits = field("server_limits"); limits != json.end()) {
     if (!limits->is_object()) return std::nullopt;
     for (const auto& [server, limit] : limits->items()) {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -43,6 +43,8 @@
   /// Items with large values, which are read separately by those that lack them, so that they delay
   /// no change, and all items with `checked_prefix`.
   std::vector<ItemReference> references;
+  /// Keys that are absent from the store, and the time for which the sender keeps them yet.
+  std::map<std::string, core::Duration> kept;
   /// Limits in requests per second that backend servers stated to other instances, by id.
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -252,51 +252,67 @@
   synced_once_ = true;
 }
 
+std::map<std::string, core::Duration> StoreFollower::Kept(store::Position after,
+                                                          core::TimePoint now) const {
+  std::map<std::string, core::Duration> kept;
+  for (const auto& [key, removal] : deferred_removals_) {
+    if (removal.position > after) kept[key] = std::max(removal.at - now, core::Duration::zero());
+  }
+  return kept;
+}
+
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
-  // What the peer has from an earlier era was not in the copy, and is kept there for the grace
-  // period. An instance without a state uses it as well, and keeps it for that time.
-  const auto is_kept = [&changes](store::Position position) {
-    return position.era() < changes.position.era();
+  // An instance without a state also uses what the peer only keeps, and keeps it as well.
+  const bool takes_kept = !synced_once_;
+  auto kept = changes.kept;
+  for (auto& [key, time] : kept) time = std::min(time, settings_.removal_grace);
+  const auto is_kept = [&](const std::string& key, store::Position position) {
+    // What the peer has from an earlier era was not in the copy.
+    if (position.era() < changes.position.era()) kept.try_emplace(key, settings_.removal_grace);
+    return kept.count(key) > 0;
   };
-  bool takes_kept = false;
   std::set<std::string> present;
   std::vector<ItemReference> references;
   for (const ItemReference& it : changes.references) {
-    if (!is_kept(it.position)) {
-      present.insert(it.key);
-    } else if (synced_once_) {
-      continue;
-    }
-    takes_kept = takes_kept || is_kept(it.position);
-    references.push_back(it);
+    const bool only_kept = is_kept(it.key, it.position);
+    if (!only_kept) present.insert(it.key);
+    if (!only_kept || takes_kept) references.push_back(it);
   }
   for (const store::Change& it : changes.changes) {
-    if (!it.removed && is_kept(it.item.position)) {
-      if (synced_once_) continue;
-      takes_kept = true;
-      ApplyItem(it.item, changes.position);
-      continue;
-    }
-    present.insert(it.item.key);
     const auto known = known_positions_.find(it.item.key);
     if (!it.removed) {
-      ApplyItem(it.item, changes.position);
+      const bool only_kept = is_kept(it.item.key, it.item.position);
+      if (!only_kept) present.insert(it.item.key);
+      if (!only_kept || takes_kept) ApplyItem(it.item, changes.position);
     } else if (known != known_positions_.end() && known->second <= it.item.position) {
       RemoveOrDefer(it.item.key, it.item.position, now);
     } else {
       DropHeld(it.item.key, it.item.position, now);
     }
   }
-  // Live servers' writes arrive here after the peer's own grace period has ended there.
-  const bool first_of_era = !known_positions_.empty() && position_.era() < changes.position.era();
-  if (takes_kept || (first_of_era && IsInGrace(now))) BeginGrace(now);
+  if (takes_kept && !kept.empty()) {
+    core::Duration longest{0};
+    for (const auto& [key, time] : kept) longest = std::max(longest, time);
+    BeginGrace(now + longest - settings_.removal_grace);
+  } else if (!known_positions_.empty() && position_.era() < changes.position.era() &&
+             IsInGrace(now)) {
+    // What live servers write again arrives at the peer first.
+    BeginGrace(now);
+  }
+  for (const auto& [key, time] : kept) {
+    const auto known = known_positions_.find(key);
+    if (known == known_positions_.end() || known->second > changes.position) continue;
+    Defer(key, changes.position,
+          IsInGrace(now) ? recovered_at_ + settings_.removal_grace : now + time);
+  }
   // What is still present at the peer is in its references.
   ForgetAwaited(changes.position);
   Await(references);
   if (changes.full) {
     std::vector<std::string> missing;
     for (const auto& [key, position] : known_positions_) {
-      if (present.count(key) == 0 && position <= changes.position) missing.push_back(key);
+      const bool absent = present.count(key) == 0 && kept.count(key) == 0;
+      if (absent && position <= changes.position) missing.push_back(key);
     }
     for (const std::string& it : missing) RemoveOrDefer(it, changes.position, now);
     DropAbsentHeld("", present, changes.position, now);
@@ -499,12 +515,15 @@
 void StoreFollower::RemoveOrDefer(const std::string& key, store::Position position,
                                   core::TimePoint now) {
   if (IsInGrace(now)) {
-    const auto [it, added] = deferred_removals_.try_emplace(
-        key, Removal{position, recovered_at_ + settings_.removal_grace, {}});
-    if (!added) it->second.position = std::max(it->second.position, position);
-    return;
+    Defer(key, position, recovered_at_ + settings_.removal_grace);
+  } else {
+    ApplyRemoval(key, position, now);
   }
-  ApplyRemoval(key, position, now);
+}
+
+void StoreFollower::Defer(const std::string& key, store::Position position, core::TimePoint until) {
+  const auto [it, added] = deferred_removals_.try_emplace(key, Removal{position, until, {}});
+  if (!added) it->second.position = std::max(it->second.position, position);
 }
 
 void StoreFollower::ApplyRemoval(const std::string& key, store::Position position,
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -168,6 +168,9 @@
   [[nodiscard]] std::size_t known_items() const noexcept { return known_positions_.size(); }
   /// Items that are kept for the grace period although they were removed.
   [[nodiscard]] std::size_t deferred_removals() const noexcept { return deferred_removals_.size(); }
+  /// Of these, the keys that were absent at a position after `after`, and the time that is left.
+  [[nodiscard]] std::map<std::string, core::Duration> Kept(store::Position after,
+                                                           core::TimePoint now) const;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
@@ -219,6 +222,8 @@
                                            core::TimePoint now) const noexcept;
   /// `position` is one at which the key was absent.
   void RemoveOrDefer(const std::string& key, store::Position position, core::TimePoint now);
+  /// Removes the key at `until` unless it is written again.
+  void Defer(const std::string& key, store::Position position, core::TimePoint until);
   void ApplyRemoval(const std::string& key, store::Position position, core::TimePoint now);
   void ApplyPeerState(const PeerChanges& changes, core::TimePoint now);
   /// Notes which of the items that a peer has are to be read.
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -70,6 +70,7 @@
   [[nodiscard]] PeerChanges StateFor(const PeerPosition& known) const {
     PeerChanges changes = log.Since(known, now);
     changes.position = follower.position();
+    changes.kept = follower.Kept(changes.full ? store::Position() : known.position, now);
     return changes;
   }
   /// Takes the state of `reader` in place of a call to the store.
@@ -259,5 +260,69 @@
   CHECK(asker.removed == std::set<std::string>{"servers/a"});
 }
 
+// Guards against an entry that stays although its server has ended: only the reader had noticed an
+// outage and kept the entry, and the instance that had asked it read the store itself after that,
+// from a revision beyond the removal.
+TEST_CASE("what a reader keeps after an outage is not kept for longer by others") {
+  Instance reader;
+  Instance asker;
+  for (Instance* it : {&reader, &asker}) {
+    it->List({{"servers/a", "", Rev(5)}, {"servers/z", "", Rev(6)}}, Rev(20));
+  }
+  reader.now += 3s;
+  asker.now += 3s;
+  asker.follower.OnPeerHeardStore(asker.now - 1s);
+  reader.Watch({Removal("servers/a", Rev(21))}, Rev(21));
+  REQUIRE(reader.follower.deferred_removals() == 1);
+  reader.Advance(1s);
+  asker.Advance(1s);
+  SECTION("if they ask for changes") {
+    (void)asker.NextCall();
+    PeerChanges changes = FromPeer(Rev(21), false, {});
+    changes.kept = reader.follower.Kept(Rev(20), reader.now);
+    asker.follower.OnPeerChanges(changes, 400ms, asker.now);
+  }
+  SECTION("if they ask for the whole state") {
+    (void)asker.NextCall();
+    PeerChanges changes = reader.StateFor({});
+    REQUIRE(changes.full);
+    asker.follower.OnPeerChanges(changes, 400ms, asker.now);
+  }
+  CHECK(asker.removed.empty());
+  asker.Advance(1100ms);
+  CHECK(asker.removed.empty());
+  asker.Advance(200ms);
+  CHECK(asker.removed == std::set<std::string>{"servers/a"});
+}
+
+// Guards against a state of a peer that ends the removal of an entry which the peer itself keeps.
+TEST_CASE("a kept entry in a later state of another instance does not end a deferred removal") {
+  Instance peer;
+  Instance it;
+  for (Instance* instance : {&peer, &it}) {
+    instance->List({{"servers/a", "", Rev(5)}, {"servers/z", "", Rev(6)}}, Rev(20));
+    instance->now += 3s;
+    instance->Watch({Removal("servers/a", Rev(21))}, Rev(21));
+  }
+  peer.Watch({Write("servers/z", Rev(22))}, Rev(22));
+  (void)it.NextCall();
+  it.follower.OnPeerChanges(peer.StateFor({}), 400ms, it.now);
+  CHECK(it.follower.position() == Rev(22));
+  it.Advance(3s);
+  CHECK(it.removed == std::set<std::string>{"servers/a"});
+}
+
+// Guards against messages whose list of kept entries is lost or malformed.
+TEST_CASE("a message states what the sender keeps") {
+  PeerChanges message = FromPeer(Rev(10, 2), true, {});
+  message.kept = {{"servers/a", 1800ms}};
+  const auto decoded = DecodePeerChanges(EncodePeerChanges(message));
+  REQUIRE(decoded);
+  CHECK(decoded->kept == message.kept);
+  std::string text = EncodePeerChanges(message);
+  text.replace(text.find("1800"), 4, "-800");
+  CHECK_FALSE(DecodePeerChanges(text));
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
