Relay a write after an absence also if it only renews a report

A reader that saw the removal of an entry and the next write of its live server in one answer, or neither of them, passed the write on to nobody: for it the write only renewed a report.

The follower now says whether the key may have been absent before the write, and such a write is relayed. Without that both sections of the new test fail.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -417,7 +417,8 @@
                                                 {"revision", item.position.revision().number},
                                                 {"reason", unusable->reason}});
   }
-  change_log_.Put(item, matters, core::RuntimeClock::now(), follower_.position());
+  change_log_.Put(item, matters || follower_.may_have_been_absent(), core::RuntimeClock::now(),
+                  follower_.position());
 }
 
 void Gateway::OnRemoved(const std::string& key) {
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -490,6 +490,8 @@
     known->second = item.position;
     if (same && deferred == deferred_removals_.end()) return;
   }
+  // Only a watch shows all removals.
+  may_have_been_absent_ = source_ != ItemSource::kWatch || deferred != deferred_removals_.end();
   if (deferred != deferred_removals_.end()) deferred_removals_.erase(deferred);
   const auto awaited = awaited_.find(item.key);
   if (awaited != awaited_.end() && awaited->second <= item.position) awaited_.erase(awaited);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -178,6 +178,10 @@
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
+  /// True if the key of the item that the sink is called with may have been absent since the last
+  /// write that was known here. Others may know that and defer its removal, so that they need this
+  /// write although it may only renew a report.
+  [[nodiscard]] bool may_have_been_absent() const noexcept { return may_have_been_absent_; }
   /// Position at which the key was absent whose removal the sink is called with.
   [[nodiscard]] store::Position removal_position() const noexcept { return removal_position_; }
   /// The last complete listing.
@@ -254,6 +258,7 @@
   bool reachable_ = true;
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
+  bool may_have_been_absent_ = false;
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
   std::set<std::string> listed_keys_;
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -23,17 +23,18 @@
 /// A follower and what it has applied.
 struct Instance {
   Instance()
-      : follower(Settings(), {[this](const store::Item& item) {
-                                present.insert(item.key);
-                                log.Put(item, true, now, follower.position());
-                              },
-                              [this](const std::string& key) {
-                                present.erase(key);
-                                removed.insert(key);
-                                log.Remove(key, follower.removal_position(), follower.position(),
-                                           now);
-                              },
-                              [this] { log.OnListed(follower.position()); }, nullptr}) {}
+      : follower(Settings(),
+                 {[this](const store::Item& item) {
+                    present.insert(item.key);
+                    // Most writes only renew a report.
+                    log.Put(item, follower.may_have_been_absent(), now, follower.position());
+                  },
+                  [this](const std::string& key) {
+                    present.erase(key);
+                    removed.insert(key);
+                    log.Remove(key, follower.removal_position(), follower.position(), now);
+                  },
+                  [this] { log.OnListed(follower.position()); }, nullptr}) {}
 
   static FollowerSettings Settings() {
     FollowerSettings settings;
@@ -324,5 +325,30 @@
   CHECK_FALSE(DecodePeerChanges(text));
 }
 
+// Guards against an instance that removes a live server for good: it had deferred the removal, and
+// its reader passed on no write after that, since for the reader the write only renewed the report.
+TEST_CASE("a write after an absence is relayed though it only renews a report") {
+  Instance reader;
+  Instance asker;
+  for (Instance* it : {&reader, &asker}) {
+    it->List({{"servers/a", "", Rev(5)}, {"servers/z", "", Rev(6)}}, Rev(20));
+    it->now += 3s;
+  }
+  asker.Watch({Removal("servers/a", Rev(21))}, Rev(21));
+  REQUIRE(asker.follower.deferred_removals() == 1);
+  SECTION("which the reader saw") {
+    reader.Watch({Removal("servers/a", Rev(21)), Write("servers/a", Rev(22))}, Rev(22));
+  }
+  SECTION("which fell between two reads of the reader") {
+    (void)reader.NextCall();
+    reader.follower.OnAnswer(
+        VersionedResult(store::CallError{store::CallErrorCode::kHistoryLost, ""}), reader.now);
+    reader.List({{"servers/a", "", Rev(22)}, {"servers/z", "", Rev(6)}}, Rev(22));
+  }
+  asker.Ask(reader);
+  asker.Advance(3s);
+  CHECK(asker.removed.empty());
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
