--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -174,6 +174,9 @@
   [[nodiscard]] std::size_t known_items() const noexcept { return known_positions_.size(); }
   /// Items that are kept for the grace period although they were removed.
   [[nodiscard]] std::size_t deferred_removals() const noexcept { return deferred_removals_.size(); }
+  /// Of these, the keys that were absent at a position after `after`, and the time that is left.
+  [[nodiscard]] std::map<std::string, core::Duration> Kept(store::Position after,
+                                                           core::TimePoint now) const;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
@@ -181,6 +184,10 @@
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
+  /// True if the key of the item that the sink is called with may have been absent since the last
+  /// write that was known here. Others may know that and defer its removal, so that they need this
+  /// write although it may only renew a report.
+  [[nodiscard]] bool may_have_been_absent() const noexcept { return may_have_been_absent_; }
   /// Position at which the key was absent whose removal the sink is called with.
   [[nodiscard]] store::Position removal_position() const noexcept { return removal_position_; }
   /// The last complete listing.
@@ -210,13 +217,26 @@
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
   /// Applies what the copy brought back, after the grace period.
   void ApplyHeld(core::TimePoint now);
+  /// The key was absent at `position`: what the copy brought back before is not applied.
+  void DropHeld(const std::string& key, store::Position position, core::TimePoint now);
+  /// The same for all keys below `prefix` that are not in `present`.
+  void DropAbsentHeld(const std::string& prefix, const std::set<std::string>& present,
+                      store::Position position, core::TimePoint now);
   /// True if the item was removed after `position`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
   /// `read_at` is the position of the state that contains the item.
   void ApplyItem(const store::Item& item, store::Position read_at);
+  /// True for `removal_grace` after the store has recovered or returned.
+  [[nodiscard]] bool IsInGrace(core::TimePoint now) const noexcept;
+  void BeginGrace(core::TimePoint now);
+  /// `due`, or `before_end` before the end of the grace period if that is earlier.
+  [[nodiscard]] core::TimePoint DueInGrace(core::TimePoint due, core::Duration before_end,
+                                           core::TimePoint now) const noexcept;
   /// `position` is one at which the key was absent.
   void RemoveOrDefer(const std::string& key, store::Position position, core::TimePoint now);
+  /// Removes the key at `until` unless it is written again.
+  void Defer(const std::string& key, store::Position position, core::TimePoint until);
   void ApplyRemoval(const std::string& key, store::Position position, core::TimePoint now);
   void ApplyPeerState(const PeerChanges& changes, core::TimePoint now);
   /// Notes which of the items that a peer has are to be read.
@@ -249,6 +269,7 @@
   bool reachable_ = true;
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
+  bool may_have_been_absent_ = false;
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
   store::Position sent_position_;     ///< Known when the listing's first page was asked for.
