State to other instances which items are held

After a return of the store, an instance that knew of a removal holds what the copy brought back, and does not pass it on. Its whole state lacked the item, so that another instance that held it as well took it for removed and never applied it, though it was in the store (found by a generated schedule, since a state of a peer ends the hold; one that had the item removed it until the end of the other's grace period).

A whole state now lists the held keys, which count as present. The new test failed before.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -261,6 +261,12 @@
   return kept;
 }
 
+std::set<std::string> StoreFollower::HeldKeys() const {
+  std::set<std::string> keys;
+  for (const auto& [key, item] : held_) keys.insert(key);
+  return keys;
+}
+
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
   // An instance without a state also uses what the peer only keeps, and keeps it as well.
   const bool takes_kept = !synced_once_;
@@ -271,7 +277,7 @@
     if (position.era() < changes.position.era()) kept.try_emplace(key, settings_.removal_grace);
     return kept.count(key) > 0;
   };
-  std::set<std::string> present;
+  std::set<std::string> present = changes.held;
   std::vector<ItemReference> references;
   for (const ItemReference& it : changes.references) {
     const bool only_kept = is_kept(it.key, it.position);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -173,6 +173,7 @@
                                                            core::TimePoint now) const;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
+  [[nodiscard]] std::set<std::string> HeldKeys() const;
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -72,6 +72,7 @@
     PeerChanges changes = log.Since(known, now);
     changes.position = follower.position();
     changes.kept = follower.Kept(changes.full ? store::Position() : known.position, now);
+    if (changes.full) changes.held = follower.HeldKeys();
     return changes;
   }
   /// Takes the state of `reader` in place of a call to the store.
@@ -313,13 +314,15 @@
   CHECK(it.removed == std::set<std::string>{"servers/a"});
 }
 
-// Guards against messages whose list of kept entries is lost or malformed.
-TEST_CASE("a message states what the sender keeps") {
+// Guards against messages whose list of kept or held entries is lost or malformed.
+TEST_CASE("a message states what the sender keeps and holds") {
   PeerChanges message = FromPeer(Rev(10, 2), true, {});
   message.kept = {{"servers/a", 1800ms}};
+  message.held = {"op/a"};
   const auto decoded = DecodePeerChanges(EncodePeerChanges(message));
   REQUIRE(decoded);
   CHECK(decoded->kept == message.kept);
+  CHECK(decoded->held == message.held);
   std::string text = EncodePeerChanges(message);
   text.replace(text.find("1800"), 4, "-800");
   CHECK_FALSE(DecodePeerChanges(text));
@@ -350,5 +353,20 @@
   CHECK(asker.removed.empty());
 }
 
+// Guards against instances that never apply what is in the store: a peer that holds an item as well
+// does not pass it on, so that its state lacks the item.
+TEST_CASE("an item that a peer holds is not absent") {
+  BroughtBack it;
+  BroughtBack peer;
+  (void)it.NextCall();
+  const auto changes = DecodePeerChanges(EncodePeerChanges(peer.StateFor({})));
+  REQUIRE(changes);
+  REQUIRE(changes->full);
+  it.follower.OnPeerChanges(*changes, 400ms, it.now);
+  CHECK(it.follower.held_items() == 1);
+  it.Advance(3s);
+  CHECK(it.present.count("op/a") == 1);
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
