Compress an item anew when its value changes

Cause: the compressed values that other instances read were kept by position. The policy in force is to take the place of an older one that a copy of the store has, at the same position, so that the copy's value would be served. Change: CompressedItems compares the values; the one that was not read for longest is dropped.

--- a/src/vanilladeck/gateway/compressed_items.cc
+++ b/src/vanilladeck/gateway/compressed_items.cc
@@ -1,5 +1,7 @@
 #include "vanilladeck/gateway/compressed_items.h"
 
+#include <algorithm>
+
 #include "vanilladeck/core/deflate.h"
 
 namespace vanilladeck::gateway {
@@ -7,18 +9,15 @@
 const std::string& CompressedItems::Get(const store::Item& item) {
   const auto [it, added] = entries_.try_emplace(item.key);
   Entry& entry = it->second;
-  if (added || entry.position != item.position) {
-    entry = {item.position, core::Deflate(item.value)};
+  entry.last_read = ++reads_;
+  if (added || entry.value != item.value) {
+    entry.value = item.value;
+    entry.bytes = core::Deflate(item.value);
   }
   if (entries_.size() > kMaxItems) {
-    auto oldest = entries_.end();
-    for (auto other = entries_.begin(); other != entries_.end(); ++other) {
-      if (other == it) continue;
-      if (oldest == entries_.end() || other->second.position < oldest->second.position) {
-        oldest = other;
-      }
-    }
-    entries_.erase(oldest);
+    entries_.erase(std::min_element(
+        entries_.begin(), entries_.end(),
+        [](const auto& a, const auto& b) { return a.second.last_read < b.second.last_read; }));
   }
   return entry.bytes;
 }
