Take a newer policy from other instances after the store's return

Cause: an instance that starts after the store has returned from a copy has nothing but the copy and put its older policy in force, although others have a newer one. Those others passed the copy's policy on, too, since the change log had what the store has; and an instance that had not read the newest policy before the loss never got it. Messages between instances state it as well; those of earlier versions, which do not, are understood. Under the policy's key an instance passes on the policy in force.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -234,6 +234,7 @@
   LogEvictions();
   if (now.time_since_epoch() % kExpiryInterval < kTickInterval) context_.pool.CloseExpired(now);
   QueryFallback(now);
+  CheckPolicy();
   UpdateFleet();
   allotment_exchange_.Tick(instances_, {fleet_settled_, registration_.renewed()});
   registration_.SetServerLimits(context_.server_limits.Stated(now), now);
@@ -362,6 +363,7 @@
                                          {"items", follower_.known_items()}});
   follower_.OnEra(era, now);
   registration_.OnEra(era, now);
+  policy_check_.Begin();
 }
 
 void Gateway::LogListing() {
@@ -394,7 +396,7 @@
   if (auto* server = std::get_if<ServerItem>(&decoded)) {
     matters = ApplyServerReport(std::move(server->report), item.position.era());
   } else if (auto* policy = std::get_if<PolicyItem>(&decoded)) {
-    ApplyPolicy(std::move(policy->policy), item.position);
+    ApplyPolicy(std::move(policy->policy), item, SourceName());
   } else if (auto* evacuation = std::get_if<EvacuationItem>(&decoded)) {
     evacuated_.insert(evacuation->failure_domain);
     ApplyEvacuations();
@@ -417,7 +419,7 @@
                                                 {"revision", item.position.revision().number},
                                                 {"reason", unusable->reason}});
   }
-  change_log_.Put(item, matters, core::RuntimeClock::now(), follower_.position());
+  RelayItem(item, matters);
 }
 
 void Gateway::OnRemoved(const std::string& key) {
@@ -440,6 +442,7 @@
 void Gateway::OnSynced() {
   LogListing();
   change_log_.OnListed(follower_.position());
+  CheckPolicy();
   // Other instances' lookups and shares depend on this instance's record being listed.
   const core::TimePoint now = core::RuntimeClock::now();
   if (instances_.count(settings_.instance) > 0 || draining_) {
@@ -456,33 +459,6 @@
   return membership::kItemSourceNames[static_cast<std::size_t>(follower_.source())];
 }
 
-void Gateway::ApplyPolicy(config::RoutingPolicy policy, store::Position position) {
-  if (context_.routes && policy.version <= context_.routes->version()) {
-    if (policy.version < context_.routes->version()) {
-      events_.Write(StreamEvent::kPolicyRejected, {{"version", policy.version},
-                                                   {"in_force", context_.routes->version()},
-                                                   {"source", SourceName()},
-                                                   {"reason", "older version"}});
-    }
-    return;
-  }
-  SessionLimits& limits = clients_.group().limits;
-  limits.header_bytes = policy.limits.max_header_bytes;
-  limits.body_bytes = policy.limits.max_body_bytes;
-  limits.header_timeout = policy.limits.header_timeout;
-  limits.idle_timeout = policy.limits.idle_timeout;
-  events_.Write(StreamEvent::kPolicy, {{"version", policy.version},
-                                       {"revision", position.revision().number},
-                                       {"source", SourceName()},
-                                       {"routes", policy.routes.size()},
-                                       {"services", policy.services.size()},
-                                       {"customers", policy.customers.size()},
-                                       {"unread", policy.unread_types}});
-  allotment_exchange_.SetCustomers(policy.customers);
-  context_.routes = std::make_shared<const steering::RouteTable>(std::move(policy));
-  policy_applied_at_ = core::RuntimeClock::now();
-}
-
 void Gateway::ApplyEvacuations() {
   core::Duration cold{0};
   if (context_.routes) {
@@ -572,17 +548,6 @@
       {{"ready", ready}, {"servers", context_.servers.size()}, {"instances", instances_.size()}});
 }
 
-void Gateway::UpdatePolicyAge() {
-  if (!context_.routes) return;
-  const core::Duration age = core::RuntimeClock::now() - context_.policy_as_of;
-  const bool outdated = age > context_.max_region_policy_age;
-  if (outdated == policy_outdated_) return;
-  policy_outdated_ = outdated;
-  events_.Write(
-      StreamEvent::kPolicyOutdated,
-      {{"outdated", outdated}, {"version", context_.routes->version()}, {"age_ms", Ms(age)}});
-}
-
 void Gateway::BeginDrain(std::function<void()> stopped) {
   if (draining_) return;
   draining_ = true;
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "vanilladeck/gateway/peer_channel.h"
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/gateway/platform_port.h"
+#include "vanilladeck/gateway/policy_check.h"
 #include "vanilladeck/gateway/store_channel.h"
 #include "vanilladeck/membership/change_log.h"
 #include "vanilladeck/membership/entry_choice.h"
@@ -123,7 +124,26 @@
   void OnItem(const store::Item& item);
   void OnRemoved(const std::string& key);
   void OnSynced();
-  void ApplyPolicy(config::RoutingPolicy policy, store::Position position);
+  /// Puts the policy of `item` in force unless it is older, or holds it back during a start.
+  void ApplyPolicy(config::RoutingPolicy policy, const store::Item& item, std::string_view source);
+  /// Passes an item on to other instances. What the store has under the policy's key may be older
+  /// than the policy in force, which takes its place.
+  void RelayItem(const store::Item& item, bool matters);
+  /// Version of the policy in force; 0 if there is none.
+  [[nodiscard]] std::uint64_t PolicyVersion() const noexcept;
+  /// Asks other instances for a newer policy if one may be in force there, reads it, and puts a
+  /// policy in force that was held back for this.
+  void CheckPolicy();
+  /// Instances that can be asked, those of the own region first.
+  [[nodiscard]] std::vector<membership::FeedPeer> PolicyPeers() const;
+  /// Returns a channel without a request in flight, or null if all are in use.
+  PeerChannel* IdlePolicyChannel();
+  void AskPolicyVersion(const membership::FeedPeer& peer, PeerChannel& channel);
+  void ReadPolicy(const membership::FeedPeer& peer, PeerChannel& channel);
+  /// Another instance states the version of the policy in force there.
+  void OnPeerPolicy(const membership::FeedPeer& peer, std::uint64_t version);
+  /// Returns the policy in force as an item, as `ServeItem` passes it on; null if there is none.
+  [[nodiscard]] const store::Item* PolicyItemInForce() const noexcept;
   /// True if the change must be passed on to other instances.
   bool ApplyServerReport(steering::ServerReport report, store::Era era);
   /// False, and logged, if a copy of the store brought back the report, read in `era`, of a server
@@ -190,6 +210,11 @@
   PeerChannel item_channel_;
   PeerChannel fallback_channel_;
   CompressedItems compressed_items_;
+  PolicyCheck policy_check_;
+  std::vector<std::unique_ptr<PeerChannel>> policy_channels_;
+  store::Item policy_in_force_;             ///< Without a key if there is none.
+  std::optional<store::Item> held_policy_;  ///< Known, but not in force before `policy_check_`.
+  core::TimePoint policy_held_since_;
   /// Position in the change log of each peer queried so far. The store position is set when it is
   /// sent.
   std::map<std::string, membership::PeerPosition> peer_positions_;
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -91,6 +91,13 @@
     return;
   }
   const auto eras = DecodePeerEras(request);
+  if (IsPolicyRequest(target)) {
+    if (eras && source == RequestSource::kInstance) {
+      OnPeerEra(DecodeSenderName(request), eras->known);
+    }
+    slot.Reply(EncodePolicyResponse({PolicyVersion(), era_tracker_.era()}), {});
+    return;
+  }
   // An instance of an earlier version knows no eras; its revision counts as one of this state's.
   const store::Era era = eras ? eras->position : follower_.position().era();
   if (const auto known = DecodePeerRequest(target, era)) {
@@ -98,20 +105,24 @@
     if (eras && source == RequestSource::kInstance) {
       OnPeerEra(sender ? sender->name : std::string(), eras->known);
     }
-    // An instance that has just started has no state to pass on.
-    if (!follower_.synced()) {
+    // An instance that has just started has no state to pass on, or a policy that may be outdated.
+    if (!follower_.synced() || held_policy_) {
       slot.Reply(std::string(kEmpty503), {});
       return;
     }
     const core::TimePoint now = core::RuntimeClock::now();
     membership::PeerChanges changes = change_log_.Since(*known, now);
     if (sender) {
+      if (source == RequestSource::kInstance) {
+        OnPeerPolicy({sender->name, {}}, sender->policy_version);
+      }
       // Its record in the store states the same, but arrives later.
       context_.server_limits.OnStated(sender->name, sender->server_limits, now);
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
     }
     changes.position = follower_.position();
     changes.age = now - follower_.last_success();
+    changes.policy_version = PolicyVersion();
     changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
     changes.behind = now - follower_.current_as_of();
@@ -140,6 +151,7 @@
 
 void Gateway::ServeItem(ResponseSlot& slot, const std::string& key) {
   const store::Item* item = change_log_.Find(key);
+  if (item == nullptr && key == codec_.policy_key()) item = PolicyItemInForce();
   if (item == nullptr) {
     slot.Reply(std::string(kNotFound), {});
     return;
--- a/src/vanilladeck/gateway/gateway_peers.cc
+++ b/src/vanilladeck/gateway/gateway_peers.cc
@@ -16,8 +16,6 @@
 constexpr core::Duration kSeedStartDelay = milliseconds(1500);
 // Instances are queried one after another; a whole state may take a second on a slow link.
 constexpr core::Duration kFallbackInterval = milliseconds(1000);
-// Time to the first byte of an item, which the peer may have to compress first.
-constexpr core::Duration kItemTimeout = milliseconds(1000);
 
 std::int64_t Ms(core::Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration).count();
@@ -27,7 +25,7 @@
 
 PeerSender Gateway::Sender() const {
   return {settings_.instance, context_.server_limits.Stated(core::RuntimeClock::now()),
-          follower_.era()};
+          follower_.era(), PolicyVersion()};
 }
 
 void Gateway::QueryPeer(const membership::FeedPeer& peer) {
@@ -68,6 +66,7 @@
     follower_.OnPeerChanges(*changes, membership::FeedSource::kPollInterval, now);
     if (changes->full) change_log_.OnListed(follower_.position());
     context_.server_limits.OnStated(std::string(kRelay), changes->server_limits, now);
+    OnPeerPolicy(peer, changes->policy_version);
     context_.policy_as_of = follower_.current_as_of();
     ReadAwaitedItem(peer);
     return;
@@ -92,7 +91,8 @@
 void Gateway::ReadAwaitedItem(const membership::FeedPeer& peer) {
   if (item_channel_.busy() || follower_.awaited().empty()) return;
   const auto& [key, position] = *follower_.awaited().begin();
-  item_channel_.Call(peer, EncodeItemRequest(key), core::RuntimeClock::now() + kItemTimeout,
+  item_channel_.Call(peer, EncodeItemRequest(key),
+                     core::RuntimeClock::now() + PeerChannel::kItemTimeout,
                      [this, peer, key = key, position = position](const ExchangeOutcome& outcome) {
                        OnItemResponse(peer, {key, position}, outcome);
                      });
@@ -195,6 +195,7 @@
   }
   follower_.OnFallbackChanges(*changes, now);
   if (usable && changes->full) change_log_.OnListed(follower_.position());
+  OnPeerPolicy(peer, changes->policy_version);
   context_.policy_as_of = follower_.current_as_of();
   ReadAwaitedItem(peer);
 }
--- a/src/vanilladeck/gateway/peer_channel.h
+++ b/src/vanilladeck/gateway/peer_channel.h
@@ -21,6 +21,9 @@
   void Call(const membership::FeedPeer& peer, const std::string& request, core::TimePoint deadline,
             const Done& done);
 
+  /// Time to the first byte of an item, which the peer may have to compress first.
+  static constexpr core::Duration kItemTimeout = std::chrono::milliseconds(1000);
+
   /// True while a request is in flight.
   [[nodiscard]] bool busy() const noexcept { return busy_; }
 
--- a/src/vanilladeck/gateway/peer_request.cc
+++ b/src/vanilladeck/gateway/peer_request.cc
@@ -12,11 +12,13 @@
 constexpr std::string_view kRevision = "&revision=";
 constexpr std::string_view kEpoch = "&epoch=";
 constexpr std::string_view kItemPath = "/peer/item?key=";
+constexpr std::string_view kPolicyPath = "/peer/policy";
 constexpr std::string_view kItemRevision = "Item-Revision";
 constexpr std::string_view kEra = "Era";
 constexpr std::string_view kPositionEra = "Position-Era";
 constexpr std::string_view kHexDigits = "0123456789abcdef";
 constexpr std::string_view kInstance = "Instance";
+constexpr std::string_view kPolicyVersion = "Policy-Version";
 constexpr std::string_view kServerLimits = "Server-Limits";
 // Half of what the receiver accepts as the header section of a request.
 constexpr std::size_t kMaxLimitsBytes = 8192;
@@ -27,8 +29,20 @@
   return ec == std::errc{} && end == text.data() + text.size();
 }
 
-std::string EncodeEraField(std::string_view name, store::Era era) {
-  return std::string(name) + ": " + std::to_string(era) + "\r\n";
+template <class Number>
+std::string EncodeField(std::string_view name, Number number) {
+  return std::string(name) + ": " + std::to_string(number) + "\r\n";
+}
+
+/// The version that a message states; 0 without one, none if it is malformed.
+template <class Message>
+std::optional<std::uint64_t> DecodePolicyVersion(const Message& message) {
+  const auto field = message.find(kPolicyVersion);
+  if (field == message.end()) return 0;
+  std::uint64_t version = 0;
+  const std::string_view text(field->value().data(), field->value().size());
+  if (!ParseWhole(text, version)) return std::nullopt;
+  return version;
 }
 
 /// The era that a message states; `absent` without one, none if it is malformed.
@@ -51,9 +65,10 @@
   text.append(kRevision).append(std::to_string(known.position.revision().number));
   text.append(kEpoch).append(known.epoch).append(" HTTP/1.1\r\nHost: peer\r\n");
   text.append(kInstance).append(": ").append(sender.name).append("\r\n");
-  text.append(EncodeEraField(kEra, sender.era));
+  text.append(EncodeField(kEra, sender.era));
+  if (sender.policy_version > 0) text.append(EncodeField(kPolicyVersion, sender.policy_version));
   if (known.position.era() != sender.era) {
-    text.append(EncodeEraField(kPositionEra, known.position.era()));
+    text.append(EncodeField(kPositionEra, known.position.era()));
   }
   const std::string limits = nlohmann::json(sender.server_limits)
                                  .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
@@ -70,12 +85,18 @@
   return PeerEras{*known, *position};
 }
 
-std::optional<PeerSender> DecodePeerSender(const MessageReader<true>::Message& request) {
+std::string DecodeSenderName(const MessageReader<true>::Message& request) {
   const auto name = request.find(kInstance);
+  return name == request.end() ? std::string()
+                               : std::string(name->value().data(), name->value().size());
+}
+
+std::optional<PeerSender> DecodePeerSender(const MessageReader<true>::Message& request) {
   const auto limits = request.find(kServerLimits);
-  if (name == request.end() || limits == request.end()) return std::nullopt;
+  if (request.find(kInstance) == request.end() || limits == request.end()) return std::nullopt;
   PeerSender sender;
-  sender.name.assign(name->value().data(), name->value().size());
+  sender.name = DecodeSenderName(request);
+  sender.policy_version = DecodePolicyVersion(request).value_or(0);
   const auto json = core::ParseJson({limits->value().data(), limits->value().size()});
   // An empty map is encoded as null.
   if (json.is_null()) return sender;
@@ -87,6 +108,30 @@
   return sender;
 }
 
+std::string EncodePolicyRequest(const PeerSender& sender) {
+  std::string text = "GET ";
+  text.append(kPolicyPath).append(" HTTP/1.1\r\nHost: peer\r\n");
+  text.append(kInstance).append(": ").append(sender.name).append("\r\n");
+  return text + EncodeField(kEra, sender.era) + "\r\n";
+}
+
+bool IsPolicyRequest(std::string_view target) { return target == kPolicyPath; }
+
+std::string EncodePolicyResponse(const PolicyStatement& statement) {
+  return "HTTP/1.1 200 OK\r\n" + EncodeField(kPolicyVersion, statement.version) +
+         EncodeField(kEra, statement.era) + "Content-Length: 0\r\n";
+}
+
+std::optional<PolicyStatement> DecodePolicyResponse(const MessageReader<false>::Message& response) {
+  if (response.result_int() != 200 || response.find(kPolicyVersion) == response.end()) {
+    return std::nullopt;
+  }
+  const auto version = DecodePolicyVersion(response);
+  const auto era = DecodeEraField(response, kEra, std::nullopt);
+  if (!version || !era) return std::nullopt;
+  return PolicyStatement{*version, *era};
+}
+
 std::string EncodeItemRequest(std::string_view key) {
   std::string text = "GET ";
   text.append(kItemPath);
@@ -115,7 +160,7 @@
 
 std::string EncodeItemFields(store::Position position) {
   return std::string(kItemRevision) + ": " + std::to_string(position.revision().number) + "\r\n" +
-         EncodeEraField(kEra, position.era());
+         EncodeField(kEra, position.era());
 }
 
 std::optional<store::Item> DecodeItemResponse(const std::string& key,
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
   std::string name;
   std::map<std::string, double> server_limits;
   store::Era era = 0;  ///< That it knows; its position may still be of an earlier one.
+  std::uint64_t policy_version = 0;  ///< In force there; 0 if none is or none is stated.
 };
 
 /// The eras that a request states.
@@ -23,10 +25,19 @@
   store::Era position = 0;  ///< Of the sender's position.
 };
 
+/// The policy that an instance has in force, as it answers a request for it.
+struct PolicyStatement {
+  std::uint64_t version = 0;  ///< 0 if none is in force.
+  store::Era era = 0;         ///< That the instance knows.
+};
+
 /// Builds the HTTP request for the changes of a peer since `known`.
 [[nodiscard]] std::string EncodePeerRequest(const membership::PeerPosition& known,
                                             const PeerSender& sender);
 
+/// Name of the instance that sends a request; empty if it is not stated.
+[[nodiscard]] std::string DecodeSenderName(const MessageReader<true>::Message& request);
+
 /// Returns none if the request does not state a sender.
 [[nodiscard]] std::optional<PeerSender> DecodePeerSender(
     const MessageReader<true>::Message& request);
@@ -39,6 +50,19 @@
 [[nodiscard]] std::optional<membership::PeerPosition> DecodePeerRequest(std::string_view target,
                                                                         store::Era era);
 
+/// Builds the HTTP request for the version of the policy that a peer has in force.
+[[nodiscard]] std::string EncodePolicyRequest(const PeerSender& sender);
+
+[[nodiscard]] bool IsPolicyRequest(std::string_view target);
+
+/// Builds the response to `EncodePolicyRequest`, which has no body.
+[[nodiscard]] std::string EncodePolicyResponse(const PolicyStatement& statement);
+
+/// Returns none if the peer is of an earlier version, which does not state it, or the response is
+/// malformed.
+[[nodiscard]] std::optional<PolicyStatement> DecodePolicyResponse(
+    const MessageReader<false>::Message& response);
+
 /// Largest value of an item that is accepted from a peer.
 inline constexpr std::size_t kMaxItemBytes = 4U << 20U;
 
--- a/src/vanilladeck/gateway/platform_port.h
+++ b/src/vanilladeck/gateway/platform_port.h
@@ -61,6 +61,8 @@
  public:
   [[nodiscard]] virtual DecodedItem DecodeItem(const store::Item& item) const = 0;
   [[nodiscard]] virtual RemovedItem DecodeRemoval(const std::string& key) const = 0;
+  /// The key of the routing policy.
+  [[nodiscard]] virtual std::string_view policy_key() const noexcept = 0;
   [[nodiscard]] virtual bool IsReadinessCheck(std::string_view target) const = 0;
   [[nodiscard]] virtual std::optional<LookupQuery> DecodeLookup(std::string_view target) const = 0;
   [[nodiscard]] virtual std::string EncodeLookup(const std::vector<std::string>& addresses,
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -94,6 +94,7 @@
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
   if (changes.relayed) message["relayed"] = true;
+  if (changes.policy_version > 0) message["policy"] = changes.policy_version;
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
@@ -138,6 +139,10 @@
   changes.unheard = AgeOf(json, "unheard_ms").value_or(changes.age);
   const auto relayed = field("relayed");
   changes.relayed = relayed != json.end() && relayed->is_boolean() && relayed->get<bool>();
+  const auto policy = field("policy");
+  if (policy != json.end() && policy->is_number_unsigned()) {
+    changes.policy_version = policy->get<std::uint64_t>();
+  }
   for (const auto& it : *list) {
     auto reference = ReferenceOf(it, *era);
     if (!reference) return std::nullopt;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -47,6 +47,9 @@
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
   std::string checked_prefix;
+  /// Of the policy in force at the sender; 0 if there is none or the sender is of an earlier
+  /// version.
+  std::uint64_t policy_version = 0;
 };
 
 [[nodiscard]] std::string EncodePeerChanges(const PeerChanges& changes);
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -227,6 +227,7 @@
   sent.age = 250ms;
   sent.behind = 1500ms;
   sent.server_limits = {{"i-1", 2.5}};
+  sent.policy_version = 12;
   const std::string text = EncodePeerChanges(sent);
   const auto read = DecodePeerChanges(text);
   REQUIRE(read.has_value());
@@ -234,6 +235,7 @@
   CHECK(read->age == 250ms);
   CHECK(read->behind == 1500ms);
   CHECK(read->server_limits == sent.server_limits);
+  CHECK(read->policy_version == 12);
   REQUIRE(read->changes.size() == 2);
   CHECK(read->changes[0].item.value == "{\"version\":\"0000000c\"}");
   for (std::size_t n = 0; n < text.size(); n += 7) {
@@ -243,6 +245,16 @@
   CHECK_FALSE(DecodePeerChanges("{\"epoch\":3}").has_value());
 }
 
+// Guards against an instance without a policy, or of an earlier version, that seems to have one.
+TEST_CASE("a message without the version of a policy states none") {
+  const std::string text = EncodePeerChanges({});
+  CHECK(text.find("policy") == std::string::npos);
+  CHECK(DecodePeerChanges(text)->policy_version == 0);
+  auto json = core::ParseJson(text);
+  json["policy"] = "12";
+  CHECK(DecodePeerChanges(json.dump())->policy_version == 0);
+}
+
 // Guards against changes that wait behind a large value in the same message.
 TEST_CASE("a large value is referred to in each message, and small ones are part of it") {
   ChangeLog log("a/1");
--- a/tests/platform/decoder_fuzz_test.cc
+++ b/tests/platform/decoder_fuzz_test.cc
@@ -37,6 +37,7 @@
   changes.references = {{"op/config", {0, 12}}};
   changes.server_limits = {{"i-1", 2.5}};
   changes.checked_prefix = "op/";
+  changes.policy_version = 12;
   return changes;
 }
 
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -61,6 +61,7 @@
 
   bool lose_history = false;  ///< All watches are answered 410.
   bool hold_checks = false;   ///< Reads that may be stale get no response.
+  bool states_era = true;     ///< Responses have the field `Store-Era`.
 
   [[nodiscard]] tcp::endpoint endpoint() const {
     return *vanilladeck::http::ParseEndpoint(server_.Address());
@@ -98,8 +99,9 @@
 
   void Respond(const ScriptedServer::ConnectionPtr& connection, const std::string& status,
                const std::string& body) const {
-    connection->Write("HTTP/1.1 " + status + "\r\nStore-Era: " + std::to_string(era_) +
-                      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    const std::string era = states_era ? "Store-Era: " + std::to_string(era_) + "\r\n" : "";
+    connection->Write("HTTP/1.1 " + status + "\r\n" + era +
+                      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
   [[nodiscard]] nlohmann::json ItemsAfter(const std::string& prefix, std::int64_t after) const {
