--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -96,6 +96,7 @@
   if (changes.relayed) message["relayed"] = true;
   for (const auto& [key, time] : changes.kept) message["kept"][key] = ms(time);
   if (!changes.held.empty()) message["held"] = changes.held;
+  if (changes.policy_version > 0) message["policy"] = changes.policy_version;
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
@@ -140,6 +141,10 @@
   changes.unheard = AgeOf(json, "unheard_ms").value_or(changes.age);
   const auto relayed = field("relayed");
   changes.relayed = relayed != json.end() && relayed->is_boolean() && relayed->get<bool>();
+  const auto policy = field("policy");
+  if (policy != json.end() && policy->is_number_unsigned()) {
+    changes.policy_version = policy->get<std::uint64_t>();
+  }
   for (const auto& it : *list) {
     auto reference = ReferenceOf(it, *era);
     if (!reference) return std::nullopt;
