Test stores that never state an era apart from those that stop stating it

Cause: the store of the test stopped stating its era after the gateways had started, which is another case than a store that never states one.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -40,6 +40,7 @@
     store_addresses.push_back(AddressOf(i));
   }
   store_ = std::make_unique<standins::MetadataStore>(io_, store_addresses);
+  store_->behavior = options_.store;
   store_->on_return = [this] {
     records_.store_impairments.back().end = Clock::now();
     CallLater(milliseconds(std::uniform_int_distribution<int>(
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -18,6 +18,7 @@
   std::size_t servers_per_service = 3;
   std::size_t clients_per_gateway = 5;
   milliseconds client_pause{25};  ///< Between two requests of a client.
+  standins::MetadataStore::Behavior store = {};
   std::uint32_t seed = 1;
 };
 
--- a/tests/process/store_soak_test.cc
+++ b/tests/process/store_soak_test.cc
@@ -17,13 +17,14 @@
 
 /// Runs a fleet with random faults, and checks the rules over the whole run and that all gateways
 /// agree in the end.
-void Soak(std::uint32_t seed, std::size_t gateways, milliseconds time) {
+void Soak(std::uint32_t seed, std::size_t gateways, milliseconds time, bool states_era = true) {
   // Requests of all clients together stay within what the test process can answer beside others.
   constexpr std::size_t kClients = 15;
   FleetOptions options;
   options.gateways = gateways;
   options.clients_per_gateway = std::max<std::size_t>(2, kClients / gateways);
   options.seed = seed;
+  options.store.states_era = states_era;
   Fleet fleet(options);
   FleetFaults faults(fleet, seed);
   faults.RunFor(time);
@@ -83,9 +84,11 @@
 }
 
 // Guards against the same with other seeds, more gateways and longer runs, by hand: set
-// VANILLADECK_SOAK_SEED, VANILLADECK_SOAK_GATEWAYS, VANILLADECK_SOAK_SECONDS.
+// VANILLADECK_SOAK_SEED, VANILLADECK_SOAK_GATEWAYS, VANILLADECK_SOAK_SECONDS, and
+// VANILLADECK_SOAK_ERA to 0 for a store that states none.
 TEST_CASE("a fleet under random faults of a given seed", "[.][soak-by-hand]") {
   Soak(static_cast<std::uint32_t>(Setting("VANILLADECK_SOAK_SEED", 1)),
        static_cast<std::size_t>(Setting("VANILLADECK_SOAK_GATEWAYS", 3)),
-       std::chrono::seconds(Setting("VANILLADECK_SOAK_SECONDS", 20)));
+       std::chrono::seconds(Setting("VANILLADECK_SOAK_SECONDS", 20)),
+       Setting("VANILLADECK_SOAK_ERA", 1) != 0);
 }
