Notice lost data also if the store no longer states its era

Cause: lost data counted only while the store had never stated an era, so that one that stopped stating it and then returned from a copy was followed by revision alone. Change: what counts is whether the last response stated one. Measured: the new test of the tracker fails without the change.

--- a/src/vanilladeck/store/era_tracker.cc
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -6,13 +6,13 @@
 
 EraTracker::Judgement EraTracker::OnResponse(const EraReading& reading, Era sent_in) {
   const auto* era = std::get_if<Era>(&reading);
+  stated_ = era != nullptr;
   if (era == nullptr) {
     const auto finding =
         std::holds_alternative<NoEra>(reading) ? EraFinding::kAbsent : EraFinding::kUnreadable;
     // If the era has changed since the call was sent, the response may be of either.
     return {finding, sent_in == this->era(), false};
   }
-  stated_ = true;
   if (!era_) {
     const bool changed = *era != 0;
     era_ = *era;
--- a/src/vanilladeck/store/era_tracker.h
+++ b/src/vanilladeck/store/era_tracker.h
@@ -49,7 +49,7 @@
   bool OnPeer(Era era) noexcept;
 
   /// The store's revisions have gone back. True if `era()` was raised, which it is only if the
-  /// store has stated none.
+  /// last response stated none.
   bool OnDataLost() noexcept;
 
   /// 0 before any was stated.
@@ -59,7 +59,7 @@
   std::optional<Era> era_;
   std::optional<Era> unconfirmed_;  ///< A jump or fall that the next response may confirm.
   Era contradicted_ = 0;            ///< Known era from which the last one fell.
-  bool stated_ = false;             ///< The store has stated an era.
+  bool stated_ = false;             ///< The last response stated an era.
 };
 
 }  // namespace vanilladeck::store
--- a/tests/store/peer_era_test.cc
+++ b/tests/store/peer_era_test.cc
@@ -68,5 +68,17 @@
   CHECK_FALSE(tracker.OnDataLost());
 }
 
+// Guards against state that is dropped as older for ever: the store stops stating its era before it
+// returns from a copy.
+TEST_CASE("lost data raises the era if the store states none any more") {
+  EraTracker tracker;
+  REQUIRE(tracker.OnResponse(Era{4}, 0).usable);
+  CHECK_FALSE(tracker.OnDataLost());
+  REQUIRE(tracker.OnResponse(NoEra{}, 4).usable);
+  CHECK(tracker.OnDataLost());
+  CHECK(tracker.era() == 5);
+  CHECK(tracker.OnResponse(Era{5}, 5).usable);
+}
+
 }  // namespace
 }  // namespace vanilladeck::store
