Read a policy from other instances only after a return of the store

Cause: any message of another instance that stated a newer policy made the instance read it a second time after 1 s, also in calm, while the first transfer was on its way: a large policy takes longer on a slow link. Change: stated versions count from a change of the era until it has settled, and in a start's round.

--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -154,6 +154,9 @@
 }
 
 void Gateway::OnPeerPolicy(const membership::FeedPeer& peer, std::uint64_t version) {
+  // At other times the store has every policy, and a second transfer would slow down the first one
+  // on a slow link.
+  if (!era_settling_ && !policy_check_.active()) return;
   membership::FeedPeer holder = peer;
   if (holder.address.empty()) {
     const auto record = instances_.find(peer.name);
--- a/tests/platform/large_policy_test.cc
+++ b/tests/platform/large_policy_test.cc
@@ -145,6 +145,18 @@
   CHECK(f.RunUntil([&] { return f.asking->HasPolicy(13); }, kBound));
 }
 
+// Guards against a second transfer of a policy that is already on its way, which takes half of a
+// slow link: the reader states its version with the first message.
+TEST_CASE("a policy is not read from other instances unless the store has returned from a copy") {
+  RelayFixture f(SmallPolicy(), kNarrowLinkBytesPerSecond);
+  // From its first poll of the reader on.
+  f.io.run_for(2s);
+  f.store.Put("op/config", LargePolicy(13));
+  REQUIRE(f.RunUntil([&] { return f.asking->HasPolicy(13); }, kBound));
+  f.io.run_for(300ms);
+  CHECK_FALSE(f.asking->Logged("policy-behind"));
+}
+
 // Guards against an instance that never becomes ready: its listing takes longer than a call may.
 TEST_CASE("an instance on a slow link starts with a large policy") {
   RelayFixture f(LargePolicy(12));
