Apply no removal after a call that failed

After two returns of the store in a row, the second is a jump of the era for an instance that missed the first, and counts only once the store has answered twice.

Deferred removals now wait after a failed call for the next one that succeeds, and as long as the store's answers are of another era for one that is used. A state of an instance that knows no more does not end that. The new test failed before.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -87,6 +87,7 @@
     due_ = now;
     return;
   }
+  other_era_ = !result && result.error().code == store::CallErrorCode::kOtherEra;
   if (!result) {
     OnFailure(result.error(), now);
   } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
@@ -227,6 +228,7 @@
     return;
   }
   catching_up_ = false;
+  other_era_ = false;
   if (std::exchange(ask_peer_for_state_, false)) listing_ = false;
   source_ = ItemSource::kPeer;
   const core::TimePoint answered = now - changes.age;
@@ -596,8 +598,10 @@
     it =
         now - it->second.at > settings_.tombstone_retention ? tombstones_.erase(it) : std::next(it);
   }
-  // No server can register again while the store is unreachable, so no removal is applied.
-  if (!reachable_) return;
+  // No server can register again while the store is unreachable, so no removal is applied. Nor is
+  // one after a failed call, since it is not known what was written, or while the store may be in
+  // an era that is not confirmed yet.
+  if (!reachable_ || failures_ > 0 || other_era_) return;
   for (auto it = deferred_removals_.begin(); it != deferred_removals_.end();) {
     if (now < it->second.at) {
       ++it;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -253,6 +253,7 @@
   bool ask_peer_for_state_ = false;
   bool call_outdated_ = false;   ///< The call in flight was sent before the era changed.
   bool check_outdated_ = false;  ///< The same for the check in flight.
+  bool other_era_ = false;       ///< The store's last answer was not used for its era.
   std::uint32_t failures_ = 0;   ///< Consecutive failed calls.
   bool listing_ = true;
   bool synced_once_ = false;
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -368,5 +368,36 @@
   CHECK(it.present.count("op/a") == 1);
 }
 
+// Guards against the removal of a live server while the store's answers are not used, since they
+// are of an era that is not confirmed yet, or cannot be read.
+TEST_CASE("no removal is applied after a failed call before one succeeds") {
+  Instance it;
+  it.follower.OnEra(1, it.now);
+  it.List({{"servers/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}}, Rev(20, 1));
+  it.follower.OnEra(2, it.now);
+  it.List({{"servers/z", "", Rev(6, 2)}}, Rev(10, 2));
+  it.Advance(1900ms);
+  (void)it.NextCall();
+  it.follower.OnAnswer(VersionedResult(store::CallError{store::CallErrorCode::kOtherEra, ""}),
+                       it.now);
+  SECTION("at all") {}
+  SECTION("here, not of an instance that knows no more") {
+    it.follower.OnFallbackChanges(FromPeer(Rev(10, 2), false, {}), it.now);
+  }
+  it.Advance(500ms);
+  CHECK(it.removed.empty());
+  SECTION("and the store has returned once more") {
+    it.follower.OnEra(4, it.now);
+    it.List({{"servers/a", "", Rev(12, 4)}, {"servers/z", "", Rev(6, 4)}}, Rev(13, 4));
+    it.Advance(3s);
+    CHECK(it.removed.empty());
+  }
+  SECTION("and the store has not returned") {
+    it.Watch({}, Rev(11, 2));
+    it.Advance(100ms);
+    CHECK(it.removed == std::set<std::string>{"servers/a"});
+  }
+}
+
 }  // namespace
 }  // namespace vanilladeck::membership
