Pass held items on in a whole state

The list of held keys in a whole state did not reach further than one instance: one that had not known of the removal took the key for present, but had nothing from the new era to pass on, so that the next one removed the item for good though it was in the store (found by a generated schedule of five instances).

A whole state now contains the held items themselves in place of the list, as the store does; each instance judges by its own knowledge whether they had been removed.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -112,7 +112,7 @@
     }
     changes.position = follower_.position();
     changes.kept = follower_.Kept(changes.full ? store::Position() : known->position, now);
-    if (changes.full) changes.held = follower_.HeldKeys();
+    if (changes.full) follower_.AddHeld(changes);
     changes.age = now - follower_.last_success();
     changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -95,7 +95,6 @@
                          {"checked", changes.checked_prefix}};
   if (changes.relayed) message["relayed"] = true;
   for (const auto& [key, time] : changes.kept) message["kept"][key] = ms(time);
-  if (!changes.held.empty()) message["held"] = changes.held;
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
   try {
     return message.dump();
@@ -160,7 +159,7 @@
       changes.references.push_back(std::move(*reference));
     }
   }
-  // Instances of an earlier version do not state what they keep or hold.
+  // Instances of an earlier version do not state what they keep.
   if (const auto kept = field("kept"); kept != json.end()) {
     if (!kept->is_object()) return std::nullopt;
     for (const auto& it : kept->items()) {
@@ -169,13 +168,6 @@
       changes.kept.emplace(it.key(), *time);
     }
   }
-  if (const auto held = field("held"); held != json.end()) {
-    if (!held->is_array()) return std::nullopt;
-    for (const auto& it : *held) {
-      if (!it.is_string()) return std::nullopt;
-      changes.held.insert(it.get<std::string>());
-    }
-  }
   if (const auto limits = field("server_limits"); limits != json.end()) {
     if (!limits->is_object()) return std::nullopt;
     for (const auto& [server, limit] : limits->items()) {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -46,9 +45,6 @@
   std::vector<ItemReference> references;
   /// Keys that are absent from the store, and the time for which the sender keeps them yet.
   std::map<std::string, core::Duration> kept;
-  /// Keys that are present in the store and that the sender does not apply yet, part of a full
-  /// snapshot.
-  std::set<std::string> held;
   /// Limits in requests per second that backend servers stated to other instances, by id.
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -263,10 +263,8 @@
   return kept;
 }
 
-std::set<std::string> StoreFollower::HeldKeys() const {
-  std::set<std::string> keys;
-  for (const auto& [key, item] : held_) keys.insert(key);
-  return keys;
+void StoreFollower::AddHeld(PeerChanges& changes) const {
+  for (const auto& [key, item] : held_) changes.changes.push_back({item, false});
 }
 
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
@@ -279,7 +277,7 @@
     if (position.era() < changes.position.era()) kept.try_emplace(key, settings_.removal_grace);
     return kept.count(key) > 0;
   };
-  std::set<std::string> present = changes.held;
+  std::set<std::string> present;
   std::vector<ItemReference> references;
   for (const ItemReference& it : changes.references) {
     const bool only_kept = is_kept(it.key, it.position);
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -173,7 +173,9 @@
                                                            core::TimePoint now) const;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
-  [[nodiscard]] std::set<std::string> HeldKeys() const;
+  /// Adds them to the whole state that another instance asked for. It judges itself whether they
+  /// had been removed, and passes them on as well.
+  void AddHeld(PeerChanges& changes) const;
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
   /// first listing or state.
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
