--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -43,8 +43,13 @@
   if (in_flight_ || now < due_) return std::nullopt;
   in_flight_ = true;
   call_sent_ = now;
-  if (!listing_ && now - last_listing_ >= settings_.relist_interval) StartListing();
-  if (listing_) return store::ReadRange{"", page_after_, false};
+  // Changes after a position of an earlier era would be those of what the store has lost.
+  const bool other_era = position_.era() != era_;
+  if (!listing_ && (other_era || now - last_listing_ >= settings_.relist_interval)) StartListing();
+  if (listing_) {
+    if (page_after_.empty()) sent_position_ = position_;
+    return store::ReadRange{"", page_after_, false};
+  }
   if (catching_up_) {
     return store::WatchChanges{"", position_,
                                std::chrono::duration_cast<std::chrono::milliseconds>(kCatchUpWait)};
@@ -62,8 +67,10 @@
 }
 
 void StoreFollower::OnEra(store::Era era, core::TimePoint now) {
-  if (era <= era_) return;
+  if (era == era_) return;
+  if (era < era_) ForgetOrder();
   era_ = era;
+  went_back_listings_ = 0;
   call_outdated_ = in_flight_;
   check_outdated_ = checking_;
   check_page_after_.clear();
@@ -74,12 +81,22 @@
     return;
   }
   era_began_ = now;
-  ask_peer_for_state_ = true;
+  // The first listing of a start is continued: only the store itself tells that it is complete.
+  ask_peer_for_state_ = synced_once_;
   recovered_at_ = now;
   held_.clear();
   for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
 }
 
+void StoreFollower::ForgetOrder() {
+  for (auto& [key, position] : known_positions_) position = {};
+  for (auto& [key, removal] : deferred_removals_) removal.position = {};
+  tombstones_.clear();
+  awaited_.clear();
+  position_ = {};
+  complete_position_ = {};
+}
+
 void StoreFollower::OnAnswer(const store::VersionedResult& result, core::TimePoint now) {
   in_flight_ = false;
   if (std::exchange(call_outdated_, false)) {
@@ -159,7 +176,7 @@
     listing_position_ = page.position;
     listed_as_of_ = AnswerTime(now);
     summary_ = ListingSummary{};
-    summary_.known = position_;
+    summary_.known = sent_position_;
     summary_.position = page.position;
   }
   ++summary_.pages;
@@ -183,6 +200,15 @@
     }
     return;
   }
+  const bool went_back =
+      listing_position_.era() == sent_position_.era() && listing_position_ < sent_position_;
+  went_back_listings_ = went_back ? went_back_listings_ + 1 : 0;
+  if (went_back && !data_lost()) {
+    // Nothing is removed before a second listing has confirmed it.
+    StartListing();
+    due_ = now;
+    return;
+  }
   std::vector<std::string> missing;
   for (const auto& [key, position] : known_positions_) {
     if (listed_keys_.count(key) > 0) continue;
@@ -224,7 +250,7 @@
   in_flight_ = false;
   call_outdated_ = false;
   if (!IsUsable(changes)) {
-    due_ = now;
+    due_ = now + pause;
     return;
   }
   catching_up_ = false;
