--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -121,6 +121,7 @@
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
     }
     changes.position = follower_.position();
+    changes.kept = follower_.Kept(changes.full ? store::Position() : known->position, now);
     changes.age = now - follower_.last_success();
     changes.policy_version = PolicyVersion();
     changes.relayed = feed_source_.Choose(now) != nullptr;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -69,7 +69,7 @@
 
 /// What a complete listing brought.
 struct ListingSummary {
-  store::Position known;     ///< Position of the state before the listing.
+  store::Position known;     ///< Position of the state when the listing was sent.
   store::Position position;  ///< Position that the listing states.
   std::size_t pages = 0;
   std::size_t items = 0;
@@ -106,9 +106,15 @@
   [[nodiscard]] std::optional<store::VersionedCall> NextCheck(core::TimePoint now);
   void OnCheckAnswer(const store::VersionedResult& result, core::TimePoint now);
 
-  /// The store is in another era, which is later than the known one. Answers to calls in flight do
-  /// not count; those of an older era must not be passed on to the follower any more.
+  /// The store is in another era than the known one. Answers to calls in flight do not count; those
+  /// of another era must not be passed on to the follower any more. A lower era means that the
+  /// known one was wrong: the state is kept as after a return, but its order is forgotten.
   void OnEra(store::Era era, core::TimePoint now);
+  /// The store has lost data without stating another era: listings in a row were older than what
+  /// was known when they were sent. Until `OnEra`.
+  [[nodiscard]] bool data_lost() const noexcept {
+    return went_back_listings_ >= kConfirmingListings;
+  }
   [[nodiscard]] store::Era era() const noexcept { return era_; }
 
   /// True if `call`, returned by `Next`, reads what a peer can serve as well: changes, or the whole
@@ -168,6 +174,9 @@
   [[nodiscard]] std::size_t known_items() const noexcept { return known_positions_.size(); }
   /// Items that are kept for the grace period although they were removed.
   [[nodiscard]] std::size_t deferred_removals() const noexcept { return deferred_removals_.size(); }
+  /// Of these, the keys that were absent at a position after `after`, and the time that is left.
+  [[nodiscard]] std::map<std::string, core::Duration> Kept(store::Position after,
+                                                           core::TimePoint now) const;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// All changes acknowledged by the store before this time are known. The clock's epoch before the
@@ -175,6 +184,10 @@
   [[nodiscard]] core::TimePoint current_as_of() const noexcept { return current_as_of_; }
   /// Source of the item or removal that the sink is called with.
   [[nodiscard]] ItemSource source() const noexcept { return source_; }
+  /// True if the key of the item that the sink is called with may have been absent since the last
+  /// write that was known here. Others may know that and defer its removal, so that they need this
+  /// write although it may only renew a report.
+  [[nodiscard]] bool may_have_been_absent() const noexcept { return may_have_been_absent_; }
   /// Position at which the key was absent whose removal the sink is called with.
   [[nodiscard]] store::Position removal_position() const noexcept { return removal_position_; }
   /// The last complete listing.
@@ -184,6 +197,9 @@
   [[nodiscard]] const DropCounts& dropped() const noexcept { return dropped_; }
 
  private:
+  /// Listings in a row that must be older than the known state for data to count as lost.
+  static constexpr int kConfirmingListings = 2;
+
   struct Removal {
     store::Position position;
     /// For `deferred_removals_`: when to apply it; for `tombstones_`: when it was applied.
@@ -201,13 +217,26 @@
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
   /// Applies what the copy brought back, after the grace period.
   void ApplyHeld(core::TimePoint now);
+  /// The key was absent at `position`: what the copy brought back before is not applied.
+  void DropHeld(const std::string& key, store::Position position, core::TimePoint now);
+  /// The same for all keys below `prefix` that are not in `present`.
+  void DropAbsentHeld(const std::string& prefix, const std::set<std::string>& present,
+                      store::Position position, core::TimePoint now);
   /// True if the item was removed after `position`, as a later listing showed. Tombstones do not
   /// tell this after a restart.
   [[nodiscard]] bool WasRemoved(const std::string& key, store::Position position) const;
   /// `read_at` is the position of the state that contains the item.
   void ApplyItem(const store::Item& item, store::Position read_at);
+  /// True for `removal_grace` after the store has recovered or returned.
+  [[nodiscard]] bool IsInGrace(core::TimePoint now) const noexcept;
+  void BeginGrace(core::TimePoint now);
+  /// `due`, or `before_end` before the end of the grace period if that is earlier.
+  [[nodiscard]] core::TimePoint DueInGrace(core::TimePoint due, core::Duration before_end,
+                                           core::TimePoint now) const noexcept;
   /// `position` is one at which the key was absent.
   void RemoveOrDefer(const std::string& key, store::Position position, core::TimePoint now);
+  /// Removes the key at `until` unless it is written again.
+  void Defer(const std::string& key, store::Position position, core::TimePoint until);
   void ApplyRemoval(const std::string& key, store::Position position, core::TimePoint now);
   void ApplyPeerState(const PeerChanges& changes, core::TimePoint now);
   /// Notes which of the items that a peer has are to be read.
@@ -221,6 +250,8 @@
   /// the call, during which the answer may have waited, the time of the call.
   [[nodiscard]] core::TimePoint AnswerTime(core::TimePoint now) const noexcept;
   void StartListing() noexcept;
+  /// Any state that is read from now on is newer than the known one.
+  void ForgetOrder();
   void CountDrop(DropReason reason) noexcept { ++dropped_[static_cast<std::size_t>(reason)]; }
 
   FollowerSettings settings_;
@@ -238,8 +269,11 @@
   bool reachable_ = true;
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
+  bool may_have_been_absent_ = false;
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
+  store::Position sent_position_;     ///< Known when the listing's first page was asked for.
+  int went_back_listings_ = 0;        ///< Listings in a row that were older than that.
   std::set<std::string> listed_keys_;
   ListingSummary summary_;  ///< Of the listing in progress.
   ListingSummary last_summary_;
