Send no delta by a revision of an unknown era, and no position ahead of it

Cause: an instance of an earlier version states no era, so that its revision from before the store's return counted as one of the new era, after all of its changes: it got an empty delta and the log's position, and what was written after the return was left out for good. An instance of a later era than the log's got nothing, but the log's position as well; it does not use it today. One of a later era gets its own position back.

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -100,7 +100,8 @@
   }
   // An instance of an earlier version knows no eras; its revision counts as one of this state's.
   const store::Era era = eras ? eras->position : follower_.position().era();
-  if (const auto known = DecodePeerRequest(target, era)) {
+  if (auto known = DecodePeerRequest(target, era)) {
+    known->states_era = eras.has_value();
     const auto sender = DecodePeerSender(request);
     if (eras && source == RequestSource::kInstance) {
       OnPeerEra(sender ? sender->name : std::string(), eras->known);
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -256,19 +256,24 @@
 
 PeerChanges ChangeLog::Since(const PeerPosition& known, core::TimePoint now) const {
   PeerChanges changes;
-  changes.epoch = epoch_;
-  changes.log_position = log_position_;
   const store::Era known_era = known.position.era();
   const store::Era era = complete_since_ ? complete_since_->era() : known_era;
-  // An instance of a later era uses nothing of an earlier one.
-  if (known_era > era) return changes;
+  // An instance of a later era uses nothing of an earlier one, and must not miss it later.
+  if (known_era > era) {
+    changes.epoch = known.epoch;
+    changes.log_position = known.log_position;
+    return changes;
+  }
+  changes.epoch = epoch_;
+  changes.log_position = log_position_;
   const bool by_position = known_era == era && known.epoch == epoch_ &&
                            known.log_position >= oldest_log_position_ &&
                            known.log_position <= log_position_;
   // An instance that switches readers is at most seconds behind. Sending a full snapshot to all
   // that switch at once would exceed their request timeout on a 10 Mbit/s link.
+  const bool comparable = known.states_era || era == 0;
   const bool by_store_position =
-      !by_position && complete_since_ && known.position >= *complete_since_;
+      !by_position && comparable && complete_since_ && known.position >= *complete_since_;
   changes.full = !by_position && !by_store_position;
   if (complete_since_) changes.checked_prefix = checked_prefix_;
   for (const auto& [key, entry] : entries_) {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -18,6 +18,9 @@
   std::uint64_t log_position = 0;
   /// Up to which the instance has all changes of the store.
   store::Position position;
+  /// False for an instance of an earlier version: the era of `position` is the sender's then, though
+  /// the revision may be of an earlier one.
+  bool states_era = true;
 };
 
 /// An item that is present and whose value is not part of a message.
@@ -97,7 +100,8 @@
   /// store position repeats some changes, since the other log may have missed them.
   ///
   /// An instance of an earlier era gets a full snapshot, since it may know items that the store
-  /// has lost and that this log never had; one of a later era gets nothing.
+  /// has lost and that this log never had; one of a later era gets nothing and keeps its position.
+  /// One that states no era gets no delta by store position unless this log has none either.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -215,9 +215,33 @@
     CHECK_FALSE(changes.full);
     CHECK(changes.changes.empty());
     CHECK(changes.references.empty());
+    // Otherwise the changes up to the log's position would be left out later.
+    CHECK(changes.epoch == known.epoch);
+    CHECK(changes.log_position == known.log_position);
   }
 }
 
+// Guards against an instance of an earlier version that never gets what was written after the
+// return: its revision, from before the return, seems to be after all changes of the new era.
+TEST_CASE("an instance that states no era gets no delta by its revision from a log with an era") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", Rev(480, 2)}, true, At(0s));
+  log.OnListed(Rev(500, 2));
+  log.Put({"servers/y", "v", Rev(510, 2)}, true, At(1s));
+  PeerPosition known{"a/1", 55, Rev(700, 2), false};
+  const PeerChanges changes = log.Since(known, At(1s));
+  CHECK(changes.full);
+  CHECK(changes.changes.size() == 2);
+  // From then on by the log's position, which only this log has given out.
+  known.epoch = "b/1";
+  known.log_position = changes.log_position;
+  CHECK_FALSE(log.Since(known, At(1s)).full);
+  // A log of a store without eras has one order of revisions.
+  ChangeLog without_era("c/1");
+  without_era.OnListed(Rev(500));
+  CHECK_FALSE(without_era.Since({"a/1", 55, Rev(700), false}, At(1s)).full);
+}
+
 TEST_CASE("peer changes round-trip any value, and malformed messages are rejected") {
   ChangeLog log("a/1");
   log.Put({"op/config", "{\"version\":\"0000000c\"}", Rev(5)}, true, At(0s));
