Begin the change log anew when the store's era falls

Measured: "an instance whose store's era fell passes changes on in the new order" fails before the change (the second answer is full again, 2 changes for 1) and passes with it; so do "after its order has begun anew ..." and "what the new order does not contain ..." with a Restart that does nothing.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -368,6 +368,7 @@
                                          {"revision", follower_.position().revision().number},
                                          {"items", follower_.known_items()}});
   follower_.OnEra(era, now);
+  if (era < known) change_log_.Restart(now);
   registration_.OnEra(era, now);
   policy_check_.Begin();
 }
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -215,10 +215,22 @@
 void ChangeLog::OnListed(store::Position position) noexcept {
   if (complete_since_ && position.era() <= complete_since_->era()) return;
   // Up to here, the log does not tell what the older copy lacks.
-  if (complete_since_) oldest_log_position_ = ++log_position_;
+  if (complete_since_ || restarting_) oldest_log_position_ = ++log_position_;
+  restarting_ = false;
   complete_since_ = position;
 }
 
+void ChangeLog::Restart(core::TimePoint now) {
+  std::erase_if(entries_, [](const auto& it) { return it.second.removed; });
+  for (auto& [key, entry] : entries_) {
+    entry.item.position = {};
+    entry.changed_at = {};
+  }
+  complete_since_.reset();
+  restarting_ = true;
+  restarted_at_ = now;
+}
+
 void ChangeLog::Remove(const std::string& key, store::Position position, store::Position applied_at,
                        core::TimePoint now) {
   Prune(now);
@@ -259,7 +271,7 @@
   const store::Era known_era = known.position.era();
   const store::Era era = complete_since_ ? complete_since_->era() : known_era;
   // An instance of a later era uses nothing of an earlier one, and must not miss it later.
-  if (known_era > era) {
+  if (restarting_ || known_era > era) {
     changes.epoch = known.epoch;
     changes.log_position = known.log_position;
     return changes;
@@ -271,7 +283,8 @@
                            known.log_position <= log_position_;
   // An instance that switches readers is at most seconds behind. Sending a full snapshot to all
   // that switch at once would exceed their request timeout on a 10 Mbit/s link.
-  const bool comparable = known.states_era || era == 0;
+  const bool comparable = (known.states_era || era == 0) &&
+                          (!restarted_at_ || now - *restarted_at_ > kTombstoneRetention);
   const bool by_store_position =
       !by_position && comparable && complete_since_ && known.position >= *complete_since_;
   changes.full = !by_position && !by_store_position;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -88,6 +88,9 @@
   /// Records that the log is complete as of `position`. Within an era, later calls are ignored; a
   /// later era begins the log anew.
   void OnListed(store::Position position) noexcept;
+  /// The order of positions begins anew: the store's era fell. Until the next call of `OnListed`,
+  /// of any position, instances get nothing; then all of them get a full snapshot.
+  void Restart(core::TimePoint now);
 
   /// Values of more bytes are only referred to.
   static constexpr std::size_t kMaxInlineBytes = 16384;
@@ -127,6 +130,9 @@
   std::uint64_t oldest_log_position_ = 1;  ///< Removals up to this position may have been pruned.
   /// Removals up to this position may be unknown or pruned; nullopt before the first listing.
   std::optional<store::Position> complete_since_;
+  /// Positions that other instances hold may be of an order that was given up then.
+  std::optional<core::TimePoint> restarted_at_;
+  bool restarting_ = false;  ///< Since `Restart`, the state is not yet known in the new order.
 };
 
 }  // namespace vanilladeck::membership
--- a/tests/membership/change_log_test.cc
+++ b/tests/membership/change_log_test.cc
@@ -242,6 +242,63 @@
   CHECK_FALSE(without_era.Since({"a/1", 55, Rev(700), false}, At(1s)).full);
 }
 
+// Guards against instances that keep what they know of an order that was given up: the store's era
+// fell, so that positions are given out again.
+TEST_CASE("after its order has begun anew, a log sends a full snapshot to all instances") {
+  ChangeLog log("b/1", "op/");
+  log.Put({"op/config", "v", Rev(590, 5)}, true, At(0s));
+  log.Put({"servers/x", "v", Rev(591, 5)}, true, At(0s));
+  log.Put({"servers/y", "v", Rev(592, 5)}, true, At(0s));
+  log.OnListed(Rev(600, 5));
+  log.Remove("servers/y", Rev(601, 5), Rev(601, 5), At(0s));
+  const std::uint64_t position = log.Since({}, At(0s)).log_position;
+  log.Restart(At(1s));
+  // Nothing until the state is known in the new order.
+  const PeerChanges waiting = log.Since({"b/1", position, Rev(600, 5)}, At(1s));
+  CHECK_FALSE(waiting.full);
+  CHECK(waiting.changes.empty());
+  CHECK(waiting.references.empty());
+  CHECK(waiting.log_position == position);
+  log.Put({"op/config", "v", Rev(80, 4)}, false, At(2s));
+  log.Put({"servers/x", "v", Rev(90, 4)}, false, At(2s));
+  log.OnListed(Rev(100, 4));
+  for (const PeerPosition& known : {PeerPosition{"b/1", position, Rev(50, 4)},
+                                    PeerPosition{"b/1", waiting.log_position, Rev(600, 4)},
+                                    PeerPosition{"a/1", 70, Rev(110, 4)}, PeerPosition{}}) {
+    const PeerChanges changes = log.Since(known, At(2s));
+    CHECK(changes.full);
+    REQUIRE(changes.changes.size() == 2);
+    for (const store::Change& it : changes.changes) CHECK(it.item.position < Rev(100, 4));
+    REQUIRE(changes.references.size() == 1);
+    CHECK(changes.references[0].position == Rev(80, 4));
+  }
+  // One that has read the snapshot goes on from there.
+  const PeerChanges full = log.Since({}, At(2s));
+  log.Put({"servers/z", "v", Rev(120, 4)}, true, At(3s));
+  const PeerChanges delta = log.Since({"b/1", full.log_position, Rev(110, 4)}, At(3s));
+  CHECK_FALSE(delta.full);
+  CHECK(delta.changes.size() == 1);
+  // Instances that switch readers later are of the new order.
+  CHECK_FALSE(log.Since({"a/1", 70, Rev(110, 4)}, At(60s)).full);
+}
+
+// Guards against an item that keeps a position of the order that was given up, which the instances
+// that ask would hold against all later writes.
+TEST_CASE("what the new order does not contain has no position") {
+  ChangeLog log("b/1");
+  log.Put({"servers/x", "v", Rev(590, 5)}, true, At(0s));
+  log.OnListed(Rev(600, 5));
+  log.Restart(At(1s));
+  log.OnListed(Rev(100, 4));
+  const PeerChanges full = log.Since({}, At(2s));
+  REQUIRE(full.changes.size() == 1);
+  CHECK(full.changes[0].item.position == store::Position());
+  log.Remove("servers/x", Rev(105, 4), Rev(105, 4), At(3s));
+  const PeerChanges delta = log.Since({"b/1", full.log_position, Rev(101, 4)}, At(3s));
+  REQUIRE(delta.changes.size() == 1);
+  CHECK(delta.changes[0].item.position == Rev(105, 4));
+}
+
 TEST_CASE("peer changes round-trip any value, and malformed messages are rejected") {
   ChangeLog log("a/1");
   log.Put({"op/config", "{\"version\":\"0000000c\"}", Rev(5)}, true, At(0s));
--- a/tests/platform/scripted_store.h
+++ b/tests/platform/scripted_store.h
@@ -48,7 +48,12 @@
     for (const auto& [key, item] : copy.items) items_[key] = {item.first, item.second};
     removals_ = copy.removals;
     revision_ = copy.revision;
-    ++era_;
+    SetEra(era_ + 1);
+  }
+
+  /// The store is down for a moment and then states another era.
+  void SetEra(store::Era era) {
+    era_ = era;
     const auto waiting = std::move(waiting_);
     waiting_.clear();
     for (const auto& it : waiting) {
