--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -17,6 +17,9 @@
   std::uint64_t log_position = 0;
   /// Up to which the instance has all changes of the store.
   store::Position position;
+  /// False for an instance of an earlier version: the era of `position` is the sender's then, though
+  /// the revision may be of an earlier one.
+  bool states_era = true;
 };
 
 /// An item that is present and whose value is not part of a message.
@@ -81,6 +84,9 @@
   /// Records that the log is complete as of `position`. Within an era, later calls are ignored; a
   /// later era begins the log anew.
   void OnListed(store::Position position) noexcept;
+  /// The order of positions begins anew: the store's era fell. Until the next call of `OnListed`,
+  /// of any position, instances get nothing; then all of them get a full snapshot.
+  void Restart(core::TimePoint now);
 
   /// Values of more bytes are only referred to.
   static constexpr std::size_t kMaxInlineBytes = 16384;
@@ -93,7 +99,8 @@
   /// store position repeats some changes, since the other log may have missed them.
   ///
   /// An instance of an earlier era gets a full snapshot, since it may know items that the store
-  /// has lost and that this log never had; one of a later era gets nothing.
+  /// has lost and that this log never had; one of a later era gets nothing and keeps its position.
+  /// One that states no era gets no delta by store position unless this log has none either.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
@@ -119,6 +126,9 @@
   std::uint64_t oldest_log_position_ = 1;  ///< Removals up to this position may have been pruned.
   /// Removals up to this position may be unknown or pruned; nullopt before the first listing.
   std::optional<store::Position> complete_since_;
+  /// Positions that other instances hold may be of an order that was given up then.
+  std::optional<core::TimePoint> restarted_at_;
+  bool restarting_ = false;  ///< Since `Restart`, the state is not yet known in the new order.
 };
 
 }  // namespace vanilladeck::membership
