--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,10 +44,18 @@
   /// Items with large values, which are read separately by those that lack them, so that they delay
   /// no change, and all items with `checked_prefix`.
   std::vector<ItemReference> references;
+  /// Keys that are absent from the store, and the time for which the sender keeps them yet.
+  std::map<std::string, core::Duration> kept;
+  /// Keys that are present in the store and that the sender does not apply yet, part of a full
+  /// snapshot.
+  std::set<std::string> held;
   /// Limits in requests per second that backend servers stated to other instances, by id.
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
   std::string checked_prefix;
+  /// Of the policy in force at the sender; 0 if there is none or the sender is of an earlier
+  /// version.
+  std::uint64_t policy_version = 0;
 };
 
 [[nodiscard]] std::string EncodePeerChanges(const PeerChanges& changes);
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -14,6 +14,12 @@
 // Wait of a watch that follows one that may have been cut short. An empty response to it states
 // that nothing is missing, so it must come soon.
 constexpr core::Duration kCatchUpWait = std::chrono::milliseconds(1);
+// The grace period is longer by this time than the one in which servers write again; the rest is
+// for reading what they wrote. Instances that ask a reader read later than the reader.
+constexpr core::Duration kLastReadTime = std::chrono::milliseconds(200);
+constexpr core::Duration kLastPeerReadTime = std::chrono::milliseconds(100);
+// Shortest pause between reads at the end of the grace period.
+constexpr core::Duration kLastReadPause = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -211,7 +217,7 @@
       ++summary_.kept;
     }
   }
-  std::erase_if(held_, [this](const auto& it) { return listed_keys_.count(it.first) == 0; });
+  DropAbsentHeld("", listed_keys_, listing_position_, now);
   summary_.missing = missing.size();
   last_summary_ = summary_;
   for (const std::string& it : missing) RemoveOrDefer(it, listing_position_, now);
@@ -255,7 +261,7 @@
   // The peer's own listings and checks arrive here as well.
   last_listing_ = now;
   if (changes.checked_prefix == settings_.check_prefix) last_check_ = now;
-  due_ = now + pause;
+  due_ = DueInGrace(now + pause, kLastPeerReadTime, now);
 }
 
 void StoreFollower::OnFallbackChanges(const PeerChanges& changes, core::TimePoint now) {
@@ -272,27 +278,76 @@
   synced_once_ = true;
 }
 
+std::map<std::string, core::Duration> StoreFollower::Kept(store::Position after,
+                                                          core::TimePoint now) const {
+  std::map<std::string, core::Duration> kept;
+  for (const auto& [key, removal] : deferred_removals_) {
+    if (removal.position > after) kept[key] = std::max(removal.at - now, core::Duration::zero());
+  }
+  return kept;
+}
+
+std::set<std::string> StoreFollower::HeldKeys() const {
+  std::set<std::string> keys;
+  for (const auto& [key, item] : held_) keys.insert(key);
+  return keys;
+}
+
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
-  std::set<std::string> present;
+  // An instance without a state also uses what the peer only keeps, and keeps it as well.
+  const bool takes_kept = !synced_once_;
+  auto kept = changes.kept;
+  for (auto& [key, time] : kept) time = std::min(time, settings_.removal_grace);
+  const auto is_kept = [&](const std::string& key, store::Position position) {
+    // What the peer has from an earlier era was not in the copy.
+    if (position.era() < changes.position.era()) kept.try_emplace(key, settings_.removal_grace);
+    return kept.count(key) > 0;
+  };
+  std::set<std::string> present = changes.held;
+  std::vector<ItemReference> references;
+  for (const ItemReference& it : changes.references) {
+    const bool only_kept = is_kept(it.key, it.position);
+    if (!only_kept) present.insert(it.key);
+    if (!only_kept || takes_kept) references.push_back(it);
+  }
   for (const store::Change& it : changes.changes) {
-    present.insert(it.item.key);
     const auto known = known_positions_.find(it.item.key);
     if (!it.removed) {
-      ApplyItem(it.item, changes.position);
+      const bool only_kept = is_kept(it.item.key, it.item.position);
+      if (!only_kept) present.insert(it.item.key);
+      if (!only_kept || takes_kept) ApplyItem(it.item, changes.position);
     } else if (known != known_positions_.end() && known->second <= it.item.position) {
       RemoveOrDefer(it.item.key, it.item.position, now);
+    } else {
+      DropHeld(it.item.key, it.item.position, now);
     }
   }
-  for (const ItemReference& it : changes.references) present.insert(it.key);
+  if (takes_kept && !kept.empty()) {
+    core::Duration longest{0};
+    for (const auto& [key, time] : kept) longest = std::max(longest, time);
+    BeginGrace(now + longest - settings_.removal_grace);
+  } else if (!known_positions_.empty() && position_.era() < changes.position.era() &&
+             IsInGrace(now)) {
+    // What live servers write again arrives at the peer first.
+    BeginGrace(now);
+  }
+  for (const auto& [key, time] : kept) {
+    const auto known = known_positions_.find(key);
+    if (known == known_positions_.end() || known->second > changes.position) continue;
+    Defer(key, changes.position,
+          IsInGrace(now) ? recovered_at_ + settings_.removal_grace : now + time);
+  }
   // What is still present at the peer is in its references.
   ForgetAwaited(changes.position);
-  Await(changes.references);
+  Await(references);
   if (changes.full) {
     std::vector<std::string> missing;
     for (const auto& [key, position] : known_positions_) {
-      if (present.count(key) == 0 && position <= changes.position) missing.push_back(key);
+      const bool absent = present.count(key) == 0 && kept.count(key) == 0;
+      if (absent && position <= changes.position) missing.push_back(key);
     }
     for (const std::string& it : missing) RemoveOrDefer(it, changes.position, now);
+    DropAbsentHeld("", present, changes.position, now);
   }
   // Until an awaited item is known, the state is not complete, and a watch must start before it.
   store::Position complete = changes.position;
@@ -362,14 +417,14 @@
     if (covered && checked_keys_.count(key) == 0) missing.push_back(key);
   }
   for (const std::string& it : missing) RemoveOrDefer(it, check_position_, now);
+  DropAbsentHeld(settings_.check_prefix, checked_keys_, check_position_, now);
 }
 
 void StoreFollower::OnChanges(const store::Changes& changes, core::TimePoint now) {
   source_ = ItemSource::kWatch;
   for (const store::Change& it : changes.changes) {
     if (it.removed) {
-      const auto held = held_.find(it.item.key);
-      if (held != held_.end() && held->second.position < it.item.position) held_.erase(held);
+      DropHeld(it.item.key, it.item.position, now);
       const auto known = known_positions_.find(it.item.key);
       if (known != known_positions_.end() && known->second < it.item.position) {
         RemoveOrDefer(it.item.key, it.item.position, now);
@@ -384,7 +439,7 @@
   if (catching_up_) {
     due_ = now;
   } else if (caught_up || !changes.changes.empty() || now < due_) {
-    due_ = watch_sent_ + settings_.poll_interval;
+    due_ = DueInGrace(watch_sent_ + settings_.poll_interval, kLastReadTime, now);
   }
   if (changes_may_be_lost_ && now - last_listing_ >= settings_.min_listing_interval) {
     changes_may_be_lost_ = false;
@@ -467,21 +522,42 @@
     known->second = item.position;
     if (same && deferred == deferred_removals_.end()) return;
   }
+  // Only a watch shows all removals.
+  may_have_been_absent_ = source_ != ItemSource::kWatch || deferred != deferred_removals_.end();
   if (deferred != deferred_removals_.end()) deferred_removals_.erase(deferred);
   const auto awaited = awaited_.find(item.key);
   if (awaited != awaited_.end() && awaited->second <= item.position) awaited_.erase(awaited);
   if (sink_.on_item) sink_.on_item(item);
 }
 
+bool StoreFollower::IsInGrace(core::TimePoint now) const noexcept {
+  return now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{};
+}
+
+void StoreFollower::BeginGrace(core::TimePoint now) {
+  recovered_at_ = now;
+  for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
+}
+
+core::TimePoint StoreFollower::DueInGrace(core::TimePoint due, core::Duration before_end,
+                                          core::TimePoint now) const noexcept {
+  if (!IsInGrace(now)) return due;
+  const core::TimePoint last_read = recovered_at_ + settings_.removal_grace - before_end;
+  return std::min(due, std::max(now + kLastReadPause, last_read));
+}
+
 void StoreFollower::RemoveOrDefer(const std::string& key, store::Position position,
                                   core::TimePoint now) {
-  if (now - recovered_at_ < settings_.removal_grace && recovered_at_ != core::TimePoint{}) {
-    const auto [it, added] = deferred_removals_.try_emplace(
-        key, Removal{position, recovered_at_ + settings_.removal_grace, {}});
-    if (!added) it->second.position = std::max(it->second.position, position);
-    return;
+  if (IsInGrace(now)) {
+    Defer(key, position, recovered_at_ + settings_.removal_grace);
+  } else {
+    ApplyRemoval(key, position, now);
   }
-  ApplyRemoval(key, position, now);
+}
+
+void StoreFollower::Defer(const std::string& key, store::Position position, core::TimePoint until) {
+  const auto [it, added] = deferred_removals_.try_emplace(key, Removal{position, until, {}});
+  if (!added) it->second.position = std::max(it->second.position, position);
 }
 
 void StoreFollower::ApplyRemoval(const std::string& key, store::Position position,
@@ -512,6 +588,24 @@
   }
 }
 
+void StoreFollower::DropHeld(const std::string& key, store::Position position,
+                             core::TimePoint now) {
+  const auto held = held_.find(key);
+  if (held == held_.end() || held->second.position > position) return;
+  held_.erase(held);
+  // Instances that took the item over from the copy must learn of its removal.
+  ApplyRemoval(key, position, now);
+}
+
+void StoreFollower::DropAbsentHeld(const std::string& prefix, const std::set<std::string>& present,
+                                   store::Position position, core::TimePoint now) {
+  std::vector<std::string> absent;
+  for (const auto& [key, item] : held_) {
+    if (key.rfind(prefix, 0) == 0 && present.count(key) == 0) absent.push_back(key);
+  }
+  for (const std::string& it : absent) DropHeld(it, position, now);
+}
+
 core::TimePoint StoreFollower::AnswerTime(core::TimePoint now) const noexcept {
   const bool stalled = call_sent_ < stalled_until_ || now - last_tick_ > kStallTime;
   return stalled ? call_sent_ : now;
