Test gateways that start right after the store's return

Cause: such an instance knows nothing but the copy and what others tell. Change: two tests, one of the policy and one of a server that has left; both let the operator write again 2 s after the return. Logs of failed runs are copied with their files.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -43,9 +43,9 @@
   store_->behavior = options_.store;
   store_->on_return = [this] {
     records_.store_impairments.back().end = Clock::now();
-    CallLater(milliseconds(std::uniform_int_distribution<int>(
-                  0, static_cast<int>(kRewriteTime.count()) - 100)(random_)),
-              [this] { OfferPolicy(); });
+    const int latest = static_cast<int>(kRewriteTime.count()) - 100;
+    const milliseconds drawn(std::uniform_int_distribution<int>(0, latest)(random_));
+    CallLater(options_.operator_pause.value_or(drawn), [this] { OfferPolicy(); });
   };
   records_.gateways.resize(options_.gateways);
   records_.gateway_impairments.resize(options_.gateways);
@@ -284,7 +284,8 @@
     const auto target = std::filesystem::path(folder) / name / NameOf(i);
     std::filesystem::create_directories(target);
     std::filesystem::copy(gateways_[i]->directory(), target,
-                          std::filesystem::copy_options::overwrite_existing);
+                          std::filesystem::copy_options::recursive |
+                              std::filesystem::copy_options::overwrite_existing);
   }
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -20,6 +20,8 @@
   std::size_t clients_per_gateway = 5;
   milliseconds client_pause{25};  ///< Between two requests of a client.
   standins::MetadataStore::Behavior store = {};
+  /// After a return of the store the operator writes within `Fleet::kRewriteTime`, or after this.
+  std::optional<milliseconds> operator_pause = std::nullopt;
   std::uint32_t seed = 1;
 };
 
--- a/tests/process/store_return_test.cc
+++ b/tests/process/store_return_test.cc
@@ -91,3 +91,58 @@
   fleet.RunFor(kAfterReturn);
   CheckFleet(fleet);
 }
+
+namespace {
+
+constexpr std::size_t kStarted = 2;  // The gateway that starts after the return.
+
+FleetOptions LateOperator() {
+  FleetOptions options;
+  options.operator_pause = Fleet::kRewriteTime;
+  return options;
+}
+
+/// A policy and the leaving of server 0 are lost, and a gateway starts with nothing but the copy.
+/// Returns when it was started.
+Clock::time_point StartAfterReturn(Fleet& fleet) {
+  fleet.RunFor(kBeforeWrites + kCopyAge);
+  fleet.SendPolicy();
+  fleet.server(0).Drain();
+  fleet.RunFor(Fleet::kDrainBound);
+  fleet.server(0).End();
+  fleet.RunFor(milliseconds(500));
+  fleet.Kill(kStarted);
+  LoseStoreAndWait(fleet);
+  REQUIRE(fleet.HasEnded(kStarted));
+  const auto started = Clock::now();
+  fleet.StartGateway(kStarted);
+  fleet.RunFor(kRest);
+  return started;
+}
+
+}  // namespace
+
+// Guards against an instance that knows nothing but the copy, and puts the copy's policy in force
+// although other instances know a newer one.
+TEST_CASE("a gateway that starts after the store's return takes the policy of others",
+          "[process]") {
+  Fleet fleet(LateOperator());
+  const auto started = StartAfterReturn(fleet);
+  const auto moved = fleet.MovedSince(started, kStarted);
+  CHECK(moved.requests > 0);
+  CHECK(moved.other_service == 0);
+  CHECK(fleet.Readiness(kStarted) == 200);
+}
+
+// Guards against an instance that knows nothing but the copy, and uses a server that the copy has
+// as ready although other instances know that it has left.
+TEST_CASE("a gateway that starts after the store's return uses no server that others know left",
+          "[process]") {
+  Fleet fleet(LateOperator());
+  const auto started = StartAfterReturn(fleet);
+  CHECK(RunsAfter(fleet.records(), 0, started) == 0);
+  const Breaches breaches = FindBreaches(fleet.records());
+  INFO(breaches.Text());
+  CHECK(breaches.None());
+  if (!breaches.None()) fleet.KeepLogs("start-after-return");
+}
