Start and continue gateways around the store's return in the soak

Cause: gateways started or went on shortly after a return only by chance, and a ready server that no gateway uses any more was no failure. Change: with each loss a gateway is killed or paused, or none, and starts or goes on within 1.5 s of the return. In the end each ready server must get requests. Findings of the linter are mended.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -6,6 +6,7 @@
 #include <iomanip>
 #include <sstream>
 
+#include "process/fleet_checks.h"
 #include "standins/common/http_client.h"
 
 namespace vanilladeck::process {
@@ -229,7 +230,7 @@
   asio::co_spawn(io_,
                  client.Fetch(gateways_[i]->Endpoint(gateways_[i]->readiness_port()),
                               standins::MakeRequest(http::verb::get, "/-/readyz"), kCheckTimeout),
-                 [&status](const std::exception_ptr& error, standins::FetchResult result) {
+                 [&status](const std::exception_ptr& error, const standins::FetchResult& result) {
                    status = error ? 0 : result.status();
                  });
   (void)RunUntil(kStartTimeout, [&] { return status >= 0; });
@@ -259,6 +260,17 @@
   return moved;
 }
 
+std::vector<std::string> Fleet::UnusedServersSince(Clock::time_point since) const {
+  std::vector<std::string> unused;
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    const ServerLifetime& lifetime = records_.servers[i].back();
+    if (servers_[i]->state() != FleetServer::State::kReady) continue;
+    if (lifetime.joined + kConfigBound > since || RunsAfter(records_, i, since) > 0) continue;
+    unused.push_back(lifetime.id);
+  }
+  return unused;
+}
+
 std::size_t Fleet::FailedRequests(Clock::time_point since) const {
   return static_cast<std::size_t>(
       std::count_if(records_.requests.begin(), records_.requests.end(), [&](const Request& it) {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -98,6 +98,8 @@
     std::size_t other_service = 0;  ///< Ran on another service than that of the newest version.
   };
   [[nodiscard]] Moved MovedSince(Clock::time_point since, std::size_t gateway) const;
+  /// Servers that are ready, had joined well before `since`, and got no request from then on.
+  [[nodiscard]] std::vector<std::string> UnusedServersSince(Clock::time_point since) const;
   /// Requests that were not answered with 200.
   [[nodiscard]] std::size_t FailedRequests(Clock::time_point since = {}) const;
 
--- a/tests/process/fleet_checks.cc
+++ b/tests/process/fleet_checks.cc
@@ -185,8 +185,9 @@
   std::ostringstream out;
   const auto add = [&](const char* name, const std::vector<std::string>& texts) {
     out << name << ' ' << texts.size() << '\n';
-    for (std::size_t i = 0; i < std::min(texts.size(), kTexts); ++i)
+    for (std::size_t i = 0; i < std::min(texts.size(), kTexts); ++i) {
       out << "  " << texts[i] << '\n';
+    }
   };
   out << "judged " << judged << '\n';
   add("config", config);
--- a/tests/process/fleet_faults.cc
+++ b/tests/process/fleet_faults.cc
@@ -12,7 +12,11 @@
   log_ += std::to_string(since) + ' ' + text + '\n';
 }
 
-void FleetFaults::Repeat(int shortest_ms, int longest_ms, std::function<void()> action) {
+void FleetFaults::NoteGateway(std::size_t gateway, const std::string& text) {
+  Note("gateway " + std::to_string(gateway + 1) + ' ' + text);
+}
+
+void FleetFaults::Repeat(int shortest_ms, int longest_ms, const std::function<void()>& action) {
   fleet_.CallLater(milliseconds(Draw(shortest_ms, longest_ms)), [=, this] {
     if (stopped_) return;
     action();
@@ -76,6 +80,24 @@
   Note("store away for " + std::to_string(silence) + ", copy " + std::to_string(age) +
        " ms old, revision " + std::to_string(fleet_.store().data().revision()));
   fleet_.LoseStore(milliseconds(silence), milliseconds(age));
+  DisturbAroundReturn(milliseconds(silence));
+}
+
+void FleetFaults::DisturbAroundReturn(milliseconds silence) {
+  const auto i = DrawRunning();
+  if (!i) return;
+  constexpr int kLatestMs = 1500;
+  const milliseconds after = silence + milliseconds(Draw(0, kLatestMs));
+  switch (Draw(0, 2)) {
+    case 0:
+      Kill(*i, after);
+      break;
+    case 1:
+      Pause(*i, after);
+      break;
+    default:  // None is disturbed.
+      break;
+  }
 }
 
 void FleetFaults::SendPolicy() {
@@ -126,57 +148,67 @@
   });
 }
 
-void FleetFaults::DisturbGateway() {
+std::optional<std::size_t> FleetFaults::DrawRunning() {
   const auto i = static_cast<std::size_t>(Draw(0, static_cast<int>(gateways_.size()) - 1));
-  if (gateways_[i] != GatewayState::kRunning) return;
   // One gateway runs all the time, as the users' pages let some survive.
-  if (std::count(gateways_.begin(), gateways_.end(), GatewayState::kRunning) < 2) return;
-  const std::string name = "gateway " + std::to_string(i + 1);
+  const bool last = std::count(gateways_.begin(), gateways_.end(), GatewayState::kRunning) < 2;
+  if (last || gateways_[i] != GatewayState::kRunning) return std::nullopt;
+  return i;
+}
+
+void FleetFaults::DisturbGateway() {
+  const auto i = DrawRunning();
+  if (!i) return;
   switch (Draw(0, 2)) {
     case 0:
-      Note(name + " gets SIGTERM");
-      gateways_[i] = GatewayState::kStopping;
-      fleet_.Terminate(i);
-      RestartWhenEnded(i, Clock::now() + Fleet::kStopGrace);
+      NoteGateway(*i, "gets SIGTERM");
+      gateways_[*i] = GatewayState::kStopping;
+      fleet_.Terminate(*i);
+      RestartWhenEnded(*i, Clock::now() + milliseconds(Draw(100, 1000)),
+                       Clock::now() + Fleet::kStopGrace);
       break;
     case 1:
-      Note(name + " gets SIGKILL");
-      gateways_[i] = GatewayState::kStopping;
-      fleet_.Kill(i);
-      RestartWhenEnded(i, Clock::now() + Fleet::kStopGrace);
+      Kill(*i, milliseconds(Draw(100, 1000)));
       break;
     default:
-      Note(name + " gets SIGSTOP");
-      gateways_[i] = GatewayState::kPaused;
-      fleet_.Pause(i);
-      fleet_.CallLater(milliseconds(Draw(200, 5000)), [this, i] { Continue(i); });
+      Pause(*i, milliseconds(Draw(200, 5000)));
       break;
   }
 }
 
+void FleetFaults::Kill(std::size_t gateway, milliseconds until_start) {
+  NoteGateway(gateway, "gets SIGKILL");
+  gateways_[gateway] = GatewayState::kStopping;
+  fleet_.Kill(gateway);
+  RestartWhenEnded(gateway, Clock::now() + until_start, Clock::now() + Fleet::kStopGrace);
+}
+
+void FleetFaults::Pause(std::size_t gateway, milliseconds time) {
+  NoteGateway(gateway, "gets SIGSTOP");
+  gateways_[gateway] = GatewayState::kPaused;
+  fleet_.Pause(gateway);
+  fleet_.CallLater(time, [this, gateway] { Continue(gateway); });
+}
+
 void FleetFaults::Continue(std::size_t gateway) {
   if (gateways_[gateway] != GatewayState::kPaused) return;
-  Note("gateway " + std::to_string(gateway + 1) + " gets SIGCONT");
+  NoteGateway(gateway, "gets SIGCONT");
   fleet_.Continue(gateway);
   gateways_[gateway] = GatewayState::kRunning;
 }
 
-void FleetFaults::RestartWhenEnded(std::size_t gateway, Clock::time_point kill_at) {
+void FleetFaults::RestartWhenEnded(std::size_t gateway, Clock::time_point start_at,
+                                   Clock::time_point kill_at) {
   constexpr milliseconds kInterval{20};
-  if (fleet_.HasEnded(gateway)) {
-    gateways_[gateway] = GatewayState::kEnded;
-    Note("gateway " + std::to_string(gateway + 1) + " has ended");
-    fleet_.CallLater(milliseconds(Draw(100, 1000)), [this, gateway] { Restart(gateway); });
+  const bool ended = fleet_.HasEnded(gateway);
+  if (ended && Clock::now() >= start_at) {
+    NoteGateway(gateway, "has ended and starts");
+    fleet_.StartGateway(gateway);
+    gateways_[gateway] = GatewayState::kRunning;
     return;
   }
-  if (Clock::now() >= kill_at) fleet_.Kill(gateway);
-  fleet_.CallLater(kInterval, [=, this] { RestartWhenEnded(gateway, kill_at); });
-}
-
-void FleetFaults::Restart(std::size_t gateway) {
-  Note("gateway " + std::to_string(gateway + 1) + " starts");
-  fleet_.StartGateway(gateway);
-  gateways_[gateway] = GatewayState::kRunning;
+  if (!ended && Clock::now() >= kill_at) fleet_.Kill(gateway);
+  fleet_.CallLater(kInterval, [=, this] { RestartWhenEnded(gateway, start_at, kill_at); });
 }
 
 void FleetFaults::DisturbAccess() {
@@ -184,13 +216,14 @@
   if (fleet_.store().access(i) != MetadataStore::Access::kServed) return;
   constexpr std::array kKinds{MetadataStore::Access::kRefused, MetadataStore::Access::kCut,
                               MetadataStore::Access::kSlow};
-  constexpr std::array kTexts{" is refused", " is cut off", " is slow"};
+  constexpr std::array kTexts{"is refused by the store", "is cut off from the store",
+                              "has a slow store"};
   const auto kind = static_cast<std::size_t>(Draw(0, static_cast<int>(kKinds.size()) - 1));
-  Note("gateway " + std::to_string(i + 1) + kTexts.at(kind) + " at the store");
+  NoteGateway(i, kTexts.at(kind));
   fleet_.SetStoreAccess(i, kKinds.at(kind));
   fleet_.CallLater(milliseconds(Draw(500, 6000)), [this, i] {
     if (fleet_.store().access(i) == MetadataStore::Access::kServed) return;
-    Note("gateway " + std::to_string(i + 1) + " is served by the store");
+    NoteGateway(i, "is served by the store");
     fleet_.SetStoreAccess(i, MetadataStore::Access::kServed);
   });
 }
--- a/tests/process/fleet_faults.h
+++ b/tests/process/fleet_faults.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,22 +28,30 @@
   [[nodiscard]] const std::string& log() const noexcept { return log_; }
 
  private:
-  enum class GatewayState : std::uint8_t { kRunning, kStopping, kPaused, kEnded };
+  enum class GatewayState : std::uint8_t { kRunning, kStopping, kPaused };
 
-  void Repeat(int shortest_ms, int longest_ms, std::function<void()> action);
+  void Repeat(int shortest_ms, int longest_ms, const std::function<void()>& action);
   [[nodiscard]] int Draw(int from, int to) {
     return std::uniform_int_distribution<int>(from, to)(random_);
   }
   void Note(const std::string& text);
+  void NoteGateway(std::size_t gateway, const std::string& text);
 
   void LoseStoreAgain();
   void LoseStore();
+  /// Kills or pauses a gateway that starts or goes on shortly after the store's return, or none.
+  void DisturbAroundReturn(milliseconds silence);
   void SendPolicy();
   void ChangeServer();
   void DisturbGateway();
   void DisturbAccess();
-  void Restart(std::size_t gateway);
-  void RestartWhenEnded(std::size_t gateway, Clock::time_point kill_at);
+  /// A running gateway that may be disturbed, or nothing.
+  [[nodiscard]] std::optional<std::size_t> DrawRunning();
+  /// SIGKILL, and another start after `until_start`.
+  void Kill(std::size_t gateway, milliseconds until_start);
+  void Pause(std::size_t gateway, milliseconds time);
+  /// Waits for the end, from `kill_at` on with SIGKILL, and starts not before `start_at`.
+  void RestartWhenEnded(std::size_t gateway, Clock::time_point start_at, Clock::time_point kill_at);
   void Continue(std::size_t gateway);
   [[nodiscard]] std::size_t ReadyServers(std::size_t service) const;
 
--- a/tests/process/fleet_records.h
+++ b/tests/process/fleet_records.h
@@ -71,6 +71,7 @@
 /// One life of a backend server.
 struct ServerLifetime {
   std::string id;
+  Clock::time_point joined;
   /// When the store accepted that the server leaves or has left.
   std::optional<Clock::time_point> leaving_acknowledged;
 };
--- a/tests/process/fleet_server.h
+++ b/tests/process/fleet_server.h
@@ -54,7 +54,7 @@
     const std::string id = same_id && !lifetimes.empty() ? lifetimes.back().id
                                                          : "i-" + std::to_string(index_) + "-" +
                                                                std::to_string(lifetimes.size());
-    lifetimes.push_back({id, std::nullopt});
+    lifetimes.push_back({id, Clock::now(), std::nullopt});
     state_ = State::kReady;
     sequence_ = 0;
     lease_ = 0;
--- a/tests/process/store_soak_test.cc
+++ b/tests/process/store_soak_test.cc
@@ -57,7 +57,11 @@
   CHECK(breaches.denied.empty());
   CHECK(fleet.FailedRequests(calm) == 0);
   CHECK(fleet.GatewaysWithoutRecord().empty());
-  bool agree = settled && fleet.FailedRequests(calm) == 0 && fleet.GatewaysWithoutRecord().empty();
+  const auto unused = fleet.UnusedServersSince(calm);
+  INFO("unused " << (unused.empty() ? "" : unused.front()));
+  CHECK(unused.empty());
+  bool agree = unused.empty() && settled && fleet.FailedRequests(calm) == 0 &&
+               fleet.GatewaysWithoutRecord().empty();
   for (std::size_t i = 0; i < gateways; ++i) {
     INFO("gateway " << i + 1);
     const auto moved = fleet.MovedSince(in_force, i);
--- a/tests/standins/store/metadata_store.h
+++ b/tests/standins/store/metadata_store.h
@@ -169,8 +169,9 @@
       co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
     }
     watches_.erase(timer);
-    if (access_[i] == Access::kRefused)
+    if (access_[i] == Access::kRefused) {
       co_return MakeReply(http::status::service_unavailable, "{}");
+    }
     if (!behavior.keeps_history || after > data_.revision()) {
       co_return MakeReply(http::status::gone, "{}");
     }
@@ -227,7 +228,7 @@
     return MakeReply(http::status::bad_request, error.what(), "text/plain");
   }
 
-  Reply ServeKey(const Target& target) const {
+  [[nodiscard]] Reply ServeKey(const Target& target) const {
     const auto* item = data_.Find(target.Value("key"));
     if (item == nullptr) return MakeReply(http::status::not_found, "{}");
     Json body = Encode(target.Value("key"), *item);
@@ -235,7 +236,7 @@
     return MakeReply(http::status::ok, body.dump());
   }
 
-  Reply ServeRange(const Target& target) const {
+  [[nodiscard]] Reply ServeRange(const Target& target) const {
     const std::string prefix = target.Value("prefix");
     const std::string after = target.Value("after");
     Json items = Json::array();
--- a/tests/standins/store/store_data.h
+++ b/tests/standins/store/store_data.h
@@ -62,8 +62,8 @@
       changes_.push_back({Clock::now(), it.key, items_[it.key], false});
     }
     for (const std::string& key : removals) {
-      if (items_.erase(key) > 0)
-        changes_.push_back({Clock::now(), key, {{}, revision_, 0, 0}, true});
+      if (items_.erase(key) == 0) continue;
+      changes_.push_back({Clock::now(), key, {{}, revision_, 0, 0}, true});
     }
     return revision_;
   }
