--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -14,11 +14,14 @@
 
 struct FleetOptions {
   std::size_t gateways = 3;
+  std::size_t regions = 1;  ///< One or two, with three failure domains each.
   std::size_t services = 5;
   std::size_t servers_per_service = 3;
   std::size_t clients_per_gateway = 5;
   milliseconds client_pause{25};  ///< Between two requests of a client.
   standins::MetadataStore::Behavior store = {};
+  /// After a return of the store the operator writes within `Fleet::kRewriteTime`, or after this.
+  std::optional<milliseconds> operator_pause = std::nullopt;
   std::uint32_t seed = 1;
 };
 
@@ -95,6 +98,8 @@
     std::size_t other_service = 0;  ///< Ran on another service than that of the newest version.
   };
   [[nodiscard]] Moved MovedSince(Clock::time_point since, std::size_t gateway) const;
+  /// Servers that are ready, had joined well before `since`, and got no request from then on.
+  [[nodiscard]] std::vector<std::string> UnusedServersSince(Clock::time_point since) const;
   /// Requests that were not answered with 200.
   [[nodiscard]] std::size_t FailedRequests(Clock::time_point since = {}) const;
 
@@ -105,11 +110,12 @@
  private:
   void WriteGatewaySettings(std::size_t i);
   void OfferPolicy();
-  void BeginImpairment(std::size_t gateway);
-  void EndImpairment(std::size_t gateway);
+  void BeginImpairment(std::size_t gateway, Impaired what);
+  void EndImpairment(std::size_t gateway, Impaired what);
   asio::awaitable<void> MeasureDelays();
   [[nodiscard]] std::string PolicyText(const PolicyVersion& version) const;
-  [[nodiscard]] static std::string ZoneOf(std::size_t i);
+  [[nodiscard]] std::string RegionOf(std::size_t i) const;
+  [[nodiscard]] std::string ZoneOf(std::size_t i) const;
   [[nodiscard]] static std::string NameOf(std::size_t i) { return "edge-" + std::to_string(i + 1); }
 
   FleetOptions options_;
