Let the grace period last as long as that of the reader that is asked

An instance that took its state from one reader and then asked another, which learned of the era later, removed a running server while the second reader still kept it and had not read its write. With one reader the same happened for 20 to 40 ms if the write arrived there at the end of the period (found by generated schedules, 12 of 20,000).

--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -123,6 +123,7 @@
     changes.position = follower_.position();
     changes.kept = follower_.Kept(changes.full ? store::Position() : known->position, now);
     if (changes.full) follower_.AddHeld(changes);
+    changes.grace_left = follower_.GraceLeft(now);
     changes.age = now - follower_.last_success();
     changes.policy_version = PolicyVersion();
     changes.relayed = feed_source_.Choose(now) != nullptr;
--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -94,6 +94,7 @@
                          {"references", std::move(references)},
                          {"checked", changes.checked_prefix}};
   if (changes.relayed) message["relayed"] = true;
+  if (changes.grace_left > core::Duration::zero()) message["grace_ms"] = ms(changes.grace_left);
   for (const auto& [key, time] : changes.kept) message["kept"][key] = ms(time);
   if (changes.policy_version > 0) message["policy"] = changes.policy_version;
   if (!changes.server_limits.empty()) message["server_limits"] = changes.server_limits;
@@ -165,6 +166,7 @@
     }
   }
   // Instances of an earlier version do not state what they keep.
+  changes.grace_left = AgeOf(json, "grace_ms").value_or(core::Duration::zero());
   if (const auto kept = field("kept"); kept != json.end()) {
     if (!kept->is_object()) return std::nullopt;
     for (const auto& it : kept->items()) {
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -45,6 +45,7 @@
   std::vector<ItemReference> references;
   /// Keys that are absent from the store, and the time for which the sender keeps them yet.
   std::map<std::string, core::Duration> kept;
+  core::Duration grace_left{0};  ///< Until the end of the sender's grace period.
   /// Limits in requests per second that backend servers stated to other instances, by id.
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -18,6 +18,9 @@
 // for reading what they wrote. Instances that ask a reader read later than the reader.
 constexpr core::Duration kLastReadTime = std::chrono::milliseconds(200);
 constexpr core::Duration kLastPeerReadTime = std::chrono::milliseconds(100);
+// Time by which the grace period of an instance that asks a reader ends after the reader's, so that
+// its last request finds what the reader has read until then.
+constexpr core::Duration kPeerGraceTime = std::chrono::milliseconds(200);
 // Shortest pause between reads at the end of the grace period.
 constexpr core::Duration kLastReadPause = std::chrono::milliseconds(50);
 
@@ -260,6 +263,9 @@
   const core::TimePoint answered = now - changes.age;
   if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
   ApplyPeerState(changes, now);
+  if (changes.grace_left > core::Duration::zero()) {
+    ExtendGrace(now + changes.grace_left + kPeerGraceTime, now);
+  }
   // The peer's own listings and checks arrive here as well.
   last_listing_ = now;
   if (changes.checked_prefix == settings_.check_prefix) last_check_ = now;
@@ -289,6 +295,11 @@
   return kept;
 }
 
+core::Duration StoreFollower::GraceLeft(core::TimePoint now) const noexcept {
+  if (!IsInGrace(now)) return core::Duration::zero();
+  return recovered_at_ + settings_.removal_grace - now;
+}
+
 void StoreFollower::AddHeld(PeerChanges& changes) const {
   for (const auto& [key, item] : held_) changes.changes.push_back({item, false});
 }
@@ -331,6 +342,8 @@
     // What live servers write again arrives at the peer first.
     BeginGrace(now);
   }
+  // What live servers write arrives at the peer until the end of its grace period.
+  ExtendGrace(now + changes.grace_left, now);
   for (const auto& [key, time] : kept) {
     const auto known = known_positions_.find(key);
     if (known == known_positions_.end() || known->second > changes.position) continue;
@@ -539,6 +552,13 @@
   for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
 }
 
+void StoreFollower::ExtendGrace(core::TimePoint end, core::TimePoint now) {
+  end = std::min(end, now + settings_.removal_grace + kPeerGraceTime);
+  if (IsInGrace(now) && end > recovered_at_ + settings_.removal_grace) {
+    BeginGrace(end - settings_.removal_grace);
+  }
+}
+
 core::TimePoint StoreFollower::DueInGrace(core::TimePoint due, core::Duration before_end,
                                           core::TimePoint now) const noexcept {
   if (!IsInGrace(now)) return due;
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -177,6 +177,8 @@
   /// Of these, the keys that were absent at a position after `after`, and the time that is left.
   [[nodiscard]] std::map<std::string, core::Duration> Kept(store::Position after,
                                                            core::TimePoint now) const;
+  /// Until the end of the grace period; zero if there is none.
+  [[nodiscard]] core::Duration GraceLeft(core::TimePoint now) const noexcept;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// Adds them to the whole state that another instance asked for. It judges itself whether they
@@ -233,6 +235,8 @@
   /// True for `removal_grace` after the store has recovered or returned.
   [[nodiscard]] bool IsInGrace(core::TimePoint now) const noexcept;
   void BeginGrace(core::TimePoint now);
+  /// Lets the grace period last until `end`, unless it lasts longer or has ended.
+  void ExtendGrace(core::TimePoint end, core::TimePoint now);
   /// `due`, or `before_end` before the end of the grace period if that is earlier.
   [[nodiscard]] core::TimePoint DueInGrace(core::TimePoint due, core::Duration before_end,
                                            core::TimePoint now) const noexcept;
--- a/tests/membership/model_instance.cc
+++ b/tests/membership/model_instance.cc
@@ -187,6 +187,7 @@
   changes.position = follower_.position();
   changes.kept = follower_.Kept(changes.full ? store::Position() : request.known.position, now);
   if (changes.full) follower_.AddHeld(changes);
+  changes.grace_left = follower_.GraceLeft(now);
   changes.age = now - follower_.last_success();
   changes.relayed = feed_source_.Choose(now) != nullptr;
   changes.unheard = now - follower_.last_heard();
