Do not hold what was written after the store returned

Whether a copy brought an item back was judged by the number of its revision alone, compared with that of the removed item in the earlier era. As revisions go back, a new write can be below it, and was held for 2.2 s: an evacuation in a later page of the listing, or relayed by another instance, or written over an item that was held already.

What lies after the first state of the era, or replaces a held item, is now applied at once.

--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -181,6 +181,7 @@
     summary_ = ListingSummary{};
     summary_.known = sent_position_;
     summary_.position = page.position;
+    NoteState(page.position);
   }
   ++summary_.pages;
   summary_.items += page.items.size();
@@ -305,6 +306,7 @@
 }
 
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
+  NoteState(changes.position);
   // An instance without a state also uses what the peer only keeps, and keeps it as well.
   const bool takes_kept = !synced_once_;
   auto kept = changes.kept;
@@ -592,13 +594,21 @@
 }
 
 bool StoreFollower::IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept {
-  // A watch returns only what was written after the return. A listing may also contain that, which
-  // is then held as well: the copy's revision is not known.
+  // A watch returns only what was written after the return.
   if (source_ == ItemSource::kWatch || removed.position.era() >= item.position.era()) return false;
-  // Of a write from before the copy, the number is that of the earlier era.
+  // So is what was not in the first state of the era, or replaces what was.
+  if (item.position > first_of_era_) return false;
+  const auto held = held_.find(item.key);
+  if (held != held_.end() && item.position > held->second.position) return false;
+  // The copy's revision is not known, so that a write between the return and the first state is
+  // held as well. Of a write from before the copy, the number is that of the earlier era.
   return item.position.revision().number <= removed.last_write.revision().number;
 }
 
+void StoreFollower::NoteState(store::Position position) noexcept {
+  if (first_of_era_.era() < position.era()) first_of_era_ = position;
+}
+
 void StoreFollower::ApplyHeld(core::TimePoint now) {
   if (held_.empty() || now - recovered_at_ < settings_.removal_grace) return;
   for (const auto& [key, item] : std::exchange(held_, {})) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -220,6 +220,8 @@
   [[nodiscard]] core::Duration RetryPause() const noexcept;
   /// True if the item, read from a copy of the store, had been removed in an earlier era.
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
+  /// A listing, or a state of a peer, of this position is read.
+  void NoteState(store::Position position) noexcept;
   /// Applies what the copy brought back, after the grace period.
   void ApplyHeld(core::TimePoint now);
   /// The key was absent at `position`: what the copy brought back before is not applied.
@@ -278,6 +280,7 @@
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
   bool may_have_been_absent_ = false;
+  store::Position first_of_era_;  ///< Of the first state of the era, which is not before the copy.
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
   store::Position sent_position_;     ///< Known when the listing's first page was asked for.
--- a/tests/membership/store_era_test.cc
+++ b/tests/membership/store_era_test.cc
@@ -164,6 +164,51 @@
   CHECK(it.present.count("op/a") == 0);
 }
 
+// Guards against a report or an evacuation that becomes known 2.2 s late: the number of a new write
+// can be below that of the removed item, since revisions go back.
+TEST_CASE("a write after the return is not held like what the copy brought back") {
+  Instance it;
+  it.follower.OnEra(1, it.now);
+  it.List({{"op/a", "", Rev(5, 1)}, {"servers/z", "", Rev(6, 1)}}, Rev(20, 1));
+  it.Watch({Write("op/a", Rev(90, 1))}, Rev(90, 1));
+  it.Watch({Removal("op/a", Rev(91, 1))}, Rev(91, 1));
+  it.follower.OnEra(2, it.now);
+  SECTION("if it was written after the listing began") {
+    (void)it.NextCall();
+    it.Answer(store::RangePage{{{"alpha", "", Rev(6, 2)}}, true, Rev(10, 2)});
+    (void)it.NextCall();
+    it.Answer(store::RangePage{{{"op/a", "", Rev(11, 2)}}, false, Rev(11, 2)});
+  }
+  SECTION("if it was written after the first state of a peer") {
+    (void)it.NextCall();
+    it.follower.OnPeerChanges(FromPeer(Rev(10, 2), true, {Write("servers/z", Rev(6, 2))}), 400ms,
+                              it.now);
+    (void)it.NextCall();
+    it.follower.OnPeerChanges(FromPeer(Rev(11, 2), false, {Write("op/a", Rev(11, 2))}), 400ms,
+                              it.now);
+  }
+  SECTION("if it replaces what the copy brought back") {
+    (void)it.NextCall();
+    it.Answer(store::RangePage{{{"op/a", "", Rev(5, 2)}}, true, Rev(12, 2)});
+    REQUIRE(it.follower.held_items() == 1);
+    (void)it.NextCall();
+    // The listing begins anew; it is stated to be no later than the last one.
+    it.follower.OnAnswer(VersionedResult(store::CallError{store::CallErrorCode::kRefused, ""}),
+                         it.now);
+    it.List({{"op/a", "", Rev(11, 2)}}, Rev(12, 2));
+  }
+  CHECK(it.follower.held_items() == 0);
+  CHECK(it.present.count("op/a") == 1);
+}
+
+// Guards against an item that is held for longer than the grace period.
+TEST_CASE("a write between the return and the first state is known after the grace period") {
+  BroughtBack it;
+  it.Advance(2200ms);
+  CHECK(it.present.count("op/a") == 1);
+  CHECK(it.now - kBegan <= 2300ms);
+}
+
 // Guards against an entry that stays after its server has ended: the reader kept it for the grace
 // period, and the instance that had asked it read the store itself before the reader removed it.
 TEST_CASE("what a reader only keeps is not present for an instance that asks it") {
