--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -18,6 +18,9 @@
 // for reading what they wrote. Instances that ask a reader read later than the reader.
 constexpr core::Duration kLastReadTime = std::chrono::milliseconds(200);
 constexpr core::Duration kLastPeerReadTime = std::chrono::milliseconds(100);
+// Time by which the grace period of an instance that asks a reader ends after the reader's, so that
+// its last request finds what the reader has read until then.
+constexpr core::Duration kPeerGraceTime = std::chrono::milliseconds(200);
 // Shortest pause between reads at the end of the grace period.
 constexpr core::Duration kLastReadPause = std::chrono::milliseconds(50);
 
@@ -178,6 +181,7 @@
     summary_ = ListingSummary{};
     summary_.known = sent_position_;
     summary_.position = page.position;
+    NoteState(page.position);
   }
   ++summary_.pages;
   summary_.items += page.items.size();
@@ -260,6 +264,9 @@
   const core::TimePoint answered = now - changes.age;
   if (changes.age < settings_.outage_timeout && answered > last_success_) NoteSuccess(answered);
   ApplyPeerState(changes, now);
+  if (changes.grace_left > core::Duration::zero()) {
+    ExtendGrace(now + changes.grace_left + kPeerGraceTime, now);
+  }
   // The peer's own listings and checks arrive here as well.
   last_listing_ = now;
   if (changes.checked_prefix == settings_.check_prefix) last_check_ = now;
@@ -289,11 +296,17 @@
   return kept;
 }
 
+core::Duration StoreFollower::GraceLeft(core::TimePoint now) const noexcept {
+  if (!IsInGrace(now)) return core::Duration::zero();
+  return recovered_at_ + settings_.removal_grace - now;
+}
+
 void StoreFollower::AddHeld(PeerChanges& changes) const {
   for (const auto& [key, item] : held_) changes.changes.push_back({item, false});
 }
 
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
+  NoteState(changes.position);
   // An instance without a state also uses what the peer only keeps, and keeps it as well.
   const bool takes_kept = !synced_once_;
   auto kept = changes.kept;
@@ -331,6 +344,8 @@
     // What live servers write again arrives at the peer first.
     BeginGrace(now);
   }
+  // What live servers write arrives at the peer until the end of its grace period.
+  ExtendGrace(now + changes.grace_left, now);
   for (const auto& [key, time] : kept) {
     const auto known = known_positions_.find(key);
     if (known == known_positions_.end() || known->second > changes.position) continue;
@@ -539,6 +554,13 @@
   for (auto& [key, removal] : deferred_removals_) removal.at = now + settings_.removal_grace;
 }
 
+void StoreFollower::ExtendGrace(core::TimePoint end, core::TimePoint now) {
+  end = std::min(end, now + settings_.removal_grace + kPeerGraceTime);
+  if (IsInGrace(now) && end > recovered_at_ + settings_.removal_grace) {
+    BeginGrace(end - settings_.removal_grace);
+  }
+}
+
 core::TimePoint StoreFollower::DueInGrace(core::TimePoint due, core::Duration before_end,
                                           core::TimePoint now) const noexcept {
   if (!IsInGrace(now)) return due;
@@ -572,13 +594,21 @@
 }
 
 bool StoreFollower::IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept {
-  // A watch returns only what was written after the return. A listing may also contain that, which
-  // is then held as well: the copy's revision is not known.
+  // A watch returns only what was written after the return.
   if (source_ == ItemSource::kWatch || removed.position.era() >= item.position.era()) return false;
-  // Of a write from before the copy, the number is that of the earlier era.
+  // So is what was not in the first state of the era, or replaces what was.
+  if (item.position > first_of_era_) return false;
+  const auto held = held_.find(item.key);
+  if (held != held_.end() && item.position > held->second.position) return false;
+  // The copy's revision is not known, so that a write between the return and the first state is
+  // held as well. Of a write from before the copy, the number is that of the earlier era.
   return item.position.revision().number <= removed.last_write.revision().number;
 }
 
+void StoreFollower::NoteState(store::Position position) noexcept {
+  if (first_of_era_.era() < position.era()) first_of_era_ = position;
+}
+
 void StoreFollower::ApplyHeld(core::TimePoint now) {
   if (held_.empty() || now - recovered_at_ < settings_.removal_grace) return;
   for (const auto& [key, item] : std::exchange(held_, {})) {
--- a/src/vanilladeck/membership/store_follower.h
+++ b/src/vanilladeck/membership/store_follower.h
@@ -177,6 +177,8 @@
   /// Of these, the keys that were absent at a position after `after`, and the time that is left.
   [[nodiscard]] std::map<std::string, core::Duration> Kept(store::Position after,
                                                            core::TimePoint now) const;
+  /// Until the end of the grace period; zero if there is none.
+  [[nodiscard]] core::Duration GraceLeft(core::TimePoint now) const noexcept;
   /// Items that a copy brought back and that are not applied before the grace period ends.
   [[nodiscard]] std::size_t held_items() const noexcept { return held_.size(); }
   /// Adds them to the whole state that another instance asked for. It judges itself whether they
@@ -218,6 +220,8 @@
   [[nodiscard]] core::Duration RetryPause() const noexcept;
   /// True if the item, read from a copy of the store, had been removed in an earlier era.
   [[nodiscard]] bool IsBroughtBack(const store::Item& item, const Removal& removed) const noexcept;
+  /// A listing, or a state of a peer, of this position is read.
+  void NoteState(store::Position position) noexcept;
   /// Applies what the copy brought back, after the grace period.
   void ApplyHeld(core::TimePoint now);
   /// The key was absent at `position`: what the copy brought back before is not applied.
@@ -233,6 +237,8 @@
   /// True for `removal_grace` after the store has recovered or returned.
   [[nodiscard]] bool IsInGrace(core::TimePoint now) const noexcept;
   void BeginGrace(core::TimePoint now);
+  /// Lets the grace period last until `end`, unless it lasts longer or has ended.
+  void ExtendGrace(core::TimePoint end, core::TimePoint now);
   /// `due`, or `before_end` before the end of the grace period if that is earlier.
   [[nodiscard]] core::TimePoint DueInGrace(core::TimePoint due, core::Duration before_end,
                                            core::TimePoint now) const noexcept;
@@ -274,6 +280,7 @@
   bool started_ = false;
   ItemSource source_ = ItemSource::kListing;
   bool may_have_been_absent_ = false;
+  store::Position first_of_era_;  ///< Of the first state of the era, which is not before the copy.
   std::string page_after_;
   store::Position listing_position_;  ///< Of the first page; watches continue from it.
   store::Position sent_position_;     ///< Known when the listing's first page was asked for.
