--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -18,6 +18,8 @@
 
 // Within this time a peer of another region is connected to and answers, in twice 0.11 s.
 constexpr core::Duration kVersionTimeout = membership::FeedSource::kAnswerTimeout;
+// A hold that is shorter is not logged.
+constexpr std::int64_t kLoggedHoldMs = 50;
 constexpr std::string_view kPeerSource =
     membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
 
@@ -96,9 +98,13 @@
   DecodedItem decoded = codec_.DecodeItem(item);
   auto* policy = std::get_if<PolicyItem>(&decoded);
   if (policy == nullptr) return;
-  events_.Write(StreamEvent::kPolicyHeld, {{"version", policy->policy.version},
-                                           {"newer", policy_check_.newer_version()},
-                                           {"ms", Ms(now - policy_held_since_)}});
+  const std::int64_t held_ms = Ms(now - policy_held_since_);
+  // Usually another instance answers within a few milliseconds.
+  if (held_ms >= kLoggedHoldMs) {
+    events_.Write(StreamEvent::kPolicyHeld, {{"version", policy->policy.version},
+                                             {"newer", policy_check_.newer_version()},
+                                             {"ms", held_ms}});
+  }
   ApplyPolicy(std::move(policy->policy), item, SourceName());
 }
 
