--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -123,7 +123,7 @@
     }
     changes.position = follower_.position();
     changes.kept = follower_.Kept(changes.full ? store::Position() : known->position, now);
-    if (changes.full) changes.held = follower_.HeldKeys();
+    if (changes.full) follower_.AddHeld(changes);
     changes.age = now - follower_.last_success();
     // An instance that states the same version needs no statement, which saves bytes of each poll.
     if (!sender || sender->policy_version != PolicyVersion()) {
--- a/src/vanilladeck/membership/store_follower.cc
+++ b/src/vanilladeck/membership/store_follower.cc
@@ -104,6 +104,7 @@
     due_ = now;
     return;
   }
+  other_era_ = !result && result.error().code == store::CallErrorCode::kOtherEra;
   if (!result) {
     OnFailure(result.error(), now);
   } else if (const auto* page = std::get_if<store::RangePage>(&result.value())) {
@@ -253,6 +254,7 @@
     return;
   }
   catching_up_ = false;
+  other_era_ = false;
   if (std::exchange(ask_peer_for_state_, false)) listing_ = false;
   source_ = ItemSource::kPeer;
   const core::TimePoint answered = now - changes.age;
@@ -287,10 +289,8 @@
   return kept;
 }
 
-std::set<std::string> StoreFollower::HeldKeys() const {
-  std::set<std::string> keys;
-  for (const auto& [key, item] : held_) keys.insert(key);
-  return keys;
+void StoreFollower::AddHeld(PeerChanges& changes) const {
+  for (const auto& [key, item] : held_) changes.changes.push_back({item, false});
 }
 
 void StoreFollower::ApplyPeerState(const PeerChanges& changes, core::TimePoint now) {
@@ -303,7 +303,7 @@
     if (position.era() < changes.position.era()) kept.try_emplace(key, settings_.removal_grace);
     return kept.count(key) > 0;
   };
-  std::set<std::string> present = changes.held;
+  std::set<std::string> present;
   std::vector<ItemReference> references;
   for (const ItemReference& it : changes.references) {
     const bool only_kept = is_kept(it.key, it.position);
@@ -622,8 +622,10 @@
     it =
         now - it->second.at > settings_.tombstone_retention ? tombstones_.erase(it) : std::next(it);
   }
-  // No server can register again while the store is unreachable, so no removal is applied.
-  if (!reachable_) return;
+  // No server can register again while the store is unreachable, so no removal is applied. Nor is
+  // one after a failed call, since it is not known what was written, or while the store may be in
+  // an era that is not confirmed yet.
+  if (!reachable_ || failures_ > 0 || other_era_) return;
   for (auto it = deferred_removals_.begin(); it != deferred_removals_.end();) {
     if (now < it->second.at) {
       ++it;
