Count newer policies that others state for some time after a start

Cause: stated versions counted until a change of the era had settled, but not after a start, whose round ends as soon as the instances asked have answered. If these read the newest policy only just after that, the instance kept the copy's until the operator wrote again. Change: they count for 5 s after each round's beginning, at a start and after a change of era alike, unless the policy is on its way from a reader. Measured: "a newer policy that others state shortly after a start is read from them" fails before the change and passes with it, and "a policy is not read from other instances unless the store has returned from a copy" still passes.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -370,7 +370,7 @@
   follower_.OnEra(era, now);
   if (era < known) change_log_.Restart(now);
   registration_.OnEra(era, now);
-  policy_check_.Begin();
+  policy_check_.Begin(now);
 }
 
 void Gateway::LogListing() {
--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -160,9 +160,10 @@
 }
 
 void Gateway::OnPeerPolicy(const membership::FeedPeer& peer, std::uint64_t version) {
-  // At other times the store has every policy, and a second transfer would slow down the first one
-  // on a slow link.
-  if (!era_settling_ && !policy_check_.active()) return;
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (!policy_check_.CountsStatements(now)) return;
+  // The policy is already on its way from a reader.
+  if (follower_.awaited().count(std::string(codec_.policy_key())) > 0) return;
   membership::FeedPeer holder = peer;
   if (holder.address.empty()) {
     const auto record = instances_.find(peer.name);
@@ -170,7 +171,7 @@
     holder.address = record->second.peer_address;
   }
   const std::uint64_t newer = policy_check_.newer_version();
-  policy_check_.OnStated(holder, version, core::RuntimeClock::now());
+  policy_check_.OnStated(holder, version, now);
   if (policy_check_.newer_version() <= newer) return;
   events_.Write(StreamEvent::kPolicyBehind,
                 {{"peer", peer.name}, {"version", version}, {"in_force", PolicyVersion()}});
--- a/src/vanilladeck/gateway/policy_check.cc
+++ b/src/vanilladeck/gateway/policy_check.cc
@@ -4,7 +4,8 @@
 
 namespace vanilladeck::gateway {
 
-void PolicyCheck::Begin() noexcept {
+void PolicyCheck::Begin(core::TimePoint now) noexcept {
+  began_at_ = now;
   asking_ = true;
   holding_ = holding_ || known_ == 0;
   failed_ = 0;
@@ -85,6 +86,10 @@
   if (newer_) newer_->read_at = now + kReadRetryPause;
 }
 
+bool PolicyCheck::CountsStatements(core::TimePoint now) const noexcept {
+  return active() || (began_at_ && now - *began_at_ < kStatementTime);
+}
+
 bool PolicyCheck::Holds(core::TimePoint now) const noexcept {
   if (!holding_) return false;
   if (newer_) return now - newer_->since < kMaxReadTime;
--- a/src/vanilladeck/gateway/policy_check.h
+++ b/src/vanilladeck/gateway/policy_check.h
@@ -17,11 +17,11 @@
 /// State machine without I/O. A round begins when the era changes or becomes known: some instances
 /// are asked for their version. An instance that has just started holds its first policy back until
 /// one of them has answered, since all that it has may be the copy's. Versions that other messages
-/// state are taken into account at any time.
+/// state count as well for some time.
 class PolicyCheck {
  public:
   /// Begins a round.
-  void Begin() noexcept;
+  void Begin(core::TimePoint now) noexcept;
 
   /// Returns the next instance to ask, or none. `candidates` come in order of preference; `synced`
   /// is true once the state, and so all of them, is known.
@@ -48,6 +48,9 @@
   /// True while instances are to be asked or read from.
   [[nodiscard]] bool active() const noexcept { return asking_ || in_flight_ > 0 || newer_; }
   [[nodiscard]] std::uint64_t known_version() const noexcept { return known_; }
+  /// True while versions that others state count. At other times the store has every policy, and a
+  /// second transfer would slow down the first one on a slow link.
+  [[nodiscard]] bool CountsStatements(core::TimePoint now) const noexcept;
   /// The newest version that others state, if it is not known here; else 0.
   [[nodiscard]] std::uint64_t newer_version() const noexcept {
     return newer_ ? newer_->version : 0;
@@ -64,6 +67,9 @@
   /// A start waits at most this long for a policy that another instance has stated: a large one
   /// takes about 3 s on a slow link, and a stated version may be damaged or its holder gone.
   static constexpr core::Duration kMaxReadTime = std::chrono::seconds(10);
+  /// After the beginning of a round others may still read the newest policy: the state settles
+  /// within 2.2 s, and each instance tells one after another.
+  static constexpr core::Duration kStatementTime = std::chrono::seconds(5);
   /// Outside a round, a newer version arrives from the store or a reader within this time.
   static constexpr core::Duration kPropagationTime = std::chrono::milliseconds(1000);
   static constexpr core::Duration kReadRetryPause = std::chrono::milliseconds(300);
@@ -79,6 +85,7 @@
   };
 
   bool asking_ = false;
+  std::optional<core::TimePoint> began_at_;  ///< Of the last round.
   bool holding_ = false;
   bool reading_ = false;
   std::size_t in_flight_ = 0;
--- a/tests/gateway/policy_check_test.cc
+++ b/tests/gateway/policy_check_test.cc
@@ -32,7 +32,7 @@
 TEST_CASE("a start holds its policy back until another instance has answered") {
   const auto peers = Peers(3);
   PolicyCheck check;
-  check.Begin();
+  check.Begin(At(0s));
   CHECK(AskAll(check, peers, At(0s)) == 3);
   check.OnKnown(12);
   CHECK(check.Holds(At(0s)));
@@ -65,7 +65,7 @@
 TEST_CASE("a start holds its policy back for a limited time") {
   const auto peers = Peers(2);
   PolicyCheck check;
-  check.Begin();
+  check.Begin(At(0s));
   SECTION("without an instance to ask") {
     CHECK(check.Holds(At(0s)));
     CHECK(AskAll(check, {}, At(0s)) == 0);
@@ -103,7 +103,7 @@
 TEST_CASE("a change of the era holds nothing back that is in force") {
   PolicyCheck check;
   check.OnKnown(12);
-  check.Begin();
+  check.Begin(At(0s));
   CHECK(AskAll(check, Peers(2), At(0s)) == 2);
   CHECK_FALSE(check.Holds(At(0s)));
   check.OnAnswer();
@@ -116,7 +116,7 @@
 TEST_CASE("a round asks a limited number of instances") {
   const auto peers = Peers(100);
   PolicyCheck check;
-  check.Begin();
+  check.Begin(At(0s));
   CHECK(AskAll(check, peers, At(0s)) == PolicyCheck::kMaxAsked);
   // In place of those that do not answer, others are asked.
   std::size_t failed = 0;
@@ -136,9 +136,9 @@
 TEST_CASE("a round that begins while another one is under way asks all instances again") {
   const auto peers = Peers(3);
   PolicyCheck check;
-  check.Begin();
+  check.Begin(At(0s));
   CHECK(AskAll(check, peers, At(0s)) == 3);
-  check.Begin();
+  check.Begin(At(0s));
   check.OnNoAnswer();
   check.OnNoAnswer();
   check.OnNoAnswer();
@@ -146,6 +146,21 @@
   CHECK(check.Holds(At(1s)));
 }
 
+// Guards against a second transfer of a policy that the store has, and against an instance that
+// takes no notice of what those tell that it did not ask.
+TEST_CASE("what others state counts for some time after a round began") {
+  PolicyCheck check;
+  check.OnKnown(12);
+  CHECK_FALSE(check.CountsStatements(At(0s)));
+  check.Begin(At(0s));
+  CHECK(AskAll(check, {}, At(0s)) == 0);
+  CHECK(check.CountsStatements(At(4s)));
+  CHECK_FALSE(check.CountsStatements(At(5s)));
+  // One that is not answered yet, or whose policy is not read yet, is part of it.
+  check.OnStated(Peers(1)[0], 13, At(4s));
+  CHECK(check.CountsStatements(At(6s)));
+}
+
 // Guards against instances that all read each new policy from each other although the store is
 // about to deliver it.
 TEST_CASE("outside a round a newer policy is read only if it does not arrive") {
--- a/tests/platform/returned_policy_test.cc
+++ b/tests/platform/returned_policy_test.cc
@@ -188,6 +188,25 @@
   SECTION("at the listener for lookups") { CHECK_FALSE(ask(settings.lookups)); }
 }
 
+// Guards against an instance that keeps the copy's policy because none of those that it asked had
+// the newer one: others read it only just after that.
+TEST_CASE("a newer policy that others state shortly after a start is read from them") {
+  ReturnedPolicyFixture f;
+  gateway::GatewaySettings settings = f.SettingsOf("edge-1", f.store);
+  LoggedGateway other(f.io, settings);
+  other.instance.Start();
+  REQUIRE(f.ReadyWithin(other, kStartTimeout));
+  f.store.Put("vanilladeck/instances/edge-2",
+              Record("edge-2", vanilladeck::http::EndpointText(f.peers)));
+  f.io.run_for(kFlushTime);
+  REQUIRE(other.HasPolicy(kCopied));
+  tcp::socket socket(f.io);
+  socket.connect(settings.peers);
+  boost::asio::write(socket, boost::asio::buffer(gateway::EncodePeerRequest(
+                                 {"edge-1/1", 3, {2, 12}}, {"edge-2", {}, 2, kLost})));
+  CHECK(f.RunUntil([&] { return other.HasPolicy(kLost); }, kReadTimeout));
+}
+
 // Guards against starts that take longer, and calls that go on, although the store has not
 // returned.
 TEST_CASE("a start without a return asks other instances once") {
