--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -18,6 +18,8 @@
 
 // Within this time a peer of another region is connected to and answers, in twice 0.11 s.
 constexpr core::Duration kVersionTimeout = membership::FeedSource::kAnswerTimeout;
+// A hold that is shorter is not logged.
+constexpr std::int64_t kLoggedHoldMs = 50;
 constexpr std::string_view kPeerSource =
     membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
 
@@ -96,9 +98,13 @@
   DecodedItem decoded = codec_.DecodeItem(item);
   auto* policy = std::get_if<PolicyItem>(&decoded);
   if (policy == nullptr) return;
-  events_.Write(StreamEvent::kPolicyHeld, {{"version", policy->policy.version},
-                                           {"newer", policy_check_.newer_version()},
-                                           {"ms", Ms(now - policy_held_since_)}});
+  const std::int64_t held_ms = Ms(now - policy_held_since_);
+  // Usually another instance answers within a few milliseconds.
+  if (held_ms >= kLoggedHoldMs) {
+    events_.Write(StreamEvent::kPolicyHeld, {{"version", policy->policy.version},
+                                             {"newer", policy_check_.newer_version()},
+                                             {"ms", held_ms}});
+  }
   ApplyPolicy(std::move(policy->policy), item, SourceName());
 }
 
@@ -154,9 +160,10 @@
 }
 
 void Gateway::OnPeerPolicy(const membership::FeedPeer& peer, std::uint64_t version) {
-  // At other times the store has every policy, and a second transfer would slow down the first one
-  // on a slow link.
-  if (!era_settling_ && !policy_check_.active()) return;
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (!policy_check_.CountsStatements(now)) return;
+  // The policy is already on its way from a reader.
+  if (follower_.awaited().count(std::string(codec_.policy_key())) > 0) return;
   membership::FeedPeer holder = peer;
   if (holder.address.empty()) {
     const auto record = instances_.find(peer.name);
@@ -164,7 +171,7 @@
     holder.address = record->second.peer_address;
   }
   const std::uint64_t newer = policy_check_.newer_version();
-  policy_check_.OnStated(holder, version, core::RuntimeClock::now());
+  policy_check_.OnStated(holder, version, now);
   if (policy_check_.newer_version() <= newer) return;
   events_.Write(StreamEvent::kPolicyBehind,
                 {{"peer", peer.name}, {"version", version}, {"in_force", PolicyVersion()}});
