Name an instance that registers before the listing after a return

Cause: the record of an instance that had left and started again may be written before the first listing of the era, which does not tell it from that of the copy. It was held for the grace period and then rejected for good, so that lookups did not name a live instance. Change: such a record is used if it is still listed after the time to live of its lease. Measured: the new test fails without the change and passes with it, beside the three tests of records of instances that had left.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -409,17 +409,11 @@
     ApplyEvacuations();
   } else if (std::holds_alternative<OtherItem>(decoded)) {
     auto record = membership::DecodeInstance(item.key, item.value);
+    returned_records_.erase(item.key);
     if (record && applying_held_) {
-      // A live instance would have written it again; the record's lease is about to end.
-      events_.Write(StreamEvent::kEntryRejected,
-                    {{"key", item.key},
-                     {"revision", item.position.revision().number},
-                     {"reason", "the instance had left before the store returned"}});
+      DeferReturnedRecord(item, *record);
     } else if (record) {
-      instances_[record->name] = *record;
-      context_.server_limits.OnStated(record->name, record->server_limits,
-                                      core::RuntimeClock::now());
-      instances_changed_ = true;
+      ApplyRecord(*record);
     }
   } else if (auto* unusable = std::get_if<UnusableItem>(&decoded)) {
     events_.Write(StreamEvent::kEntryRejected, {{"key", item.key},
@@ -440,6 +434,7 @@
     ApplyEvacuations();
   } else if (key.rfind(membership::kInstancePrefix, 0) == 0) {
     const std::string name = key.substr(membership::kInstancePrefix.size());
+    returned_records_.erase(key);
     instances_.erase(name);
     context_.server_limits.OnStated(name, {}, core::RuntimeClock::now());
     instances_changed_ = true;
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -93,6 +93,12 @@
     bool failed = false;
   };
 
+  /// Record of an instance that had left, from a copy of the store. Used if it is still listed when
+  /// its lease would have ended.
+  struct ReturnedRecord {
+    membership::InstanceRecord record;
+    core::TimePoint due;
+  };
   /// What the grace period after a change of the era has changed so far.
   struct EraSettling {
     core::TimePoint since;
@@ -174,6 +180,8 @@
                                      store::Era sent_in);
   /// Another instance states the era of its state.
   void OnPeerEra(const std::string& peer, store::Era era);
+  void ApplyRecord(const membership::InstanceRecord& record);
+  void DeferReturnedRecord(const store::Item& item, const membership::InstanceRecord& record);
   /// The store's revisions have gone back, in an era of which it does not tell.
   void OnDataLost();
   /// The era has changed: all state is ordered anew. `source` told of it.
@@ -264,6 +272,7 @@
   /// The item that is being applied was removed before the store returned from a copy that contains
   /// it, and was not written again within the grace period.
   bool applying_held_ = false;
+  std::map<std::string, ReturnedRecord> returned_records_;  ///< By key.
   bool history_lost_ = false;  ///< A watch was refused since the last listing.
   std::function<void()> on_stopped_;
 };
--- a/tests/platform/returned_state_test.cc
+++ b/tests/platform/returned_state_test.cc
@@ -16,6 +16,8 @@
 constexpr core::Duration kWriteAgainTime = 1800ms;
 // Longer than the time for which what a copy lacks, or brings back, takes no effect.
 constexpr core::Duration kGraceTime = 4000ms;
+// Of a record in the copy, whose lease may have been renewed just before.
+constexpr core::Duration kCopiedLeaseTime = 3000ms;
 
 constexpr const char* kEvacuation = "op/evacuate/east-a";
 constexpr const char* kEvacuated = "\"failure_domains\":[\"east-a\"]";
@@ -140,6 +142,22 @@
   CHECK(f.Named() == 2);
 }
 
+// Guards against a live instance that is never named: it registered before the first listing after
+// the return, which does not tell its record from that of the copy.
+TEST_CASE("an instance that registers before the listing after the return is named") {
+  ReturnedStateFixture f;
+  const auto copy = f.store.TakeCopy();
+  f.store.Put("servers/i-1", ServerText());
+  f.store.Put(kOtherInstance, f.OtherInstance());
+  REQUIRE(f.RunUntil([&] { return f.Named() == 2; }, kReadTimeout));
+  f.Remove(kOtherInstance);
+  REQUIRE(f.RunUntil([&] { return f.Named() == 1; }, kReadTimeout));
+  f.store.ReturnFrom(copy);
+  f.store.Put(kOtherInstance, f.OtherInstance());
+  f.Run(kGraceTime);
+  CHECK(f.RunUntil([&] { return f.Named() == 2; }, kCopiedLeaseTime));
+}
+
 // Guards against a log that does not tell what the return changed in the end.
 TEST_CASE("the log tells when the state has settled after the store's return") {
   ReturnedStateFixture f;
