Hold a start's policy back until all that were asked have answered

Cause: the first answer ended the hold, also that of an instance that had itself started a moment ago with the policy of the store's copy, while others were about to state the newer one. Change: the hold ends with the round, after 1 s at most as before. Measured: the section of the test that demanded the release after the first answer now demands it after the last one, not earlier; it fails without the change and passes with it.

--- a/src/vanilladeck/gateway/policy_check.cc
+++ b/src/vanilladeck/gateway/policy_check.cc
@@ -47,11 +47,7 @@
 
 void PolicyCheck::OnStated(const membership::FeedPeer& peer, std::uint64_t version,
                            core::TimePoint now) {
-  if (version == 0) return;
-  if (version <= known_) {
-    holding_ = holding_ && newer_;
-    return;
-  }
+  if (version <= known_) return;
   if (!newer_ || version > newer_->version) {
     newer_ = Newer{version, {peer}, 0, now, asking_ || holding_ ? now : now + kPropagationTime};
   } else if (version == newer_->version) {
--- a/src/vanilladeck/gateway/policy_check.h
+++ b/src/vanilladeck/gateway/policy_check.h
@@ -16,7 +16,8 @@
 ///
 /// State machine without I/O. A round begins when the era changes or becomes known: some instances
 /// are asked for their version. An instance that has just started holds its first policy back until
-/// one of them has answered, since all that it has may be the copy's. Versions that other messages
+/// they have answered, since all that it has, and that others which have just started have, may be
+/// the copy's. Versions that other messages
 /// state count as well for some time.
 class PolicyCheck {
  public:
--- a/tests/gateway/policy_check_test.cc
+++ b/tests/gateway/policy_check_test.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 // Guards against an instance that puts the copy's policy in force although others have a newer one.
-TEST_CASE("a start holds its policy back until another instance has answered") {
+TEST_CASE("a start holds its policy back until the other instances have answered") {
   const auto peers = Peers(3);
   PolicyCheck check;
   check.Begin(At(0s));
@@ -37,8 +37,14 @@
   check.OnKnown(12);
   CHECK(check.Holds(At(0s)));
   SECTION("without a newer one") {
-    check.OnAnswer();
-    check.OnStated(peers[0], 12, At(100ms));
+    // Each may have started a moment ago, and have nothing but the copy itself.
+    for (const auto& it : peers) {
+      CHECK(AskAll(check, peers, At(100ms)) == 0);
+      CHECK(check.Holds(At(100ms)));
+      check.OnAnswer();
+      check.OnStated(it, 12, At(100ms));
+    }
+    CHECK(AskAll(check, peers, At(100ms)) == 0);
     CHECK_FALSE(check.Holds(At(100ms)));
   }
   SECTION("with a newer one") {
