Pass nothing on between the pages of the listing after a return

Cause: until its listing is complete, a reader's position is of the earlier era; items of the first pages were sent in messages of that era, and what the copy brings back took effect at once at the instances that ask. Change: while the log has items of a later era than its state, a request gets nothing and its position does not advance.

--- a/src/vanilladeck/membership/change_log.cc
+++ b/src/vanilladeck/membership/change_log.cc
@@ -194,6 +194,7 @@
                     store::Position applied_at) {
   const auto [it, added] = entries_.try_emplace(item.key);
   Entry& entry = it->second;
+  newest_era_ = std::max(newest_era_, item.position.era());
   const bool was_removed = entry.removed;
   relay = relay || entry.item.position.era() != item.position.era();
   entry.item = item;
@@ -222,6 +223,7 @@
     entry.changed_at = {};
   }
   complete_since_.reset();
+  newest_era_ = 0;
   restarting_ = true;
   restarted_at_ = now;
 }
@@ -266,7 +268,9 @@
   const store::Era known_era = known.position.era();
   const store::Era era = complete_since_ ? complete_since_->era() : known_era;
   // An instance of a later era uses nothing of an earlier one, and must not miss it later.
-  if (restarting_ || known_era > era) {
+  // Between the pages of a listing, the log has items of both.
+  const bool mixed = complete_since_ && newest_era_ > era;
+  if (restarting_ || known_era > era || mixed) {
     changes.epoch = known.epoch;
     changes.log_position = known.log_position;
     return changes;
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -127,6 +127,7 @@
   std::uint64_t oldest_log_position_ = 1;  ///< Removals up to this position may have been pruned.
   /// Removals up to this position may be unknown or pruned; nullopt before the first listing.
   std::optional<store::Position> complete_since_;
+  store::Era newest_era_ = 0;  ///< Of all items.
   /// Positions that other instances hold may be of an order that was given up then.
   std::optional<core::TimePoint> restarted_at_;
   bool restarting_ = false;  ///< Since `Restart`, the state is not yet known in the new order.
