Do not believe a fall from a read that may be stale, nor an impossible era

Cause: two pages of a check, a read that may be seconds old, could state the era from before the return and so confirm a fall. And no bound was set for the eras that messages state; after the largest number none could follow. Change: checks neither prepare nor confirm a fall; an era above 2^53 counts as unreadable.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 using telemetry::StreamEvent;
 
+constexpr std::string_view kCheckChannel = "check";
 constexpr core::Duration kTickInterval = membership::LoadMeter::kTickInterval;
 // Smallest change of a region's share that is logged.
 constexpr double kLoggedShareChange = 0.05;
@@ -178,7 +179,7 @@
                           });
   };
   handle_eras(follower_channel_, "follower");
-  handle_eras(check_channel_, "check");
+  handle_eras(check_channel_, kCheckChannel);
   handle_eras(lease_channel_, "lease");
   context_.max_region_policy_age =
       std::max(settings_.policy_delay, settings_.follower.poll_interval + kRelayTime);
@@ -324,7 +325,7 @@
 std::optional<store::Era> Gateway::JudgeEra(std::string_view channel,
                                             const store::EraReading& reading, store::Era sent_in) {
   const store::Era known = era_tracker_.era();
-  const auto judgement = era_tracker_.OnResponse(reading, sent_in);
+  const auto judgement = era_tracker_.OnResponse(reading, sent_in, channel == kCheckChannel);
   ++context_.metrics.store_eras[static_cast<std::size_t>(judgement.finding)];
   using store::EraFinding;
   const bool expected =
--- a/src/vanilladeck/store/era.h
+++ b/src/vanilladeck/store/era.h
@@ -10,6 +10,9 @@
 /// also stands for a store that states none.
 using Era = std::int64_t;
 
+/// Largest era that is believed: numbers up to here are exact in all JSON readers.
+inline constexpr Era kMaxEra = Era{1} << 53U;
+
 struct NoEra {};
 
 /// An era that cannot be read.
--- a/src/vanilladeck/store/era_tracker.cc
+++ b/src/vanilladeck/store/era_tracker.cc
@@ -4,8 +4,10 @@
 
 namespace vanilladeck::store {
 
-EraTracker::Judgement EraTracker::OnResponse(const EraReading& reading, Era sent_in) {
+EraTracker::Judgement EraTracker::OnResponse(const EraReading& reading, Era sent_in,
+                                             bool may_be_stale) {
   const auto* era = std::get_if<Era>(&reading);
+  if (era != nullptr && *era > kMaxEra) era = nullptr;
   stated_ = era != nullptr;
   if (era == nullptr) {
     const auto finding =
@@ -24,6 +26,8 @@
   }
   if (*era < *era_) {
     if (sent_in < *era_) return {EraFinding::kOlder, false, false};
+    // It may have been read before the era rose.
+    if (may_be_stale) return {EraFinding::kFell, false, false};
     if (unconfirmed_ != *era) {
       unconfirmed_ = *era;
       return {EraFinding::kFell, false, false};
@@ -44,7 +48,7 @@
 }
 
 bool EraTracker::OnPeer(Era era) noexcept {
-  if (era <= std::max(this->era(), contradicted_)) return false;
+  if (era <= std::max(this->era(), contradicted_) || era > kMaxEra) return false;
   // The store's responses are not used while a higher era is known, so that one damaged message
   // must not set it.
   if (era_ && era != *era_ + 1 && unconfirmed_ != era) {
--- a/src/vanilladeck/store/era_tracker.h
+++ b/src/vanilladeck/store/era_tracker.h
@@ -40,8 +40,9 @@
     bool changed = false;  ///< `era()` was changed by the response.
   };
 
-  /// `sent_in` is the era that was known when the call was sent.
-  Judgement OnResponse(const EraReading& reading, Era sent_in);
+  /// `sent_in` is the era that was known when the call was sent. `may_be_stale` is true for a read
+  /// that the store may answer with state that is seconds old.
+  Judgement OnResponse(const EraReading& reading, Era sent_in, bool may_be_stale = false);
 
   /// Another instance states the era; true if it is newer than the known one and now known. A jump
   /// counts only if the next message or response with a newer era confirms it.
--- a/tests/store/peer_era_test.cc
+++ b/tests/store/peer_era_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "vanilladeck/store/era_tracker.h"
 
@@ -44,6 +45,30 @@
   CHECK(tracker.OnPeer(5));
 }
 
+// Guards against an era that goes down and up again: two pages of a read that may be seconds old
+// were read before the store's return.
+TEST_CASE("reads that may be stale do not lower the era") {
+  EraTracker tracker;
+  REQUIRE(tracker.OnResponse(Era{5}, 0).usable);
+  REQUIRE(tracker.OnResponse(Era{6}, 5).changed);
+  for (int i = 0; i < 3; ++i) {
+    const auto judgement = tracker.OnResponse(Era{5}, 6, true);
+    CHECK(judgement.finding == EraFinding::kFell);
+    CHECK_FALSE(judgement.usable);
+  }
+  CHECK_FALSE(tracker.OnResponse(Era{5}, 6).changed);
+  CHECK(tracker.era() == 6);
+}
+
+// Guards against an era from a damaged message after which no higher one can follow.
+TEST_CASE("an impossible era is not believed") {
+  EraTracker tracker;
+  constexpr Era kImpossible = std::numeric_limits<Era>::max();
+  CHECK_FALSE(tracker.OnPeer(kImpossible));
+  CHECK(tracker.OnResponse(kImpossible, 0).finding == EraFinding::kUnreadable);
+  CHECK(tracker.era() == 0);
+}
+
 // Guards against a fall of the era that two responses on different connections seem to confirm,
 // while a third one states the known era.
 TEST_CASE("a response of the known era ends the doubt about it") {
