--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -100,7 +100,8 @@
   }
   // An instance of an earlier version knows no eras; its revision counts as one of this state's.
   const store::Era era = eras ? eras->position : follower_.position().era();
-  if (const auto known = DecodePeerRequest(target, era)) {
+  if (auto known = DecodePeerRequest(target, era)) {
+    known->states_era = eras.has_value();
     const auto sender = DecodePeerSender(request);
     if (eras && source == RequestSource::kInstance) {
       OnPeerEra(sender ? sender->name : std::string(), eras->known);
@@ -125,7 +126,10 @@
     if (changes.full) follower_.AddHeld(changes);
     changes.grace_left = follower_.GraceLeft(now);
     changes.age = now - follower_.last_success();
-    changes.policy_version = PolicyVersion();
+    // An instance that states the same version needs no statement, which saves bytes of each poll.
+    if (!sender || sender->policy_version != PolicyVersion()) {
+      changes.policy_version = PolicyVersion();
+    }
     changes.relayed = feed_source_.Choose(now) != nullptr;
     changes.unheard = now - follower_.last_heard();
     changes.behind = now - follower_.current_as_of();
--- a/src/vanilladeck/membership/change_log.h
+++ b/src/vanilladeck/membership/change_log.h
@@ -17,6 +17,9 @@
   std::uint64_t log_position = 0;
   /// Up to which the instance has all changes of the store.
   store::Position position;
+  /// False for an instance of an earlier version. The era of `position` is then the one of the log
+  /// that it asks, though the revision may be of an earlier era.
+  bool states_era = true;
 };
 
 /// An item that is present and whose value is not part of a message.
@@ -50,8 +53,8 @@
   std::map<std::string, double> server_limits;
   /// Prefix of the items that the sender checks with the store; empty if it does not.
   std::string checked_prefix;
-  /// Of the policy in force at the sender; 0 if there is none or the sender is of an earlier
-  /// version.
+  /// Of the policy in force at the sender; 0 if there is none, if the request stated the same
+  /// version, or if the sender is of an earlier version.
   std::uint64_t policy_version = 0;
 };
 
@@ -82,6 +85,9 @@
   /// Records that the log is complete as of `position`. Within an era, later calls are ignored; a
   /// later era begins the log anew.
   void OnListed(store::Position position) noexcept;
+  /// The order of positions begins anew: the store's era fell. Until the next call of `OnListed`,
+  /// of any position, instances get nothing; then all of them get a full snapshot.
+  void Restart(core::TimePoint now);
 
   /// Values of more bytes are only referred to.
   static constexpr std::size_t kMaxInlineBytes = 16384;
@@ -94,7 +100,8 @@
   /// store position repeats some changes, since the other log may have missed them.
   ///
   /// An instance of an earlier era gets a full snapshot, since it may know items that the store
-  /// has lost and that this log never had; one of a later era gets nothing.
+  /// has lost and that this log never had; one of a later era gets nothing and keeps its position.
+  /// One that states no era gets no delta by store position unless this log has none either.
   [[nodiscard]] PeerChanges Since(const PeerPosition& known, core::TimePoint now) const;
 
  private:
@@ -120,6 +127,9 @@
   std::uint64_t oldest_log_position_ = 1;  ///< Removals up to this position may have been pruned.
   /// Removals up to this position may be unknown or pruned; nullopt before the first listing.
   std::optional<store::Position> complete_since_;
+  /// Positions that other instances hold may be of an order that was given up then.
+  std::optional<core::TimePoint> restarted_at_;
+  bool restarting_ = false;  ///< Since `Restart`, the state is not yet known in the new order.
 };
 
 }  // namespace vanilladeck::membership
