--- a/tests/membership/model_fleet.cc
+++ b/tests/membership/model_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace vanilladeck::testing {
@@ -33,10 +34,11 @@
   }
 }
 
-void ModelFleet::Fail(const std::string& text) {
+void ModelFleet::Fail(std::initializer_list<std::string_view> text) {
   if (!violation_.empty()) return;
   std::ostringstream out;
-  out << text << " at "
+  for (const std::string_view it : text) out << it;
+  out << " at "
       << std::chrono::duration_cast<Ms>(timeline_.now().time_since_epoch()).count() - 100'000
       << " ms";
   violation_ = out.str();
@@ -276,16 +278,16 @@
   const core::TimePoint now = timeline_.now();
   for (auto& [name, runner] : runners_) {
     const std::int64_t policy = runner.instance->policy();
-    if (policy < runner.policy) Fail("an older policy is in force at " + name);
+    if (policy < runner.policy) Fail({"an older policy is in force at ", name});
     runner.policy = policy;
     const bool known = !stated_policy_ || policy >= stated_policy_->value;
     if (!known && now - std::max(stated_policy_->since, last_return_) > kKnownBound &&
         InTouchFor(runner, kKnownBound)) {
-      Fail("policy " + std::to_string(stated_policy_->value) + " is not in force at " + name);
+      Fail({"policy ", std::to_string(stated_policy_->value), " is not in force at ", name});
     }
     // The next change of the same answer may be the server's write.
     for (const std::string& it : std::exchange(runner.removed, {})) {
-      if (!runner.instance->servers().Find(it)) Fail("running " + it + " is removed at " + name);
+      if (!runner.instance->servers().Find(it)) Fail({"running ", it, " is removed at ", name});
     }
     CheckServers(name, runner);
     CheckEntries(name, runner);
@@ -302,12 +304,12 @@
       runner.leaving.insert(lifetime);
       continue;
     }
-    if (runner.leaving.count(lifetime) > 0) Fail(it.id + " is ready again at " + name);
+    if (runner.leaving.count(lifetime) > 0) Fail({it.id, " is ready again at ", name});
     const auto stated = stated_leaving_.find(it.id);
     if (stated == stated_leaving_.end() || stated->second.value < known->report.born_ms) continue;
     if (now - std::max(stated->second.since, last_return_) > kKnownBound &&
         InTouchFor(runner, kKnownBound)) {
-      Fail("the leaving of " + it.id + " is not known at " + name);
+      Fail({"the leaving of ", it.id, " is not known at ", name});
     }
   }
 }
@@ -316,7 +318,7 @@
   for (const auto& [id, since] : absent_since_) {
     if (timeline_.now() - std::max(since, last_return_) > kEntryBound &&
         InTouchFor(runner, kEntryBound) && runner.instance->servers().Find(id)) {
-      Fail(id + " has ended and is listed at " + name);
+      Fail({id, " has ended and is listed at ", name});
     }
   }
 }
@@ -342,14 +344,14 @@
   }
   for (const auto& [name, runner] : runners_) {
     const ModelInstance& instance = *runner.instance;
-    if (instance.policy() != acknowledged_policy_) Fail(name + " has another policy in the end");
-    if (instance.evacuated() != evacuated) Fail(name + " has other evacuations in the end");
+    if (instance.policy() != acknowledged_policy_) Fail({name, " has another policy in the end"});
+    if (instance.evacuated() != evacuated) Fail({name, " has other evacuations in the end"});
     for (const Server& it : servers_) {
       const auto known = instance.servers().Find(it.id);
       const bool present = store_.items().count(kModelServerPrefix + it.id) > 0;
-      if (present != (known != nullptr)) Fail(name + " disagrees about " + it.id + " in the end");
+      if (present != (known != nullptr)) Fail({name, " disagrees about ", it.id, " in the end"});
       if (present && known && known->report.born_ms != it.born) {
-        Fail(name + " has another lifetime of " + it.id + " in the end");
+        Fail({name, " has another lifetime of ", it.id, " in the end"});
       }
     }
   }
--- a/tests/membership/model_fleet.h
+++ b/tests/membership/model_fleet.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -63,7 +65,7 @@
   void CheckEntries(const std::string& name, const Runner& runner);
   void CheckAgreement();
   void OnServerRemoved(const std::string& name, const std::string& id);
-  void Fail(const std::string& text);
+  void Fail(std::initializer_list<std::string_view> text);
   [[nodiscard]] bool InTouchFor(const Runner& runner, core::Duration time) const;
 
   StoreSchedule schedule_;
--- a/tests/membership/model_instance.cc
+++ b/tests/membership/model_instance.cc
@@ -153,7 +153,7 @@
 }
 
 void ModelInstance::AskPeer(const std::string& peer,
-                            std::function<void(std::optional<PeerChanges>)> done) {
+                            const std::function<void(std::optional<PeerChanges>)>& done) {
   membership::PeerPosition& known = peer_positions_[peer];
   known.position = follower_.position();
   const PeerRequest request{known, follower_.era()};
--- a/tests/membership/model_instance.h
+++ b/tests/membership/model_instance.h
@@ -70,7 +70,7 @@
   void OnPeerEra(store::Era era);
   /// Asks `peer`; `done` gets its answer, none if it does not answer in time.
   void AskPeer(const std::string& peer,
-               std::function<void(std::optional<membership::PeerChanges>)> done);
+               const std::function<void(std::optional<membership::PeerChanges>)>& done);
   [[nodiscard]] std::optional<membership::PeerChanges> Serve(const PeerRequest& request);
   void OnPeerResponse(const std::string& peer, std::optional<membership::PeerChanges> changes);
   void QueryFallback();
--- a/tests/membership/store_era_fixture.h
+++ b/tests/membership/store_era_fixture.h
@@ -20,7 +20,7 @@
 using store::VersionedAnswer;
 using store::VersionedResult;
 
-inline const core::TimePoint kBegan(100s);
+inline constexpr core::TimePoint kBegan(100s);
 
 /// A follower and what it has applied.
 struct Instance {
