Let the linter pass over the order of positions

Cause: clang-tidy reports the generated comparison of store::Position as a literal 0 for a null pointer, in each file that compares two of them. Change: the check is off for this declaration, with the reason.

--- a/src/vanilladeck/store/position.h
+++ b/src/vanilladeck/store/position.h
@@ -25,8 +25,11 @@
   /// The position before the change at this one.
   [[nodiscard]] constexpr Position Previous() const noexcept { return {era_, number_ - 1}; }
 
+  // The linter takes the 0 to which the compiler compares the result for a null pointer.
+  // NOLINTBEGIN(modernize-use-nullptr)
   [[nodiscard]] friend constexpr auto operator<=>(const Position&,
                                                   const Position&) noexcept = default;
+  // NOLINTEND(modernize-use-nullptr)
 
  private:
   Era era_ = 0;
