Test that lookups name no gateway which the store's copy brings back

Cause: the copy may hold the record of a gateway that has stopped since. No test with real gateways asked for lookups after a return. Change: a gateway stops by SIGTERM, and the copy is from before; lookups at the others must not name it.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -7,7 +7,6 @@
 #include <sstream>
 
 #include "process/fleet_checks.h"
-#include "standins/common/http_client.h"
 
 namespace vanilladeck::process {
 namespace {
@@ -223,18 +222,30 @@
   EndImpairment(i, Impaired::kProcess);
 }
 
-int Fleet::Readiness(std::size_t i) {
-  constexpr milliseconds kCheckTimeout{1000};
+standins::FetchResult Fleet::Get(const asio::ip::tcp::endpoint& endpoint,
+                                 const std::string& target) {
+  constexpr milliseconds kTimeout{1000};
   standins::HttpClient client(io_);
-  int status = -1;
+  std::optional<standins::FetchResult> result;
   asio::co_spawn(io_,
-                 client.Fetch(gateways_[i]->Endpoint(gateways_[i]->readiness_port()),
-                              standins::MakeRequest(http::verb::get, "/-/readyz"), kCheckTimeout),
-                 [&status](const std::exception_ptr& error, const standins::FetchResult& result) {
-                   status = error ? 0 : result.status();
+                 client.Fetch(endpoint, standins::MakeRequest(http::verb::get, target), kTimeout),
+                 [&result](const std::exception_ptr& error, const standins::FetchResult& fetched) {
+                   result = error ? standins::FetchResult{} : fetched;
                  });
-  (void)RunUntil(kStartTimeout, [&] { return status >= 0; });
-  return status;
+  (void)RunUntil(kStartTimeout, [&] { return result.has_value(); });
+  return result.value_or(standins::FetchResult{});
+}
+
+int Fleet::Readiness(std::size_t i) {
+  return Get(gateways_[i]->Endpoint(gateways_[i]->readiness_port()), "/-/readyz").status();
+}
+
+bool Fleet::LookupNames(std::size_t asked, std::size_t named) {
+  const std::string query = "name=a.example&region=" + RegionOf(asked) + "&zone=" + ZoneOf(asked);
+  const auto result =
+      Get(gateways_[asked]->Endpoint(gateways_[asked]->lookup_port()), "/-/resolve?" + query);
+  const auto client = gateways_[named]->Endpoint(gateways_[named]->client_port());
+  return result.body().find('"' + EndpointText(client) + '"') != std::string::npos;
 }
 
 std::vector<std::string> Fleet::GatewaysWithoutRecord() const {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -8,6 +8,7 @@
 #include "process/fleet_client.h"
 #include "process/fleet_server.h"
 #include "process/gateway_process.h"
+#include "standins/common/http_client.h"
 #include "standins/store/metadata_store.h"
 
 namespace vanilladeck::process {
@@ -90,6 +91,8 @@
 
   /// Status of a gateway's readiness check; 0 without a response within a second.
   [[nodiscard]] int Readiness(std::size_t i);
+  /// True if a lookup at gateway `asked` names gateway `named`.
+  [[nodiscard]] bool LookupNames(std::size_t asked, std::size_t named);
   /// Names of the gateways that have no record in the store.
   [[nodiscard]] std::vector<std::string> GatewaysWithoutRecord() const;
   /// Requests on the moved route that were sent to a gateway since a time.
@@ -109,6 +112,8 @@
 
  private:
   void WriteGatewaySettings(std::size_t i);
+  [[nodiscard]] standins::FetchResult Get(const asio::ip::tcp::endpoint& endpoint,
+                                          const std::string& target);
   void OfferPolicy();
   void BeginImpairment(std::size_t gateway, Impaired what);
   void EndImpairment(std::size_t gateway, Impaired what);
--- a/tests/process/store_return_test.cc
+++ b/tests/process/store_return_test.cc
@@ -146,3 +146,29 @@
   CHECK(breaches.None());
   if (!breaches.None()) fleet.KeepLogs("start-after-return");
 }
+
+// Guards against lookups that send clients to a stopped gateway since the copy has its record.
+TEST_CASE("lookups name no gateway that stopped before the store's loss", "[process]") {
+  constexpr std::size_t kStopped = 2;
+  Fleet fleet({});
+  fleet.RunFor(kBeforeWrites + kCopyAge);
+  REQUIRE(fleet.LookupNames(0, kStopped));
+  fleet.Terminate(kStopped);
+  REQUIRE(fleet.RunUntil(Fleet::kStopGrace, [&] { return fleet.HasEnded(kStopped); }));
+  // The copy is from before the signal.
+  const auto age = std::chrono::duration_cast<milliseconds>(
+      Clock::now() - *fleet.records().gateways[kStopped].back().terminated + milliseconds(100));
+  LoseStoreAndWait(fleet, age);
+  REQUIRE(fleet.GatewaysWithoutRecord().empty());
+  std::size_t answers = 0;
+  std::size_t named = 0;
+  (void)fleet.RunUntil(kRest, [&] {
+    for (const std::size_t asked : {0, 1}) {
+      answers += fleet.LookupNames(asked, asked);
+      named += fleet.LookupNames(asked, kStopped);
+    }
+    return false;
+  });
+  CHECK(answers > 0);
+  CHECK(named == 0);
+}
