--- a/tests/membership/feed_source_test.cc
+++ b/tests/membership/feed_source_test.cc
@@ -103,9 +103,7 @@
     follower.Tick(now);
     if (!call) Send(now);
   }
-  [[nodiscard]] bool AsksReader() const {
-    return reader != nullptr && follower.CanAskPeer(*call);
-  }
+  [[nodiscard]] bool AsksReader() const { return reader != nullptr && follower.CanAskPeer(*call); }
   void Send(core::TimePoint now) {
     call = follower.Next(now);
     if (!call) return;
