Choose distinct ports for a gateway's listeners in process tests

Cause: ports were chosen one after the other and released at once, and the store's stand-in took a port on the same address before the gateway opened its own, so that two listeners could get the same one. Change: all ports are held until the last is chosen, the store's listeners have addresses of their own, and the logs of a failed start are kept.

--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -37,7 +37,8 @@
   std::vector<std::string> store_addresses;
   for (std::size_t i = 0; i < options_.gateways; ++i) {
     gateways_.push_back(std::make_unique<GatewayProcess>(AddressOf(i)));
-    store_addresses.push_back(AddressOf(i));
+    // Not the gateway's own address, on which the ports for its listeners are not in use yet.
+    store_addresses.push_back(AddressOf(options_.gateways + i));
   }
   store_ = std::make_unique<standins::MetadataStore>(io_, store_addresses);
   store_->behavior = options_.store;
@@ -64,7 +65,9 @@
     StartGateway(i);
   }
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
-    REQUIRE(RunUntil(kStartTimeout, [&] { return Readiness(i) == 200; }));
+    const bool ready = RunUntil(kStartTimeout, [&] { return Readiness(i) == 200; });
+    if (!ready) KeepLogs("start-failed");
+    REQUIRE(ready);
   }
   for (std::size_t i = 0; i < gateways_.size(); ++i) {
     for (std::size_t n = 0; n < options_.clients_per_gateway; ++n) {
--- a/tests/process/gateway_process.h
+++ b/tests/process/gateway_process.h
@@ -29,9 +29,10 @@
       : address_(std::move(address)),
         directory_(std::filesystem::temp_directory_path() / UniqueName()) {
     std::filesystem::create_directory(directory_);
+    // All are held until the last one is chosen, so that none is chosen twice.
+    std::vector<boost::asio::ip::tcp::acceptor> probes;
     for (std::uint16_t& port : ports_) {
-      const boost::asio::ip::tcp::acceptor probe(io_, Endpoint(0));
-      port = probe.local_endpoint().port();
+      port = probes.emplace_back(io_, Endpoint(0)).local_endpoint().port();
     }
   }
   ~GatewayProcess() {
