--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 using telemetry::StreamEvent;
 
+constexpr std::string_view kCheckChannel = "check";
 constexpr core::Duration kTickInterval = membership::LoadMeter::kTickInterval;
 // Smallest change of a region's share that is logged.
 constexpr double kLoggedShareChange = 0.05;
@@ -178,7 +179,7 @@
                           });
   };
   handle_eras(follower_channel_, "follower");
-  handle_eras(check_channel_, "check");
+  handle_eras(check_channel_, kCheckChannel);
   handle_eras(lease_channel_, "lease");
   context_.max_region_policy_age =
       std::max(settings_.policy_delay, settings_.follower.poll_interval + kRelayTime);
@@ -324,7 +325,7 @@
 std::optional<store::Era> Gateway::JudgeEra(std::string_view channel,
                                             const store::EraReading& reading, store::Era sent_in) {
   const store::Era known = era_tracker_.era();
-  const auto judgement = era_tracker_.OnResponse(reading, sent_in);
+  const auto judgement = era_tracker_.OnResponse(reading, sent_in, channel == kCheckChannel);
   ++context_.metrics.store_eras[static_cast<std::size_t>(judgement.finding)];
   using store::EraFinding;
   const bool expected =
@@ -409,17 +410,11 @@
     ApplyEvacuations();
   } else if (std::holds_alternative<OtherItem>(decoded)) {
     auto record = membership::DecodeInstance(item.key, item.value);
+    returned_records_.erase(item.key);
     if (record && applying_held_) {
-      // A live instance would have written it again; the record's lease is about to end.
-      events_.Write(StreamEvent::kEntryRejected,
-                    {{"key", item.key},
-                     {"revision", item.position.revision().number},
-                     {"reason", "the instance had left before the store returned"}});
+      DeferReturnedRecord(item, *record);
     } else if (record) {
-      instances_[record->name] = *record;
-      context_.server_limits.OnStated(record->name, record->server_limits,
-                                      core::RuntimeClock::now());
-      instances_changed_ = true;
+      ApplyRecord(*record);
     }
   } else if (auto* unusable = std::get_if<UnusableItem>(&decoded)) {
     events_.Write(StreamEvent::kEntryRejected, {{"key", item.key},
@@ -440,6 +435,7 @@
     ApplyEvacuations();
   } else if (key.rfind(membership::kInstancePrefix, 0) == 0) {
     const std::string name = key.substr(membership::kInstancePrefix.size());
+    returned_records_.erase(key);
     instances_.erase(name);
     context_.server_limits.OnStated(name, {}, core::RuntimeClock::now());
     instances_changed_ = true;
