Move the reader of JSON members out of the messages of allotments

Other messages between instances are JSON objects as well, and malformed members are to be refused in the same way there. The class is moved unchanged into a header of its own, as JsonMembers.

--- a/src/vanilladeck/gateway/allotment_messages.cc
+++ b/src/vanilladeck/gateway/allotment_messages.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "vanilladeck/core/json.h"
+#include "vanilladeck/gateway/json_members.h"
 
 namespace vanilladeck::gateway {
 namespace {
@@ -20,65 +21,11 @@
   return value.dump(-1, ' ', true, json::error_handler_t::replace);
 }
 
-/// Reads members of an object and remembers whether all had the expected type.
-class Members {
- public:
-  explicit Members(const json& object) : object_(object), valid_(object.is_object()) {}
-
-  template <class Value>
-  Value Whole(const char* name) {
-    const json* member = Find(name);
-    const bool matches = member != nullptr && member->is_number_integer() &&
-                         (member->is_number_unsigned() || member->get<std::int64_t>() >= 0);
-    return Take<Value>(member, matches);
-  }
-  double Number(const char* name) {
-    const json* member = Find(name);
-    return Take<double>(member, member != nullptr && IsAmount(*member));
-  }
-  bool Flag(const char* name) {
-    const json* member = Find(name);
-    return Take<bool>(member, member != nullptr && member->is_boolean());
-  }
-  std::string Text(const char* name) {
-    const json* member = Find(name);
-    return Take<std::string>(member, member != nullptr && member->is_string());
-  }
-  const json& Array(const char* name) {
-    static const json empty = json::array();
-    const json* member = Find(name);
-    const bool matches = member != nullptr && member->is_array();
-    valid_ = valid_ && matches;
-    return matches ? *member : empty;
-  }
-  [[nodiscard]] bool valid() const noexcept { return valid_; }
-
-  /// True for a finite number of at least 0.
-  static bool IsAmount(const json& value) {
-    return value.is_number() && std::isfinite(value.get<double>()) && value.get<double>() >= 0;
-  }
-
- private:
-  [[nodiscard]] const json* Find(const char* name) const {
-    if (!object_.is_object()) return nullptr;
-    const auto it = object_.find(name);
-    return it == object_.end() ? nullptr : &*it;
-  }
-  template <class Value>
-  Value Take(const json* member, bool matches) {
-    valid_ = valid_ && matches;
-    return matches ? member->get<Value>() : Value{};
-  }
-
-  const json& object_;
-  bool valid_;
-};
-
 /// True for an array of a customer's name and `amounts` numbers.
 bool IsEntry(const json& value, std::size_t amounts) {
   if (!value.is_array() || value.size() != amounts + 1 || !value[0].is_string()) return false;
   for (std::size_t i = 1; i <= amounts; ++i) {
-    if (!Members::IsAmount(value[i])) return false;
+    if (!JsonMembers::IsAmount(value[i])) return false;
   }
   return true;
 }
@@ -108,7 +55,7 @@
 
 std::optional<customers::AllotmentRequest> DecodeAllotmentRequest(std::string_view body) {
   const json object = core::ParseJson(body);
-  Members members(object);
+  JsonMembers members(object);
   customers::AllotmentRequest request;
   request.sender = members.Text("sender");
   request.process = members.Whole<std::uint64_t>("process");
@@ -150,7 +97,7 @@
 
 std::optional<customers::AllotmentAnswer> DecodeAllotmentAnswer(std::string_view body) {
   const json object = core::ParseJson(body);
-  Members members(object);
+  JsonMembers members(object);
   customers::AllotmentAnswer answer;
   answer.process = members.Whole<std::uint64_t>("process");
   answer.clock_ms = members.Whole<std::int64_t>("clock");
