Tell instances that ask after a return of the store which servers have left

Cause: after the store has returned from an older copy, running instances know from what they had read before which of the copy's servers had left or were draining. An instance that starts then has nothing but the copy, in which these servers are ready, and used them until their entries ended. The same held for an instance that had not read the leaving before the loss.

The instance that asked remembers them and judges by them what it has, or reads later: a report that is not newer is not used, or its server is draining. A newer report and another lifetime are used as before. Malformed entries are dropped and logged; a message without a body, as earlier versions send it, states none.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -434,7 +434,7 @@
                      core::RuntimeClock::now());
   const RemovedItem removed = codec_.DecodeRemoval(key);
   if (const auto* server = std::get_if<RemovedServer>(&removed)) {
-    RemoveServer(server->id, "entry removed");
+    RemoveServer(server->id);
   } else if (const auto* evacuation = std::get_if<RemovedEvacuation>(&removed)) {
     evacuated_.erase(evacuation->failure_domain);
     ApplyEvacuations();
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -81,6 +81,10 @@
   /// Stands for the reader that relays the limits that others state; no instance has this name.
   static constexpr std::string_view kRelay{};
 
+  /// Source of what another instance stated, in the log.
+  static constexpr std::string_view kPeerSource =
+      membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
+
   /// Listener that a request arrived at. Clients reach the others as well.
   enum class RequestSource : std::uint8_t { kAny, kInstance };
 
@@ -149,8 +153,21 @@
   /// False, and logged, if a copy of the store brought back the report, read in `era`, of a server
   /// that has left. A server that had reported that it leaves still does.
   bool JudgeReturned(steering::ServerReport& report, store::Era era);
-  void RemoveServer(const std::string& id, std::string_view reason);
-  void LogServer(telemetry::StreamEvent event, const steering::ServerReport& report);
+  /// What another instance must know of servers that have left, or leave, to judge reports of
+  /// `era`.
+  [[nodiscard]] std::vector<steering::DepartedServers::Departure> DeparturesBefore(
+      store::Era era) const;
+  /// Another instance states, in `body`, which servers have left or leave: what is known of them
+  /// here may be from a copy of the store.
+  void OnPeerDepartures(const std::string& peer, std::string_view body);
+  void OnPeerDeparture(const steering::DepartedServers::Departure& departure);
+  /// The server's entry was removed from the store.
+  void RemoveServer(const std::string& id);
+  void DropServer(const steering::Server& server, std::string_view reason, std::string_view source);
+  void LogServer(telemetry::StreamEvent event, const steering::ServerReport& report,
+                 std::string_view source);
+  void LogDropped(const steering::ServerReport& report, store::Era era,
+                  const steering::DepartedServers::Departure& departure, std::string_view source);
   /// Logs servers that got their address back.
   void LogReturned();
   /// Logs that the address of a listed server belongs to another one.
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -1,9 +1,11 @@
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/allotment_messages.h"
+#include "vanilladeck/gateway/departure_messages.h"
 #include "vanilladeck/gateway/gateway.h"
 #include "vanilladeck/gateway/metrics_text.h"
 #include "vanilladeck/gateway/peer_request.h"
@@ -95,7 +97,10 @@
     if (eras && source == RequestSource::kInstance) {
       OnPeerEra(DecodeSenderName(request), eras->known);
     }
-    slot.Reply(EncodePolicyResponse({PolicyVersion(), era_tracker_.era()}), {});
+    const store::Era era = std::max(eras ? eras->known : 0, era_tracker_.era());
+    std::string body = EncodeDepartures(DeparturesBefore(era), core::RuntimeClock::now());
+    std::string head = EncodePolicyResponse({PolicyVersion(), era_tracker_.era()}, body.size());
+    slot.Reply(std::move(head), std::move(body));
     return;
   }
   // An instance of an earlier version knows no eras; its revision counts as one of this state's.
--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/core/hash.h"
+#include "vanilladeck/gateway/departure_messages.h"
 #include "vanilladeck/gateway/gateway.h"
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/http/endpoint.h"
@@ -18,8 +19,6 @@
 
 // Within this time a peer of another region is connected to and answers, in twice 0.11 s.
 constexpr core::Duration kVersionTimeout = membership::FeedSource::kAnswerTimeout;
-constexpr std::string_view kPeerSource =
-    membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
 
 }  // namespace
 
@@ -144,6 +143,8 @@
                  }
                  if (statement) {
                    OnPeerEra(peer.name, statement->era);
+                   // Before the answer puts a policy in force that a start holds back.
+                   OnPeerDepartures(peer.name, outcome.response.body());
                    policy_check_.OnAnswer();
                    OnPeerPolicy(peer, statement->version);
                  } else {
--- a/src/vanilladeck/gateway/gateway_servers.cc
+++ b/src/vanilladeck/gateway/gateway_servers.cc
@@ -1,6 +1,9 @@
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "vanilladeck/gateway/departure_messages.h"
 #include "vanilladeck/gateway/gateway.h"
 
 /// Applies what the platform's store says of the backend servers.
@@ -46,7 +49,7 @@
                                               {"to", report.failure_domain}});
   }
   LogServer(change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
-            report);
+            report, SourceName());
   if (const auto server = context_.servers.Find(report.id); server->gone) LogSuperseded(*server);
   for (const auto& it : holders) {
     if (!it->gone || it->report.id == report.id) continue;
@@ -61,25 +64,85 @@
   const auto verdict = departed_servers_.OnReport(report, era, core::RuntimeClock::now());
   if (verdict == Verdict::kLeaving) report.state = steering::ServerState::kDraining;
   if (verdict != Verdict::kOutdated) return true;
-  ++context_.metrics.server_reports_dropped;
-  const auto* departure = departed_servers_.Find(report.id);
-  events_.Write(
-      StreamEvent::kServerReportDropped,
-      {{"server", report.id},
-       {"born", report.born_ms},
-       {"known_born", departure->born_ms},
-       {"sequence", report.sequence},
-       {"known_sequence", departure->sequence},
-       {"era", era},
-       {"removed_era", departure->era},
-       {"draining", departure->draining},
-       {"source", SourceName()},
-       {"reason", report.born_ms < departure->born_ms ? "earlier lifetime"
-                                                      : "not newer than before it left"}});
+  LogDropped(report, era, *departed_servers_.Find(report.id), SourceName());
   return false;
 }
 
-void Gateway::LogServer(StreamEvent event, const steering::ServerReport& report) {
+void Gateway::LogDropped(const steering::ServerReport& report, store::Era era,
+                         const steering::DepartedServers::Departure& departure,
+                         std::string_view source) {
+  ++context_.metrics.server_reports_dropped;
+  events_.Write(StreamEvent::kServerReportDropped,
+                {{"server", report.id},
+                 {"born", report.born_ms},
+                 {"known_born", departure.born_ms},
+                 {"sequence", report.sequence},
+                 {"known_sequence", departure.sequence},
+                 {"era", era},
+                 {"removed_era", departure.era},
+                 {"draining", departure.draining},
+                 {"source", source},
+                 {"reason", report.born_ms < departure.born_ms ? "earlier lifetime"
+                                                               : "not newer than before it left"}});
+}
+
+std::vector<steering::DepartedServers::Departure> Gateway::DeparturesBefore(store::Era era) const {
+  const core::TimePoint now = core::RuntimeClock::now();
+  std::vector<steering::DepartedServers::Departure> departures;
+  for (const std::string& id : context_.servers.Ids()) {
+    const auto server = context_.servers.Find(id);
+    const steering::ServerReport& report = server->report;
+    // Without a start time a restarted server would be taken for the one that leaves.
+    if (!server->draining || report.born_ms == 0) continue;
+    if (departures.size() == kMaxStatedDepartures) return departures;
+    departures.push_back({id, report.service, report.address, report.failure_domain, report.born_ms,
+                          report.sequence, true, true, 0, now});
+  }
+  auto departed = departed_servers_.Before(era, kMaxStatedDepartures - departures.size(), now);
+  std::move(departed.begin(), departed.end(), std::back_inserter(departures));
+  return departures;
+}
+
+void Gateway::OnPeerDepartures(const std::string& peer, std::string_view body) {
+  const StatedDepartures stated = DecodeDepartures(body, core::RuntimeClock::now());
+  if (stated.malformed > 0) {
+    events_.Write(StreamEvent::kPeerFailed, {{"peer", peer},
+                                             {"reason", "malformed entries of servers that left: " +
+                                                            std::to_string(stated.malformed)},
+                                             {"age_ms", 0},
+                                             {"bytes", body.size()}});
+  }
+  for (const auto& it : stated.departures) OnPeerDeparture(it);
+}
+
+void Gateway::OnPeerDeparture(const steering::DepartedServers::Departure& departure) {
+  using Verdict = steering::DepartedServers::Verdict;
+  const store::Era era = era_tracker_.era();
+  // Within an era the store tells of removals.
+  if (departure.era >= era) return;
+  const core::TimePoint now = core::RuntimeClock::now();
+  const auto server = context_.servers.Find(departure.server);
+  if (!server) {
+    departed_servers_.OnStated(departure, now);
+    return;
+  }
+  steering::ServerReport report = server->report;
+  const auto verdict = steering::DepartedServers::Judge(departure, report);
+  if (verdict == Verdict::kNew || (verdict == Verdict::kLeaving && server->draining)) return;
+  if (verdict == Verdict::kLeaving) {
+    server->draining = true;
+    report.state = steering::ServerState::kDraining;
+    context_.pool.CloseIdleConnections(*server);
+    LogServer(StreamEvent::kServerDraining, report, kPeerSource);
+  } else {
+    DropServer(*server, "left before the store returned", kPeerSource);
+    LogDropped(report, era, departure, kPeerSource);
+    departed_servers_.OnStated(departure, now);
+  }
+}
+
+void Gateway::LogServer(StreamEvent event, const steering::ServerReport& report,
+                        std::string_view source) {
   events_.Write(event, {{"server", report.id},
                         {"born", report.born_ms},
                         {"service", report.service},
@@ -88,12 +151,12 @@
                         {"sequence", report.sequence},
                         {"cold_ms", Ms(report.cold_left)},
                         {"draining", report.state == steering::ServerState::kDraining},
-                        {"source", SourceName()}});
+                        {"source", source}});
 }
 
 void Gateway::LogReturned() {
   for (const auto& it : context_.servers.TakeReturned()) {
-    LogServer(StreamEvent::kServerAdded, it->report);
+    LogServer(StreamEvent::kServerAdded, it->report, SourceName());
   }
 }
 
@@ -109,16 +172,23 @@
   }
 }
 
-void Gateway::RemoveServer(const std::string& id, std::string_view reason) {
+void Gateway::RemoveServer(const std::string& id) {
   const auto server = context_.servers.Find(id);
-  if (!context_.servers.OnRemoved(id)) return;
-  outdated_items_.erase(id);
+  if (!server) return;
   departed_servers_.OnRemoved(*server, follower_.removal_position().era(),
                               core::RuntimeClock::now());
+  DropServer(*server, "entry removed", SourceName());
+}
+
+void Gateway::DropServer(const steering::Server& server, std::string_view reason,
+                         std::string_view source) {
+  const std::string& id = server.report.id;
+  context_.servers.OnRemoved(id);
+  outdated_items_.erase(id);
   LogReturned();
-  context_.pool.CloseIdleConnections(*server);
+  context_.pool.CloseIdleConnections(server);
   events_.Write(StreamEvent::kServerRemoved,
-                {{"server", id}, {"reason", reason}, {"source", SourceName()}});
+                {{"server", id}, {"reason", reason}, {"source", source}});
 }
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/peer_request.cc
+++ b/src/vanilladeck/gateway/peer_request.cc
@@ -117,9 +117,9 @@
 
 bool IsPolicyRequest(std::string_view target) { return target == kPolicyPath; }
 
-std::string EncodePolicyResponse(const PolicyStatement& statement) {
+std::string EncodePolicyResponse(const PolicyStatement& statement, std::size_t body_bytes) {
   return "HTTP/1.1 200 OK\r\n" + EncodeField(kPolicyVersion, statement.version) +
-         EncodeField(kEra, statement.era) + "Content-Length: 0\r\n";
+         EncodeField(kEra, statement.era) + EncodeField("Content-Length", body_bytes);
 }
 
 std::optional<PolicyStatement> DecodePolicyResponse(const MessageReader<false>::Message& response) {
--- a/src/vanilladeck/gateway/peer_request.h
+++ b/src/vanilladeck/gateway/peer_request.h
@@ -55,8 +55,10 @@
 
 [[nodiscard]] bool IsPolicyRequest(std::string_view target);
 
-/// Builds the response to `EncodePolicyRequest`, which has no body.
-[[nodiscard]] std::string EncodePolicyResponse(const PolicyStatement& statement);
+/// Builds the header section of the response to `EncodePolicyRequest`, whose body, if any, is that
+/// of `EncodeDepartures`.
+[[nodiscard]] std::string EncodePolicyResponse(const PolicyStatement& statement,
+                                               std::size_t body_bytes = 0);
 
 /// Returns none if the peer is of an earlier version, which does not state it, or the response is
 /// malformed.
