--- a/src/vanilladeck/gateway/gateway_policy.cc
+++ b/src/vanilladeck/gateway/gateway_policy.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/core/hash.h"
+#include "vanilladeck/gateway/departure_messages.h"
 #include "vanilladeck/gateway/gateway.h"
 #include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/http/endpoint.h"
@@ -20,8 +21,6 @@
 constexpr core::Duration kVersionTimeout = membership::FeedSource::kAnswerTimeout;
 // A hold that is shorter is not logged.
 constexpr std::int64_t kLoggedHoldMs = 50;
-constexpr std::string_view kPeerSource =
-    membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
 
 }  // namespace
 
@@ -150,6 +149,8 @@
                  }
                  if (statement) {
                    OnPeerEra(peer.name, statement->era);
+                   // Before the answer puts a policy in force that a start holds back.
+                   OnPeerDepartures(peer.name, outcome.response.body());
                    policy_check_.OnAnswer();
                    OnPeerPolicy(peer, statement->version);
                  } else {
