A stopping instance refuses what can not end before its exit

Cause: nothing on the request path knew of the exit. Constants in gateway.cc closed idle connections and the listener, and the process ended at grace - 250 ms whatever was in flight; a request on an open connection was taken until the last moment, whatever its time limit.

A request is sent to a server, for the first time, after a wait for its connection, or again, only if it ends in time by its deadline, or in the first 3 s by three times the measured latency of its route; it is refused at once otherwise, as not run. 500 ms before the kill what still runs gets 504, and what has arrived in part 503.

With MayPassOn always true and AnswerAll without effect, "a request that may outlast a stopping instance is refused as not run", "a refused request is not sent to another server if it may outlast the instance", "a request that waits for its connection when a stop begins is not sent" and "before the exit every request gets a response" fail; they pass now.

--- a/src/vanilladeck/gateway/answer_queue.cc
+++ b/src/vanilladeck/gateway/answer_queue.cc
@@ -53,6 +53,14 @@
   return running;
 }
 
+std::vector<std::shared_ptr<PendingRequest>> AnswerQueue::Running() const {
+  std::vector<std::shared_ptr<PendingRequest>> running;
+  for (const auto& it : slots_) {
+    if (it->open() && it->pending_) running.push_back(it->pending_);
+  }
+  return running;
+}
+
 std::size_t AnswerQueue::open() const noexcept {
   return static_cast<std::size_t>(
       std::count_if(slots_.begin(), slots_.end(), [](const auto& it) { return it->open(); }));
--- a/src/vanilladeck/gateway/answer_queue.h
+++ b/src/vanilladeck/gateway/answer_queue.h
@@ -46,6 +46,9 @@
   /// served, for the caller to cancel.
   [[nodiscard]] std::vector<std::shared_ptr<PendingRequest>> Close();
 
+  /// The requests that are still being served.
+  [[nodiscard]] std::vector<std::shared_ptr<PendingRequest>> Running() const;
+
   /// True if no response is being waited for or waits.
   [[nodiscard]] bool empty() const noexcept { return slots_.empty(); }
   [[nodiscard]] std::size_t size() const noexcept { return slots_.size(); }
--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -16,6 +16,9 @@
 // The same after a response that came before the client had sent its whole body. Many clients read
 // the response only then.
 constexpr core::Duration kBodyLingerTime = std::chrono::seconds(5);
+constexpr std::string_view kUnavailable = "503 Service Unavailable";
+// Another instance can take the request at once.
+constexpr std::string_view kRetryAfterField = "Retry-After: 0.05\r\n";
 
 }  // namespace
 
@@ -133,6 +136,18 @@
   Close();
 }
 
+void ClientSession::AnswerAll() {
+  if (closed_ || lingering_) return;
+  for (const auto& it : answers_.Running()) it->OnExit();
+  if (closed_ || busy() || idle() || answers_.ended()) return;
+  if (writing_continue_) {
+    // A response must not get between its parts.
+    Close();
+  } else {
+    RejectAndClose(kUnavailable, kRetryAfterField);
+  }
+}
+
 void ClientSession::Close() {
   if (closed_) return;
   closed_ = true;
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -64,6 +64,10 @@
   /// be read. The client can tell that a request in transit was not read, since it gets a reset.
   void CloseIfIdle(core::Duration min_idle);
 
+  /// The process is about to exit: requests being served are answered at once, and one that has not
+  /// arrived whole is refused.
+  void AnswerAll();
+
   /// Closes the socket of a session that serves no request at once, without lingering.
   void CloseNow() { Close(); }
 
@@ -150,7 +154,7 @@
   bool dropping_body_ = false;     ///< The rest of a body is read and dropped.
   bool lingering_ = false;
   bool closed_ = false;
-  std::size_t discarded_bytes_ = 0;  ///< Arrived behind the last request.
+  std::size_t discarded_bytes_ = 0;    ///< Arrived behind the last request.
 };
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/context.h
+++ b/src/vanilladeck/gateway/context.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 #include "vanilladeck/gateway/deadlines.h"
 #include "vanilladeck/gateway/gateway_metrics.h"
 #include "vanilladeck/gateway/request_body.h"
+#include "vanilladeck/gateway/stop_schedule.h"
 #include "vanilladeck/gateway/upstream_pool.h"
 #include "vanilladeck/gateway/wire_names.h"
 #include "vanilladeck/steering/fleet_share.h"
@@ -104,6 +106,7 @@
   core::Duration max_region_policy_age = core::Duration::max();
   std::unordered_map<std::string, steering::RetryWindow> retry_windows;
   StreamCounts arriving_bodies;
+  std::optional<StopSchedule> stop;  ///< Set when a planned stop begins.
   telemetry::EventStream& events;
   GatewayMetrics metrics;
   std::mt19937_64 random;
--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -33,17 +33,6 @@
 constexpr core::Duration kFleetShrinkDelay = std::chrono::seconds(10);
 // Instances that start at the same time register within about a second of each other.
 constexpr core::Duration kFleetSettleTime = milliseconds(1500);
-// After a shutdown begins, new connections are accepted while lookup responses that name this
-// instance are still valid.
-constexpr core::Duration kDrainListenTime = milliseconds(2800);
-// After this time of a shutdown, idle client connections are closed; clients that refresh their
-// lookups have moved away by then.
-constexpr core::Duration kDrainIdleTime = milliseconds(1200);
-// Shortest time without a request after which a connection is closed in a shutdown; that of a
-// client that has just connected is on its way.
-constexpr core::Duration kDrainMinIdle = milliseconds(500);
-// The process exits this long before the platform would kill it.
-constexpr core::Duration kExitMargin = milliseconds(250);
 // Time by which an instance that asks a peer is behind it, with half a second for the peer's
 // listing.
 constexpr core::Duration kRelayTime = membership::FeedSource::kPollInterval +
@@ -191,7 +180,7 @@
 
 void Gateway::OpenListeners() {
   const core::TimePoint now = core::RuntimeClock::now();
-  if (draining_ || now < next_listener_attempt_) return;
+  if (context_.stop || now < next_listener_attempt_) return;
   next_listener_attempt_ = now + kListenRetryInterval;
   for (Binding& it : bindings_) {
     if (it.listener.open() || it.endpoint.port() == 0) continue;
@@ -241,7 +230,7 @@
   registration_.SetServerLimits(context_.server_limits.Stated(now), now);
   UpdateReadiness();
   UpdatePolicyAge();
-  if (draining_) DrainTick();
+  if (context_.stop) DrainTick();
   events_.Flush();
 }
 
@@ -448,7 +437,7 @@
   CheckPolicy();
   // Other instances' lookups and shares depend on this instance's record being listed.
   const core::TimePoint now = core::RuntimeClock::now();
-  if (instances_.count(settings_.instance) > 0 || draining_) {
+  if (instances_.count(settings_.instance) > 0 || context_.stop) {
     record_missing_since_ = core::TimePoint{};
   } else if (record_missing_since_ == core::TimePoint{}) {
     record_missing_since_ = now;
@@ -537,7 +526,7 @@
   const bool open = std::all_of(bindings_.begin(), bindings_.end(), [](const Binding& it) {
     return !it.required || it.listener.open();
   });
-  return open && !draining_ && context_.routes != nullptr && follower_.synced() &&
+  return open && !context_.stop && context_.routes != nullptr && follower_.synced() &&
          context_.servers.size() > 0;
 }
 
@@ -551,32 +540,4 @@
       {{"ready", ready}, {"servers", context_.servers.size()}, {"instances", instances_.size()}});
 }
 
-void Gateway::BeginDrain(std::function<void()> stopped) {
-  if (draining_) return;
-  draining_ = true;
-  drain_began_ = core::RuntimeClock::now();
-  on_stopped_ = std::move(stopped);
-  registration_.Withdraw();
-  clients_.group().closing = true;
-  events_.Write(StreamEvent::kDrain, {{"sessions", clients_.group().sessions.size()}});
-  UpdateReadiness();
-  SendStoreCalls();
-}
-
-void Gateway::DrainTick() {
-  const core::Duration since = core::RuntimeClock::now() - drain_began_;
-  auto& open = clients_.group().sessions;
-  if (since >= kDrainListenTime) clients_.Close();
-  if (since >= kDrainIdleTime) {
-    const std::vector<ClientSession*> sessions(open.begin(), open.end());
-    for (ClientSession* it : sessions) it->CloseIfIdle(kDrainMinIdle);
-  }
-  const bool finished = since >= kDrainListenTime && open.empty();
-  if (!finished && since < settings_.stop_grace - kExitMargin) return;
-  stopped_ = true;
-  events_.Write(StreamEvent::kStop, {{"sessions_left", open.size()}, {"ms", Ms(since)}});
-  events_.Flush();
-  if (on_stopped_) on_stopped_();
-}
-
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -185,6 +185,7 @@
   void LogSplits();
   void LogPaces();
   void UpdateReadiness();
+  /// Does what the schedule of the stop asks for by now.
   void DrainTick();
   /// Counts the bytes received from the store or an instance, and logs a transfer that was slow.
   void CountTransfer(std::string_view source, std::string_view call, const Transfer& transfer);
@@ -272,7 +273,6 @@
   bool seed_asked_last_ = false;
   core::TimePoint next_fallback_query_;  ///< The clock's epoch until the first tick.
   core::TimePoint policy_applied_at_;
-  core::TimePoint drain_began_;
   core::TimePoint record_missing_since_;
   std::uint32_t fleet_peak_ = 1;
   core::TimePoint fleet_peak_at_;
@@ -280,7 +280,6 @@
   core::TimePoint fleet_size_changed_at_;
   bool fleet_settled_ = false;
   bool instances_changed_ = false;  ///< Since the last update of the peers.
-  bool draining_ = false;
   bool stopped_ = false;
   bool was_ready_ = false;
   bool policy_outdated_ = false;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -80,6 +80,16 @@
   }
 }
 
+std::vector<std::shared_ptr<ClientSession>> Listener::Sessions() const {
+  std::vector<std::shared_ptr<ClientSession>> sessions;
+  sessions.reserve(group_->sessions.size());
+  for (ClientSession* it : group_->sessions) {
+    // Null for a session that is being destroyed.
+    if (auto session = it->weak_from_this().lock()) sessions.push_back(std::move(session));
+  }
+  return sessions;
+}
+
 bool Listener::MakeRoom() {
   ClientSession* idle = nullptr;
   ClientSession* arriving = nullptr;
--- a/src/vanilladeck/gateway/listener.h
+++ b/src/vanilladeck/gateway/listener.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <vector>
 
 #include "vanilladeck/gateway/client_session.h"
 
@@ -19,6 +20,8 @@
   /// Accepts the connections that wait, then closes the listening socket.
   void Close();
 
+  /// The sessions, kept alive while the result is, so that it can be walked while they close.
+  [[nodiscard]] std::vector<std::shared_ptr<ClientSession>> Sessions() const;
   [[nodiscard]] SessionGroup& group() noexcept { return *group_; }
   [[nodiscard]] const SessionGroup& group() const noexcept { return *group_; }
 
--- a/src/vanilladeck/gateway/proxied_request.cc
+++ b/src/vanilladeck/gateway/proxied_request.cc
@@ -203,16 +203,25 @@
 void ProxiedRequest::OnDeadline() {
   if (finished_) return;
   deadline_id_ = 0;
+  BreakOff("deadline");
+}
+
+void ProxiedRequest::OnExit() {
+  if (finished_) return;
+  BreakOff(kStopping);
+}
+
+void ProxiedRequest::BreakOff(std::string_view reason) {
   const auto self = shared_from_this();
   const auto connection = std::move(connection_);
   connection_ = nullptr;
-  if (server_) EndAttempt(AttemptEnd::kAbandoned, "deadline");
+  if (server_) EndAttempt(AttemptEnd::kAbandoned, std::string(reason));
   const bool sent = connection != nullptr || may_have_run_;
   if (connection) connection->Cancel();
   if (sent) {
-    Fail(kGatewayTimeout, "deadline");
+    Fail(kGatewayTimeout, reason);
   } else {
-    Refuse("deadline");
+    Refuse(reason);
   }
 }
 
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -37,6 +37,7 @@
   [[nodiscard]] static bool MayRunBeside(const Context& context, const Request& request);
 
   void OnClientGone() override;
+  void OnExit() override;
   [[nodiscard]] bool MayRunBeside() const override;
 
  private:
@@ -63,6 +64,8 @@
   [[nodiscard]] bool AreRegionsBinding() const;
   /// True if the request may still be sent to `server_`, chosen earlier.
   [[nodiscard]] bool AssignmentStands();
+  /// False if this instance is stopping and the request may not end before its exit.
+  [[nodiscard]] bool EndsBeforeExit() const;
   void StartAttempt();
   /// Ends the request because no further attempt is allowed.
   void GiveUp(std::string_view reason);
@@ -93,6 +96,8 @@
   void Answer(unsigned status, RequestEnd end, std::string_view reason);
   void Finish(RequestEnd end, unsigned status, std::string_view reason);
   void OnDeadline();
+  /// Ends the request although an attempt is under way.
+  void BreakOff(std::string_view reason);
   /// The client's body is malformed, too large or doesn't fit into the memory.
   void OnBodyBroken(unsigned status);
 
--- a/src/vanilladeck/gateway/proxied_request_answer.cc
+++ b/src/vanilladeck/gateway/proxied_request_answer.cc
@@ -65,7 +65,8 @@
     // Servers finish their current work after about the route's latency; the jitter keeps clients
     // that were rejected together from returning together.
     core::Duration wait = kMinRetryAfter;
-    if (route_ != nullptr) {
+    // Another instance can take at once what this one refuses because it stops.
+    if (route_ != nullptr && reason != kStopping) {
       const double spread = std::uniform_real_distribution<double>(
           1 - kRetryAfterJitter, 1 + kRetryAfterJitter)(context_.random);
       const auto usual = static_cast<double>(context_.picker.Expected(*route_).count());
--- a/src/vanilladeck/gateway/proxied_request_attempt.cc
+++ b/src/vanilladeck/gateway/proxied_request_attempt.cc
@@ -41,7 +41,16 @@
 
 }  // namespace
 
+bool ProxiedRequest::EndsBeforeExit() const {
+  return !context_.stop || context_.stop->MayPassOn(core::RuntimeClock::now(), deadline_,
+                                                    context_.picker.Measured(*route_));
+}
+
 void ProxiedRequest::StartAttempt() {
+  if (!EndsBeforeExit()) {
+    GiveUp(kStopping);
+    return;
+  }
   if (!AdoptPolicyInForce()) {
     GiveUp("policy-changed");
     return;
@@ -121,13 +130,16 @@
   if (status == AcquireStatus::kConnected) {
     context_.metrics.connect_latency.Add(core::RuntimeClock::now() - sent_at_);
   }
-  // While the connection was being made, the server may have started draining, or another policy
-  // may have come into force.
-  if (!AssignmentStands()) {
+  // While the connection was being made, the server may have started draining, another policy may
+  // have come into force, or a stop may have begun.
+  const bool ends_before_exit = EndsBeforeExit();
+  if (!ends_before_exit || !AssignmentStands()) {
     context_.pool.Release(*server_, connection);
     // The server may have been replaced by another entry that can take the request.
     tried_.pop_back();
-    EndAttempt(AttemptEnd::kAbandoned, "server became unassignable while connecting");
+    EndAttempt(AttemptEnd::kAbandoned, ends_before_exit
+                                           ? "server became unassignable while connecting"
+                                           : "this instance stops");
     StartAttempt();
     return;
   }
@@ -353,6 +365,7 @@
   // A part of the body has been sent and freed.
   if (arriving_ && !arriving_->first_part()) return false;
   const core::TimePoint now = core::RuntimeClock::now();
+  if (!EndsBeforeExit()) return false;
   if (!AdoptPolicyInForce() || attempts_sent_ >= route_->attempts) return false;
   if (deadline_ - now < core::Duration(route_->objective) / kMinRemainingDivisor) return false;
   if (reached_server) {
--- a/src/vanilladeck/gateway/proxied_request_impl.h
+++ b/src/vanilladeck/gateway/proxied_request_impl.h
@@ -19,6 +19,9 @@
 inline constexpr unsigned kUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 
+/// Why a request is refused or broken off that can't end before this instance exits.
+inline constexpr std::string_view kStopping = "stopping";
+
 template <class Fields>
 [[nodiscard]] std::string_view FieldValue(const Fields& fields, const std::string& name) {
   const auto it = fields.find(name);
--- a/src/vanilladeck/gateway/request_handler.h
+++ b/src/vanilladeck/gateway/request_handler.h
@@ -18,6 +18,8 @@
   virtual ~PendingRequest() = default;
   /// The connection to the client is closed; no response can be sent.
   virtual void OnClientGone() = 0;
+  /// The process is about to exit: responds at once.
+  virtual void OnExit() = 0;
   /// True if further requests of the connection may run before this one has been answered.
   [[nodiscard]] virtual bool MayRunBeside() const { return false; }
 };
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -90,9 +90,14 @@
   }
 }
 
-core::Duration ServerPicker::Expected(const config::Route& route) const {
+core::Duration ServerPicker::Measured(const config::Route& route) const {
   const auto it = latency_.find(route.name);
-  if (it != latency_.end()) return it->second;
+  return it == latency_.end() ? core::Duration::zero() : it->second;
+}
+
+core::Duration ServerPicker::Expected(const config::Route& route) const {
+  const core::Duration measured = Measured(route);
+  if (measured > core::Duration::zero()) return measured;
   return core::Duration(route.objective) / kUnknownLatencyDivisor;
 }
 
--- a/src/vanilladeck/steering/server_picker.h
+++ b/src/vanilladeck/steering/server_picker.h
@@ -71,7 +71,10 @@
 
   /// Records the latency of a request of the route that was not queued at its server.
   void OnLatency(const config::Route& route, core::Duration latency);
+  /// Mean latency of the route, or a part of its objective before it is measured.
   [[nodiscard]] core::Duration Expected(const config::Route& route) const;
+  /// Mean latency of the route; zero before it is measured.
+  [[nodiscard]] core::Duration Measured(const config::Route& route) const;
   /// Records the latency of a request to a fresh server that was cold or lacked the object, also of
   /// one that was given up.
   void OnFreshLatency(const config::Route& route, core::Duration latency, FreshPace::Sent sent,
--- a/tests/gateway/answer_queue_test.cc
+++ b/tests/gateway/answer_queue_test.cc
@@ -14,6 +14,7 @@
 
 struct Running : PendingRequest {
   void OnClientGone() override { gone = true; }
+  void OnExit() override {}
   bool gone = false;
 };
 
--- a/tests/gateway/planned_stop_test.cc
+++ b/tests/gateway/planned_stop_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <string>
 #include <vector>
 
 #include "gateway/proxy_fixture.h"
@@ -77,5 +78,93 @@
   }
 }
 
+/// An instance whose servers do not answer, some time into a stop with a grace period of 6 s.
+struct LateStopFixture : ProxyFixture {
+  ScriptedServer& AddSilentServer(const std::string& id) {
+    return AddServer(id, [](const auto&, const std::string&) {});
+  }
+  void BeginStop(core::Duration ago) {
+    group().closing = true;
+    context.stop.emplace(core::RuntimeClock::now() - ago, 6s);
+  }
+  void AnswerAll() {
+    for (const auto& it : listener().Sessions()) it->AnswerAll();
+  }
+};
+
+// Guards against requests that a stopping instance takes although its exit cuts them off: their
+// clients learn nothing of what the server has run.
+TEST_CASE("a request that may outlast a stopping instance is refused as not run") {
+  LateStopFixture f;
+  const ScriptedServer& server = f.AddSilentServer("i-1");
+  const std::string kind = GENERATE("/write/1", "/read/1");
+  CAPTURE(kind);
+  f.BeginStop(4500ms);
+  const auto began = core::RuntimeClock::now();
+  const std::string answer = f.Fetch("POST", kind, "id-1", "x");
+  CHECK(f.StatusOf(answer) == "503");
+  CHECK(testing::HeaderOf(answer, "Connection") == "close");
+  CHECK(core::RuntimeClock::now() - began < 500ms);
+  CHECK(server.requests.empty());
+}
+
+// Guards against a stopping instance that refuses what it can still answer.
+TEST_CASE("a request whose deadline lies before the exit is served during a stop") {
+  StopFixture f;
+  f.group().closing = true;
+  f.context.stop.emplace(core::RuntimeClock::now() - 3500ms, 6s);
+  CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "200");
+}
+
+// Guards against a second attempt that the exit cuts off, after a server that has refused the
+// first one.
+TEST_CASE("a refused request is not sent to another server if it may outlast the instance") {
+  LateStopFixture f;
+  const auto refuse = [&f](const auto& connection, const std::string& request) {
+    f.BeginStop(4500ms);
+    connection->Write(
+        testing::FullResponse(request, "", "503 Service Unavailable", "Not-Run: 1\r\n"));
+  };
+  const ScriptedServer& first = f.AddServer("i-1", refuse);
+  const ScriptedServer& second = f.AddServer("i-2", refuse);
+  CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "503");
+  CHECK(first.requests.size() + second.requests.size() == 1);
+}
+
+// Guards against a request that is sent after the stop has begun since its server was chosen
+// before.
+TEST_CASE("a request that waits for its connection when a stop begins is not sent") {
+  LateStopFixture f;
+  const ScriptedServer& server = f.AddSilentServer("i-1");
+  f.after_start = [&f] { f.BeginStop(4500ms); };
+  CHECK(f.StatusOf(f.Fetch("POST", "/write/1", "id-1", "x")) == "503");
+  CHECK(server.requests.empty());
+}
+
+// Guards against connections that end without a response at the exit: of requests at which a server
+// works, and of those that have arrived in part.
+TEST_CASE("before the exit every request gets a response") {
+  LateStopFixture f;
+  (void)f.AddSilentServer("i-1");
+  auto running = f.Connect();
+  f.Send(*running, f.RequestText("POST", "/write/1", "id-1", "x"));
+  auto head = f.Connect();
+  f.Send(*head, "POST /write/1 HTTP/1.1\r\nHost: a.ex");
+  auto body = f.Connect();
+  f.Send(*body,
+         "POST /write/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-2\r\n"
+         "Content-Length: 5\r\n\r\nab");
+  f.RunFor(100ms);
+  f.BeginStop(5500ms);
+  f.AnswerAll();
+  for (const auto& it : {running, head, body}) {
+    CHECK(f.RunUntil([&] { return f.HasAnswer(it->input); }, 500ms));
+    CHECK(testing::HeaderOf(it->input, "Connection") == "close");
+  }
+  CHECK(f.StatusOf(running->input) == "504");
+  CHECK(f.StatusOf(head->input) == "503");
+  CHECK(f.StatusOf(body->input) == "503");
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
