A connection is not closed while its response is being delivered

Cause: a session counted as idle once the last byte of a response was handed to the system. It was closed 1.2 s after the signal; the next request that the client sent met a closed socket, and the reset dropped the rest of the response. The same held for the idle timeout, for the close one second after a response with Connection: close, and for the connection that is closed to make room for another one.

Change: ClientSession::IsDelivering asks the system for unacknowledged bytes. While there are any the connection is neither idle nor closed, unless the client receives nothing for the write timeout. A request that is sent ahead meanwhile is answered behind the response, with Connection: close.

With IsDelivering always false the three new tests of planned_stop_test fail ("... while its response is being delivered", "... that its response closes stays until that is delivered", "... does not run into the idle timeout"); they pass now.

--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -128,8 +128,24 @@
   Read();
 }
 
+bool ClientSession::IsDelivering() {
+  const std::size_t n = UndeliveredBytes(socket_);
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (n != undelivered_bytes_) {
+    undelivered_bytes_ = n;
+    delivered_at_ = now;
+  }
+  return n > 0 && now - delivered_at_ < group_->limits.write_timeout;
+}
+
 void ClientSession::CloseIfIdle(core::Duration min_idle) {
-  if (!idle() || core::RuntimeClock::now() - idle_since_ < min_idle) return;
+  if (!idle()) return;
+  const core::TimePoint now = core::RuntimeClock::now();
+  if (IsDelivering()) {
+    idle_since_ = now;
+    return;
+  }
+  if (now - idle_since_ < min_idle) return;
   boost::system::error_code ec;
   if (socket_.available(ec) > 0) return;
   // Without lingering, which would read a request that can no longer be answered.
--- a/src/vanilladeck/gateway/client_session.h
+++ b/src/vanilladeck/gateway/client_session.h
@@ -60,14 +60,20 @@
   void OnAnswered() override;
   void OnAnswerLost() override;
 
-  /// Closes the connection if it has been idle for `min_idle` and nothing has arrived that waits to
-  /// be read. The client can tell that a request in transit was not read, since it gets a reset.
+  /// Closes the connection if it has been idle for `min_idle`, its client has received all
+  /// responses, and nothing has arrived that waits to be read. The client can tell that a request
+  /// in transit was not read, since it gets a reset.
   void CloseIfIdle(core::Duration min_idle);
 
   /// The process is about to exit: requests being served are answered at once, and one that has not
   /// arrived whole is refused.
   void AnswerAll();
 
+  /// True while the system still sends a response that was written. To close the connection would
+  /// drop the rest if the client sends anything more. False again for a client that has received
+  /// nothing for the write timeout.
+  [[nodiscard]] bool IsDelivering();
+
   /// Closes the socket of a session that serves no request at once, without lingering.
   void CloseNow() { Close(); }
 
@@ -155,6 +161,8 @@
   bool lingering_ = false;
   bool closed_ = false;
   std::size_t discarded_bytes_ = 0;    ///< Arrived behind the last request.
+  std::size_t undelivered_bytes_ = 0;  ///< At the last call of `IsDelivering`.
+  core::TimePoint delivered_at_;       ///< Last progress that `IsDelivering` has seen.
 };
 
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/client_session_read.cc
+++ b/src/vanilladeck/gateway/client_session_read.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxBytesAhead = 65536;
 // Bytes that a client may send behind its last request before the connection is reset.
 constexpr std::size_t kMaxDiscardedBytes = 262144;
+// Interval at which a connection is checked that is kept open for the delivery of its last
+// response.
+constexpr core::Duration kDeliveryCheckInterval = std::chrono::milliseconds(200);
 constexpr std::string_view kUnavailable = "503 Service Unavailable";
 // Memory is available again once the largest messages have been cut off or answered.
 constexpr std::string_view kRetryAfterField = "Retry-After: 0.2\r\n";
@@ -48,6 +51,11 @@
 void ClientSession::OnReadTimeout() {
   read_deadline_ = 0;
   timed_stage_ = Stage::kNone;
+  // The last response may still be on its way, to a client that reads slowly.
+  if ((lingering_ || idle()) && IsDelivering()) {
+    SetReadDeadline(kDeliveryCheckInterval);
+    return;
+  }
   if (!busy() || body_) {
     Close();
     return;
--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -95,7 +95,8 @@
   ClientSession* arriving = nullptr;
   for (ClientSession* it : group_->sessions) {
     if (it->idle()) {
-      if (idle == nullptr || it->idle_since() < idle->idle_since()) idle = it;
+      const bool longest = idle == nullptr || it->idle_since() < idle->idle_since();
+      if (longest && !it->IsDelivering()) idle = it;
     } else if (it->awaits_request()) {
       if (arriving == nullptr || it->request_began() < arriving->request_began()) arriving = it;
     }
--- a/src/vanilladeck/gateway/socket_options.cc
+++ b/src/vanilladeck/gateway/socket_options.cc
@@ -1,7 +1,9 @@
 #include "vanilladeck/gateway/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -40,4 +42,10 @@
   (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof(kKeepAliveProbes));
 }
 
+std::size_t UndeliveredBytes(boost::asio::ip::tcp::socket& socket) {
+  int n = 0;
+  if (!socket.is_open() || ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0) return 0;
+  return static_cast<std::size_t>(std::max(0, n));
+}
+
 }  // namespace vanilladeck::gateway
--- a/src/vanilladeck/gateway/socket_options.h
+++ b/src/vanilladeck/gateway/socket_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 
 #include "vanilladeck/core/runtime_clock.h"
 
@@ -14,4 +15,8 @@
 /// or the peer's receive buffer stays full; at least that of `SetConnectionOptions`.
 void SetUserTimeout(boost::asio::ip::tcp::socket& socket, core::Duration timeout);
 
+/// Bytes that were written to the socket and that the peer has not acknowledged; 0 if the system
+/// does not tell.
+[[nodiscard]] std::size_t UndeliveredBytes(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace vanilladeck::gateway
--- a/tests/gateway/planned_stop_test.cc
+++ b/tests/gateway/planned_stop_test.cc
@@ -1,3 +1,6 @@
+#include <sys/socket.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -166,5 +169,104 @@
   CHECK(f.StatusOf(body->input) == "503");
 }
 
+/// A client that reads only when the test does, with a receive buffer that holds a part of a
+/// response.
+class SlowReader {
+ public:
+  explicit SlowReader(ProxyFixture& fixture) : fixture_(fixture), socket_(fixture.io) {
+    socket_.open(testing::tcp::v4());
+    const int size = 32768;
+    (void)setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    socket_.connect(fixture.endpoint());
+    socket_.non_blocking(true);
+  }
+  void Send(const std::string& text) {
+    boost::system::error_code ec;
+    (void)socket_.write_some(boost::asio::buffer(text), ec);
+    CHECK_FALSE(ec);
+  }
+  /// Reads until `size` bytes have arrived or the connection ends.
+  void ReadUntil(std::size_t size) {
+    const auto end = core::RuntimeClock::now() + 5s;
+    boost::system::error_code ec;
+    while (input.size() < size && !closed && core::RuntimeClock::now() < end) {
+      const std::size_t n = socket_.read_some(boost::asio::buffer(buf_), ec);
+      input.append(buf_.data(), n);
+      closed = ec && ec != boost::asio::error::would_block;
+      fixture_.io.run_one_for(1ms);
+    }
+  }
+  std::string input;
+  bool closed = false;
+
+ private:
+  ProxyFixture& fixture_;
+  testing::tcp::socket socket_;
+  std::array<char, 8192> buf_{};
+};
+
+constexpr std::size_t kLargeBody = 540'000;
+
+/// An instance with a server that sends a large response to reads of "/read/large".
+struct LargeResponseFixture : ProxyFixture {
+  LargeResponseFixture() {
+    (void)AddServer("i-1", [](const auto& connection, const std::string& request) {
+      const bool large = request.rfind("GET /read/large", 0) == 0;
+      connection->Write(FullResponse(request, large ? std::string(kLargeBody, 'a') : "small"));
+    });
+  }
+  /// True once the system holds the rest of the response.
+  bool RunUntilHandedOver() {
+    return RunUntil([this] {
+      return group().sessions.size() == 1 && !(*group().sessions.begin())->busy() &&
+             context.metrics.server_latency.count == 1;
+    });
+  }
+};
+
+// Guards against responses that are cut off while their client reads them: the rest was handed to
+// the system, and a request that arrives on the closed connection resets it.
+TEST_CASE("a connection is not closed as idle while its response is being delivered") {
+  LargeResponseFixture f;
+  SlowReader client(f);
+  client.Send(f.RequestText("GET", "/read/large", "id-1"));
+  REQUIRE(f.RunUntilHandedOver());
+  f.group().closing = true;
+  for (const auto& it : f.listener().Sessions()) it->CloseIfIdle(0ms);
+  client.Send(f.RequestText("GET", "/read/small", "id-2"));
+  f.RunFor(50ms);
+  client.ReadUntil(kLargeBody + 1000);
+  CHECK(client.closed);
+  CHECK(client.input.size() > kLargeBody);
+  // The request that was sent ahead is answered as well.
+  CHECK(client.input.rfind("small") == client.input.size() - 5);
+}
+
+// Guards against the same at the end of a connection that its response closes.
+TEST_CASE("a connection that its response closes stays until that is delivered") {
+  LargeResponseFixture f;
+  SlowReader client(f);
+  client.Send(f.RequestText("GET", "/read/large", "id-1", "", "Connection: close\r\n"));
+  // Longer than a client is given that has received everything.
+  f.RunFor(1300ms);
+  client.Send("more");
+  f.RunFor(50ms);
+  client.ReadUntil(kLargeBody + 1000);
+  CHECK(client.input.size() > kLargeBody);
+}
+
+// Guards against the same when the connection has been idle for too long.
+TEST_CASE("a connection whose response is being delivered does not run into the idle timeout") {
+  LargeResponseFixture f;
+  f.group().limits.idle_timeout = 200ms;
+  SlowReader client(f);
+  client.Send(f.RequestText("GET", "/read/large", "id-1"));
+  f.RunFor(500ms);
+  client.Send(f.RequestText("GET", "/read/small", "id-2"));
+  f.RunFor(50ms);
+  client.ReadUntil(kLargeBody + 200);
+  CHECK(client.input.find("small") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace vanilladeck::gateway
