A server that states in a response that it leaves gets no further requests

Cause: nothing read Server-Leaving; only the store's reports and, after a change of era, other instances' statements marked a server as draining.

It belongs to the incarnation and is kept for 10 minutes beside the list, so that a removed entry that is listed again does not take it back.

--- a/src/vanilladeck/gateway/gateway_servers.cc
+++ b/src/vanilladeck/gateway/gateway_servers.cc
@@ -48,9 +48,12 @@
                                               {"from", old_report.failure_domain},
                                               {"to", report.failure_domain}});
   }
+  const auto server = context_.servers.Find(report.id);
+  // It may have stated in a response, before its entry was listed again, that it leaves.
+  if (server->draining) report.state = steering::ServerState::kDraining;
   LogServer(change == Change::kDraining ? StreamEvent::kServerDraining : StreamEvent::kServerAdded,
             report, SourceName());
-  if (const auto server = context_.servers.Find(report.id); server->gone) LogSuperseded(*server);
+  if (server->gone) LogSuperseded(*server);
   for (const auto& it : holders) {
     if (!it->gone || it->report.id == report.id) continue;
     context_.pool.CloseIdleConnections(*it);
--- a/src/vanilladeck/gateway/proxied_request.h
+++ b/src/vanilladeck/gateway/proxied_request.h
@@ -87,6 +87,8 @@
   [[nodiscard]] bool BelongsToRequest(const Response& response, bool reused) const;
   /// The load that the server reports, if any. A report that cannot be read is counted and logged.
   [[nodiscard]] std::optional<steering::ServerLoad> ReadLoadReport(const Response& response);
+  /// Notes whether the server states that it leaves. It gets no further requests then.
+  void NoteLeaving(steering::Server& server, const Response& response);
   /// Notes the rate that the server accepts, which each of its responses states anew.
   void NoteServerLimit(const Response& response);
 
--- a/src/vanilladeck/gateway/proxied_request_attempt.cc
+++ b/src/vanilladeck/gateway/proxied_request_attempt.cc
@@ -1,10 +1,7 @@
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "vanilladeck/gateway/connection_fields.h"
-#include "vanilladeck/gateway/load_report.h"
 #include "vanilladeck/gateway/proxied_request.h"
 #include "vanilladeck/gateway/proxied_request_impl.h"
 
@@ -25,20 +22,9 @@
 constexpr std::uint32_t kMaxConnectFailures = 3;
 // Safety margin, because instances see the counts of a window at slightly different times.
 constexpr double kBudgetSafetyFactor = 0.75;
-// Logged part of a server's load report that cannot be read.
-constexpr std::size_t kMaxLoggedReportBytes = 64;
 // A retry is sent only if at least this fraction (1/n) of the route's objective remains.
 constexpr int kMinRemainingDivisor = 10;
 
-/// Parses a decimal number of requests per second; none if it is absent, malformed or negative.
-std::optional<double> ParseRate(std::string_view text) {
-  double rate = 0;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), rate);
-  if (ec != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  if (!std::isfinite(rate) || rate < 0) return std::nullopt;
-  return rate;
-}
-
 }  // namespace
 
 bool ProxiedRequest::EndsBeforeExit() const {
@@ -153,7 +139,9 @@
   connection_->Exchange(
       UpstreamRequest(core::RuntimeClock::now()), request_.method() == http::verb::head,
       deadline_ + kConnectTimeout,
-      [self = shared_from_this(), connection](const Response& response) {
+      [self = shared_from_this(), server = server_, connection](const Response& response) {
+        // Also a response to an earlier request tells that the server leaves.
+        self->NoteLeaving(*server, response);
         return self->BelongsToRequest(response, connection->reused());
       },
       [self = shared_from_this(), server = server_, connection](const ExchangeOutcome& outcome) {
@@ -218,45 +206,6 @@
   return id == id_;
 }
 
-std::optional<steering::ServerLoad> ProxiedRequest::ReadLoadReport(const Response& response) {
-  const auto field = response.find(context_.names.server_load);
-  if (field == response.end()) {
-    ++context_.metrics.load_reports_absent;
-    return std::nullopt;
-  }
-  const std::string_view text(field->value().data(), field->value().size());
-  const auto load = ParseLoadReport(text);
-  if (load) {
-    ++context_.metrics.load_reports_read;
-    return load.value();
-  }
-  ++context_.metrics.load_reports_unreadable;
-  const auto error = static_cast<std::size_t>(load.error());
-  const std::uint32_t bit = 1U << error;
-  if ((server_->logged_report_errors & bit) == 0) {
-    server_->logged_report_errors |= bit;
-    context_.events.Write(StreamEvent::kLoadReportUnreadable,
-                          {{"server", server_->report.id},
-                           {"service", server_->report.service},
-                           {"reason", kLoadReportErrorNames[error]},
-                           {"text", text.substr(0, kMaxLoggedReportBytes)}});
-  }
-  return std::nullopt;
-}
-
-void ProxiedRequest::NoteServerLimit(const Response& response) {
-  const std::optional<double> limit = ParseRate(FieldValue(response, context_.names.server_limit));
-  context_.server_limits.OnResponse(server_->report.id, server_->region, limit,
-                                    core::RuntimeClock::now());
-  if (limit == server_->limit) return;
-  server_->limit = limit;
-  context_.events.Write(StreamEvent::kServerLimit, {{"server", server_->report.id},
-                                                    {"service", server_->report.service},
-                                                    {"region", server_->region},
-                                                    {"limited", limit.has_value()},
-                                                    {"per_s", limit.value_or(0)}});
-}
-
 void ProxiedRequest::EndAttempt(AttemptEnd end, const std::string& detail,
                                 const std::optional<steering::ServerLoad>& load) {
   const core::TimePoint now = core::RuntimeClock::now();
--- a/src/vanilladeck/gateway/upstream_pool.cc
+++ b/src/vanilladeck/gateway/upstream_pool.cc
@@ -98,7 +98,7 @@
 }
 
 void UpstreamPool::Release(const steering::Server& server, const ConnectionPtr& connection) {
-  if (!connection->reusable() || server.gone) {
+  if (!connection->reusable() || server.gone || server.draining) {
     connection->Cancel();
     return;
   }
--- a/src/vanilladeck/gateway/wire_names.h
+++ b/src/vanilladeck/gateway/wire_names.h
@@ -13,6 +13,7 @@
   std::string expected_server;  ///< Id of the only server that may run the request.
   std::string server_load;      ///< See `ParseLoadReport`.
   std::string server_limit;     ///< Requests per second that a server accepts from all instances.
+  std::string server_leaving;   ///< "1" in all responses of a server that leaves.
   std::string not_run;          ///< Present if the server did not run the request.
   std::string server_id;        ///< Id of the responding server.
   std::string customer_name;    ///< Customer of the request, set for servers.
--- a/src/vanilladeck/steering/server_set.cc
+++ b/src/vanilladeck/steering/server_set.cc
@@ -24,6 +24,11 @@
 // A server that refuses connections is most likely down.
 constexpr milliseconds kUnreachableEjection{700};
 
+// Servers that leave serve on for some seconds, seldom for minutes.
+constexpr core::Duration kLeavingMemory = std::chrono::minutes(10);
+// Bounds the memory if servers come and go all the time; the oldest are forgotten first.
+constexpr std::size_t kMaxLeaving = 4096;
+
 double Smooth(double old_value, double sample, double weight) {
   return old_value + weight * (sample - old_value);
 }
@@ -62,7 +67,7 @@
   server->report = report;
   server->region = region_of_(report.failure_domain);
   server->reported_at = now;
-  server->draining = report.state == ServerState::kDraining;
+  server->draining = report.state == ServerState::kDraining || HasStatedLeaving(report);
   server->cold_until = now + report.cold_left;
   if (report.cold_left > core::Duration::zero()) server->fresh_cause = FreshCause::kStarted;
   if (same_incarnation) {
@@ -80,6 +85,38 @@
   return true;
 }
 
+bool ServerSet::OnLeaving(Server& server, core::TimePoint now) {
+  const ServerReport& report = server.report;
+  bool changed = !server.draining;
+  server.draining = true;
+  // The request may have been sent before the entry of this incarnation was replaced.
+  const ServerPtr listed = Find(report.id);
+  if (listed && listed.get() != &server && listed->report.born_ms == report.born_ms &&
+      (report.born_ms != 0 || IsSamePlace(listed->report, report))) {
+    changed = changed || !listed->draining;
+    listed->draining = true;
+  }
+  // Without a start time a successor could not be told from the server.
+  if (report.born_ms == 0) return changed;
+  if (HasStatedLeaving(report)) {
+    leaving_[report.id].at = now;
+    return changed;
+  }
+  std::erase_if(leaving_, [now](const auto& it) { return now - it.second.at > kLeavingMemory; });
+  leaving_[report.id] = {report.born_ms, now};
+  if (leaving_.size() > kMaxLeaving) {
+    leaving_.erase(
+        std::min_element(leaving_.begin(), leaving_.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+  }
+  return changed;
+}
+
+bool ServerSet::HasStatedLeaving(const ServerReport& report) const {
+  const auto it = leaving_.find(report.id);
+  return it != leaving_.end() && it->second.born_ms == report.born_ms;
+}
+
 void ServerSet::OnMisdirected(Server& server) noexcept {
   server.gone = true;
   LeaveAddress(server);
--- a/src/vanilladeck/steering/server_set.h
+++ b/src/vanilladeck/steering/server_set.h
@@ -32,9 +32,10 @@
 /// Backend servers from the platform's list, with statistics of this instance's requests to them.
 ///
 /// A report with a new `born_ms` starts a new incarnation with empty statistics. Draining is sticky
-/// within an incarnation, and older reports are ignored. A report of the same incarnation with
-/// another service, address or failure domain, or after it was gone, makes a new `Server` that
-/// replaces the known one, so that requests and connections of the known one stay with it.
+/// within an incarnation, whatever told of it, and older reports are ignored. A report of the same
+/// incarnation with another service, address or failure domain, or after it was gone, makes a new
+/// `Server` that replaces the known one, so that requests and connections of the known one stay
+/// with it.
 ///
 /// An address belongs to the listed servers with the latest start. Others with that address are
 /// unusable until these have left.
@@ -52,6 +53,10 @@
   /// Removes a server that is no longer listed; false if it was not known.
   bool OnRemoved(const std::string& id);
 
+  /// The server states in a response that it leaves; false if this was known. Holds for its
+  /// incarnation, also if its entry is removed and listed again.
+  bool OnLeaving(Server& server, core::TimePoint now);
+
   /// Another server answers at the address: unusable until a newer report of this id.
   void OnMisdirected(Server& server) noexcept;
 
@@ -110,6 +115,8 @@
   [[nodiscard]] ServerPtr Renewed(const Server& server);
   /// Lists `server`, unless null, in place of `known`, unless null.
   void Replace(const ServerPtr& known, const ServerPtr& server);
+  /// True if the incarnation of the report has stated in a response that it leaves.
+  [[nodiscard]] bool HasStatedLeaving(const ServerReport& report) const;
   /// Latest start of the servers listed with the address; 0 if there is none.
   [[nodiscard]] std::int64_t LatestStart(const std::string& address) const;
   /// Gives the address to the servers that started last.
@@ -124,6 +131,12 @@
   /// Listed servers by address, without those that answered as another one.
   std::unordered_map<std::string, std::vector<ServerPtr>> by_address_;
   std::vector<ServerPtr> returned_;
+  /// Incarnation of a server that stated in a response that it leaves.
+  struct Leaving {
+    std::int64_t born_ms;
+    core::TimePoint at;
+  };
+  std::map<std::string, Leaving> leaving_;  ///< By id; the last one that was stated.
   std::uint64_t last_serial_ = 0;
   std::set<std::string> evacuated_;
   std::map<std::pair<std::string, std::string>, Utilization> utilization_;  ///< Service, region.
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -297,6 +297,7 @@
     names.expected_server = "Expected-Server";
     names.server_load = "Load";
     names.server_limit = "Limit";
+    names.server_leaving = "Leaving";
     names.not_run = "Not-Run";
     names.server_id = "Server-Id";
     return names;
--- a/tests/steering/server_set_test.cc
+++ b/tests/steering/server_set_test.cc
@@ -33,6 +33,53 @@
   CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
 }
 
+// Guards against requests to a leaving server whose statement is forgotten: a report says "ready",
+// or its entry is removed while the store is away and listed again.
+TEST_CASE("a leaving that a server states in a response holds for its incarnation") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  (void)f.servers.OnReport(report, f.now);
+  CHECK(f.servers.OnLeaving(*f.servers.Find("s1"), f.now));
+  CHECK_FALSE(f.servers.OnLeaving(*f.servers.Find("s1"), f.now));
+  SECTION("a newer report") { report.sequence = 2; }
+  SECTION("an older report") { report.sequence = 0; }
+  SECTION("another place") {
+    report.sequence = 2;
+    report.failure_domain = "west-a";
+  }
+  SECTION("removed and listed again") {
+    REQUIRE(f.servers.OnRemoved("s1"));
+    f.now += 60s;
+  }
+  (void)f.servers.OnReport(report, f.now);
+  CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  report.born_ms += 1;
+  (void)f.servers.OnReport(report, f.now);
+  CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+}
+
+// Guards against a statement that marks only an entry which has been replaced since the request was
+// sent.
+TEST_CASE("a leaving that is stated by a replaced entry holds for the listed one") {
+  PickerFixture f;
+  ServerReport report = f.Report("s1", "east-a");
+  (void)f.servers.OnReport(report, f.now);
+  const ServerPtr sent_to = f.servers.Find("s1");
+  SECTION("another place") {
+    report.failure_domain = "west-a";
+    report.sequence = 2;
+    (void)f.servers.OnReport(report, f.now);
+    CHECK(f.servers.OnLeaving(*sent_to, f.now));
+    CHECK_FALSE(f.servers.Assignable(*f.servers.Find("s1")));
+  }
+  SECTION("a new incarnation") {
+    report.born_ms += 1;
+    (void)f.servers.OnReport(report, f.now);
+    (void)f.servers.OnLeaving(*sent_to, f.now);
+    CHECK(f.servers.Assignable(*f.servers.Find("s1")));
+  }
+}
+
 // Guards against a restarted server that stays excluded, or keeps the load and statistics of the
 // earlier incarnation.
 TEST_CASE("a restart under the same id starts with empty statistics") {
