A route whose mean latency exceeds its time limit is served again

Cause: the picker rejects servers as too late if the route's mean latency is above the time that a request has left, and only responses change the mean.

Change: RouteLatency, one for each route and service. While no response has arrived for 1 s, one request each 0.5 s is sent although it seems too late; the response to it replaces the mean. Responses that are read after the deadline of their request are not counted.

--- a/src/vanilladeck/gateway/proxied_request_answer.cc
+++ b/src/vanilladeck/gateway/proxied_request_answer.cc
@@ -69,7 +69,8 @@
     if (route_ != nullptr && reason != kStopping) {
       const double spread = std::uniform_real_distribution<double>(
           1 - kRetryAfterJitter, 1 + kRetryAfterJitter)(context_.random);
-      const auto usual = static_cast<double>(context_.picker.Expected(*route_).count());
+      const auto usual =
+          static_cast<double>(context_.picker.Expected(*route_, service_name_).count());
       wait =
           std::max<core::Duration>(wait, core::Duration(static_cast<std::int64_t>(usual * spread)));
     }
--- a/src/vanilladeck/gateway/proxied_request_attempt.cc
+++ b/src/vanilladeck/gateway/proxied_request_attempt.cc
@@ -28,8 +28,9 @@
 }  // namespace
 
 bool ProxiedRequest::EndsBeforeExit() const {
-  return !context_.stop || context_.stop->MayPassOn(core::RuntimeClock::now(), deadline_,
-                                                    context_.picker.Measured(*route_));
+  return !context_.stop ||
+         context_.stop->MayPassOn(core::RuntimeClock::now(), deadline_,
+                                  context_.picker.Measured(*route_, service_name_));
 }
 
 void ProxiedRequest::StartAttempt() {
@@ -211,19 +212,25 @@
   const core::TimePoint now = core::RuntimeClock::now();
   const core::Duration latency = now - sent_at_;
   ++context_.metrics.attempts[static_cast<std::size_t>(end)];
-  const bool unqueued = load_when_sent_ < server_->report.slots;
+  const std::string& service = server_->report.service;
+  // After a pause of this process, what is read after the deadline tells nothing of the server.
+  const bool in_time = now < deadline_;
+  const bool unqueued = in_time && load_when_sent_ < server_->report.slots;
   const bool ejected_before = now < server_->ejected_until;
   const auto sent = server_->pace ? server_->pace->SentOf(object_) : steering::FreshPace::Sent{};
   if (unqueued && sent.IsSlowerThanUsual() &&
       (end == AttemptEnd::kAnswered || end == AttemptEnd::kAbandoned)) {
-    context_.picker.OnFreshLatency(*route_, latency, sent, end == AttemptEnd::kAnswered);
+    context_.picker.OnFreshLatency(*route_, service, latency, sent, end == AttemptEnd::kAnswered);
   }
-  context_.servers.OnEnd(*server_, end, load, latency,
-                         unqueued ? context_.picker.Expected(*route_) : core::Duration::zero(), now,
-                         object_);
+  context_.servers.OnEnd(
+      *server_, end, load, latency,
+      unqueued ? context_.picker.Expected(*route_, service) : core::Duration::zero(), now, object_);
   if (end == AttemptEnd::kAnswered) {
     context_.metrics.server_latency.Add(latency);
-    if (unqueued && !sent.IsSlowerThanUsual()) context_.picker.OnLatency(*route_, latency);
+    if (in_time) {
+      context_.picker.OnLatency(*route_, service, latency, unqueued && !sent.IsSlowerThanUsual(),
+                                now);
+    }
   } else if (end != AttemptEnd::kAbandoned) {
     context_.events.Write(StreamEvent::kAttempt,
                           {{"id", id_},
--- a/src/vanilladeck/steering/server_picker.cc
+++ b/src/vanilladeck/steering/server_picker.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "vanilladeck/core/hash.h"
 #include "vanilladeck/customers/request_terms.h"
@@ -38,7 +37,6 @@
 constexpr core::Duration kObjectCountPeriod = std::chrono::seconds(10);
 // Highest utilization at which a server takes requests for objects that do not prefer it.
 constexpr double kSpareUtilization = 0.5;
-constexpr double kLatencyWeight = 0.05;
 // Half of a route's objective is the estimate before its latency is measured.
 constexpr int kUnknownLatencyDivisor = 2;
 // Cost of a failed attempt, relative to the route's objective.
@@ -82,21 +80,23 @@
   return splits_.emplace(service, RegionSplit(settings_.region, kSplitInterval)).first->second;
 }
 
-void ServerPicker::OnLatency(const config::Route& route, core::Duration latency) {
-  const auto [it, added] = latency_.try_emplace(route.name, latency);
-  if (!added) {
-    const auto change = static_cast<double>((latency - it->second).count()) * kLatencyWeight;
-    it->second += core::Duration(static_cast<std::int64_t>(change));
-  }
+void ServerPicker::OnLatency(const config::Route& route, const std::string& service,
+                             core::Duration latency, bool comparable, core::TimePoint now) {
+  latency_[route.name][service].Add(latency, comparable, now);
 }
 
-core::Duration ServerPicker::Measured(const config::Route& route) const {
-  const auto it = latency_.find(route.name);
-  return it == latency_.end() ? core::Duration::zero() : it->second;
+core::Duration ServerPicker::Measured(const config::Route& route,
+                                      const std::string& service) const {
+  const auto of_route = latency_.find(route.name);
+  if (of_route == latency_.end()) return core::Duration::zero();
+  const auto it = of_route->second.find(service);
+  return it == of_route->second.end() ? core::Duration::zero()
+                                      : it->second.mean().value_or(core::Duration::zero());
 }
 
-core::Duration ServerPicker::Expected(const config::Route& route) const {
-  const core::Duration measured = Measured(route);
+core::Duration ServerPicker::Expected(const config::Route& route,
+                                      const std::string& service) const {
+  const core::Duration measured = Measured(route, service);
   if (measured > core::Duration::zero()) return measured;
   return core::Duration(route.objective) / kUnknownLatencyDivisor;
 }
@@ -193,10 +193,10 @@
   return it == miss_ratio_.end() ? kUnknownMissRatio : it->second;
 }
 
-void ServerPicker::OnFreshLatency(const config::Route& route, core::Duration latency,
-                                  FreshPace::Sent sent, bool answered) {
+void ServerPicker::OnFreshLatency(const config::Route& route, const std::string& service,
+                                  core::Duration latency, FreshPace::Sent sent, bool answered) {
   if (!sent.first) return;
-  const auto expected = static_cast<double>(Expected(route).count());
+  const auto expected = static_cast<double>(Expected(route, service).count());
   if (expected <= 0) return;
   const double ratio =
       static_cast<double>(latency.count()) / expected / (sent.cold ? kColdLatencyFactor : 1);
@@ -237,21 +237,21 @@
   if (order.empty()) {
     return affinity_order.limited ? NoServerReason::kLimited : NoServerReason::kNoneUsable;
   }
-  const auto usual_latency = static_cast<double>(Expected(*query.route).count());
+  const std::string& service = query.service->name;
+  const core::Duration usual = Expected(*query.route, service);
+  const auto usual_latency = static_cast<double>(usual.count());
+  RouteLatency& learned = latency_[query.route->name][service];
+  const bool may_try = learned.MayTry(now);
   const auto objective = static_cast<double>(core::Duration(query.route->objective).count());
   const std::size_t preferred_count = PreferredServerCount(query.service->name, order.size());
   const double queue_share = QueueShare(customers::PriorityOf(*query.route, query.customer));
   NoServerReason reason = NoServerReason::kCold;
-  const Candidate* best = nullptr;
-  double best_cost = std::numeric_limits<double>::max();
-  double best_expected = 0;
-  std::size_t best_position = 0;
+  Choice best;
   bool best_offered = false;
   // Used if nothing else is left: a response that comes late is better than none.
-  const Candidate* withheld = nullptr;
-  double withheld_cost = std::numeric_limits<double>::max();
-  double withheld_expected = 0;
-  std::size_t withheld_position = 0;
+  Choice withheld;
+  // Used if nothing else is left, to find out whether it is still too late.
+  Choice trial;
   const std::uint64_t object = ObjectOf(query);
   std::map<std::string_view, double> mean_utilizations;  // By region of the servers in `order`.
   for (std::size_t position = 0; position < order.size(); ++position) {
@@ -269,52 +269,50 @@
     const double fresh_factor =
         pace != nullptr ? pace->LatencyFactor(object, server.Cold(now), MissRatio(*query.route))
                         : (server.Cold(now) ? kColdLatencyFactor : 1);
-    const double slowdown = servers_.Slowdown(server, Expected(*query.route), now) *
-                            server.LatencyRatio(now) * fresh_factor;
+    const double slowdown =
+        servers_.Slowdown(server, usual, now) * server.LatencyRatio(now) * fresh_factor;
     double expected = usual_latency * slowdown * (1 + std::max(0.0, excess) / slots);
     if (server.region != settings_.region) {
       expected += static_cast<double>(settings_.region_round_trip.count());
     }
-    const bool late = expected > static_cast<double>(query.remaining.count());
-    if (late || excess > slots * queue_share || (position >= preferred_count && !has_spare_slots)) {
+    if (excess > slots * queue_share || (position >= preferred_count && !has_spare_slots)) {
       reason = NoServerReason::kFull;
       continue;
     }
+    const bool late = expected > static_cast<double>(query.remaining.count());
+    if (late && !may_try) {
+      reason = NoServerReason::kTooLate;
+      continue;
+    }
     if (!ColdRateAllows(query, server, now)) continue;
     const double cost = expected + usual_latency * PositionCost(position) +
                         server.FailureRate(now) * objective * kFailureCost;
+    const Choice choice{&order[position], cost, expected, position};
+    if (late) {
+      if (cost < trial.cost) trial = choice;
+      continue;
+    }
     if (pace != nullptr && !pace->Allows(object, server.in_flight)) {
-      if (excess <= 0 && cost < withheld_cost) {
-        withheld = &order[position];
-        withheld_cost = cost;
-        withheld_expected = expected;
-        withheld_position = position;
-      }
+      if (excess <= 0 && cost < withheld.cost) withheld = choice;
       continue;
     }
     const bool offered = pace != nullptr && position == 0 && server.region == settings_.region &&
                          pace->Wants(object, now);
-    if (offered || (!best_offered && cost < best_cost)) {
-      best = &order[position];
-      best_cost = cost;
-      best_expected = expected;
-      best_position = position;
+    if (offered || (!best_offered && cost < best.cost)) {
+      best = choice;
       best_offered = offered;
     }
   }
-  if (withheld != nullptr) servers_.pace_log().CountWithheld();
+  if (withheld.candidate != nullptr) servers_.pace_log().CountWithheld();
   if (best_offered) servers_.pace_log().CountOffered();
-  if (best == nullptr && withheld != nullptr) {
-    best = withheld;
-    best_expected = withheld_expected;
-    best_position = withheld_position;
-  }
-  if (best == nullptr) return reason;
-  if (best_expected > static_cast<double>(query.remaining.count())) {
-    return NoServerReason::kTooLate;
+  if (best.candidate == nullptr) best = withheld;
+  if (best.candidate == nullptr && trial.candidate != nullptr) {
+    best = trial;
+    learned.OnTried(now);
   }
-  return Pick{best->server, core::Duration(static_cast<std::int64_t>(best_expected)),
-              static_cast<std::uint32_t>(best_position), object};
+  if (best.candidate == nullptr) return reason;
+  return Pick{best.candidate->server, core::Duration(static_cast<std::int64_t>(best.expected)),
+              static_cast<std::uint32_t>(best.position), object};
 }
 
 std::variant<Pick, NoServerReason> ServerPicker::Choose(const PickQuery& query,
--- a/src/vanilladeck/steering/server_picker.h
+++ b/src/vanilladeck/steering/server_picker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 #include "vanilladeck/config/route.h"
 #include "vanilladeck/steering/fleet_share.h"
 #include "vanilladeck/steering/region_split.h"
+#include "vanilladeck/steering/route_latency.h"
 #include "vanilladeck/steering/server_limits.h"
 #include "vanilladeck/steering/server_set.h"
 
@@ -69,16 +71,20 @@
   [[nodiscard]] std::variant<Pick, NoServerReason> Choose(const PickQuery& query,
                                                           core::TimePoint now);
 
-  /// Records the latency of a request of the route that was not queued at its server.
-  void OnLatency(const config::Route& route, core::Duration latency);
-  /// Mean latency of the route, or a part of its objective before it is measured.
-  [[nodiscard]] core::Duration Expected(const config::Route& route) const;
-  /// Mean latency of the route; zero before it is measured.
-  [[nodiscard]] core::Duration Measured(const config::Route& route) const;
-  /// Records the latency of a request to a fresh server that was cold or lacked the object, also of
-  /// one that was given up.
-  void OnFreshLatency(const config::Route& route, core::Duration latency, FreshPace::Sent sent,
-                      bool answered);
+  /// Records the latency of a request of the route at a service that was answered in time.
+  /// `comparable` is false if it was queued at its server or the server was slower than usual.
+  void OnLatency(const config::Route& route, const std::string& service, core::Duration latency,
+                 bool comparable, core::TimePoint now);
+  /// Mean latency of the route at a service, or a part of its objective before it is measured.
+  [[nodiscard]] core::Duration Expected(const config::Route& route,
+                                        const std::string& service) const;
+  /// Mean latency of the route at a service; zero before it is measured.
+  [[nodiscard]] core::Duration Measured(const config::Route& route,
+                                        const std::string& service) const;
+  /// Records the latency of a request to a fresh server of a service that was cold or lacked the
+  /// object, also of one that was given up.
+  void OnFreshLatency(const config::Route& route, const std::string& service,
+                      core::Duration latency, FreshPace::Sent sent, bool answered);
 
   /// Updates the region shares; call a few times a second.
   void UpdateSplits(core::TimePoint now);
@@ -112,6 +118,13 @@
   };
   [[nodiscard]] Order OrderByAffinity(const PickQuery& query, const std::string& region,
                                       bool in_region, core::TimePoint now);
+  /// A candidate that may be chosen.
+  struct Choice {
+    const Candidate* candidate = nullptr;
+    double cost = std::numeric_limits<double>::max();
+    double expected = 0;  ///< Estimated time to the response, in the clock's unit.
+    std::size_t position = 0;
+  };
   [[nodiscard]] std::variant<Pick, NoServerReason> ChooseLowestCost(const PickQuery& query,
                                                                     const Order& affinity_order,
                                                                     core::TimePoint now);
@@ -131,8 +144,9 @@
   ServerLimits& limits_;
   std::unordered_map<std::string, RegionSplit> splits_;
   std::unordered_map<std::string, ObjectCount> objects_;
-  std::unordered_map<std::string, core::Duration> latency_;  ///< By route name, smoothed.
-  std::unordered_map<std::string, double> miss_ratio_;       ///< By route name, smoothed.
+  /// By names of route and service: another service may be many times faster.
+  std::unordered_map<std::string, std::map<std::string, RouteLatency>> latency_;
+  std::unordered_map<std::string, double> miss_ratio_;  ///< By route name, smoothed.
   core::TimePoint overflow_window_start_;
   std::uint32_t overflow_picks_ = 0;  ///< Picks in the window outside the split's region.
   std::uint32_t picks_ = 0;           ///< All requests in the window.
--- a/tests/steering/fresh_fleet.h
+++ b/tests/steering/fresh_fleet.h
@@ -159,12 +159,15 @@
     const auto sent =
         request.server->pace ? request.server->pace->SentOf(request.object) : FreshPace::Sent{};
     if (request.unqueued && sent.IsSlowerThanUsual()) {
-      instance.picker.OnFreshLatency(route_, latency, sent, true);
+      instance.picker.OnFreshLatency(route_, service_.name, latency, sent, true);
+    }
+    instance.servers.OnEnd(
+        *request.server, AttemptEnd::kAnswered, load, latency,
+        request.unqueued ? instance.picker.Expected(route_, service_.name) : core::Duration{}, now_,
+        request.object);
+    if (request.unqueued && !sent.IsSlowerThanUsual()) {
+      instance.picker.OnLatency(route_, service_.name, latency, true, now_);
     }
-    instance.servers.OnEnd(*request.server, AttemptEnd::kAnswered, load, latency,
-                           request.unqueued ? instance.picker.Expected(route_) : core::Duration{},
-                           now_, request.object);
-    if (request.unqueued && !sent.IsSlowerThanUsual()) instance.picker.OnLatency(route_, latency);
   }
 
   void Send(bool late) {
--- a/tests/steering/slowdown_test.cc
+++ b/tests/steering/slowdown_test.cc
@@ -151,9 +151,9 @@
         ServerLoad load{running[it->server], 0, 9, std::nullopt};
         if (reports_slowdown) load.slowdown = machines[it->server].At(now);
         const auto latency = now - it->sent;
-        f.servers.OnEnd(*server, AttemptEnd::kAnswered, load, latency, f.picker.Expected(f.route),
-                        now);
-        f.picker.OnLatency(f.route, latency);
+        f.servers.OnEnd(*server, AttemptEnd::kAnswered, load, latency,
+                        f.picker.Expected(f.route, f.service.name), now);
+        f.picker.OnLatency(f.route, f.service.name, latency, true, f.now);
         if (now > start + 10s) {
           total_ms += std::chrono::duration<double, std::milli>(latency).count();
           ++ended;
