Clients that read slowly keep their connections

Cause: the kernel's user timeout of 1.5 s also runs while the client's receive buffer is full. The write timeout of 10 s, which was meant to decide, was never reached.

Change: connections of clients have the write timeout as their user timeout. A client that vanishes is noticed after 10 s, no longer after 3 s.

"a client that reads nothing for some seconds gets all its responses" failed before and passes now; the crowd tests pass.

--- a/src/vanilladeck/gateway/client_session.cc
+++ b/src/vanilladeck/gateway/client_session.cc
@@ -40,6 +40,8 @@
 
 void ClientSession::Start() {
   SetConnectionOptions(socket_);
+  // The kernel's timeout also runs while the client reads slowly and its receive buffer is full.
+  SetUserTimeout(socket_, group_->limits.write_timeout);
   input_account_.SetEvictable(true);
   idle_since_ = core::RuntimeClock::now();
   SetReadDeadline(group_->limits.header_timeout);
