Only the listener of instances serves what is meant for them

Callers could see: the configuration with the customers' keys, and could take allotments, at the listeners for lookups, readiness and metrics (found by the review by reading).

Cause: one handler served all listeners, and most requests did not ask at which one they had arrived.

Change: ServePeerRequest is reached from the listener of instances only; the others answer 404 to its paths.

--- a/src/vanilladeck/gateway/gateway.cc
+++ b/src/vanilladeck/gateway/gateway.cc
@@ -139,12 +139,10 @@
       proxy_handler_(std::make_unique<ProxyHandler>(context_)),
       local_handler_(
           std::make_unique<LocalHandler>([this](ResponseSlot& slot, const Request& request) {
-            ServeLocalRequest(slot, request, RequestSource::kAny);
-          })),
-      peer_handler_(
-          std::make_unique<LocalHandler>([this](ResponseSlot& slot, const Request& request) {
-            ServeLocalRequest(slot, request, RequestSource::kInstance);
+            ServeLocalRequest(slot, request);
           })),
+      peer_handler_(std::make_unique<LocalHandler>(
+          [this](ResponseSlot& slot, const Request& request) { ServePeerRequest(slot, request); })),
       clients_(context, context_.deadlines, context_.messages, *proxy_handler_,
                settings_.process.client_sessions()),
       readiness_(context, context_.deadlines, context_.messages, *local_handler_,
--- a/src/vanilladeck/gateway/gateway.h
+++ b/src/vanilladeck/gateway/gateway.h
@@ -85,9 +85,6 @@
   static constexpr std::string_view kPeerSource =
       membership::kItemSourceNames[static_cast<std::size_t>(membership::ItemSource::kPeer)];
 
-  /// Listener that a request arrived at. Clients reach the others as well.
-  enum class RequestSource : std::uint8_t { kAny, kInstance };
-
   /// A listener and its endpoint.
   struct Binding {
     Listener& listener;
@@ -208,7 +205,11 @@
   void TickFollower(core::TimePoint now);
   /// Logs what a listing brought, if it followed a lost history or did not apply everything.
   void LogListing();
-  void ServeLocalRequest(ResponseSlot& slot, const Request& request, RequestSource source);
+  /// Serves readiness checks, lookups and metrics, which clients may ask for.
+  void ServeLocalRequest(ResponseSlot& slot, const Request& request);
+  /// Serves what other instances ask for as well: state and policy, with the customers' keys, and
+  /// allotments. For their listener only.
+  void ServePeerRequest(ResponseSlot& slot, const Request& request);
   /// Addresses for a lookup response; empty, and logged, if the lookup must be refused.
   [[nodiscard]] std::vector<std::string> LookupAddresses(const LookupQuery& query);
   /// Selects the instances that a lookup names; `query` needs no losses.
--- a/src/vanilladeck/gateway/gateway_local_requests.cc
+++ b/src/vanilladeck/gateway/gateway_local_requests.cc
@@ -19,6 +19,7 @@
 // Clients may cache a response for three times its TTL, and at most 5 s are considered. A short TTL
 // moves them away from stopped instances soon, at the cost of one small response.
 constexpr core::Duration kLookupTtl = std::chrono::seconds(2);
+constexpr std::string_view kEmpty503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
 constexpr std::string_view kNotFound = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n";
 
 /// Resident memory of this process in bytes, or 0 if it cannot be determined.
@@ -74,10 +75,8 @@
   return std::move(choice.addresses);
 }
 
-void Gateway::ServeLocalRequest(ResponseSlot& slot, const Request& request, RequestSource source) {
+void Gateway::ServeLocalRequest(ResponseSlot& slot, const Request& request) {
   const std::string_view target(request.target().data(), request.target().size());
-  constexpr std::string_view kEmpty503 =
-      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n";
   if (codec_.IsReadinessCheck(target)) {
     slot.Reply(Ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" : std::string(kEmpty503), {});
     return;
@@ -92,11 +91,18 @@
     ReplyWith(slot, "application/json", codec_.EncodeLookup(addresses, kLookupTtl));
     return;
   }
+  if (target == "/metrics") {
+    ReplyWith(slot, "text/plain; version=0.0.4", MetricsText());
+    return;
+  }
+  slot.Reply(std::string(kNotFound), {});
+}
+
+void Gateway::ServePeerRequest(ResponseSlot& slot, const Request& request) {
+  const std::string_view target(request.target().data(), request.target().size());
   const auto eras = DecodePeerEras(request);
   if (IsPolicyRequest(target)) {
-    if (eras && source == RequestSource::kInstance) {
-      OnPeerEra(DecodeSenderName(request), eras->known);
-    }
+    if (eras) OnPeerEra(DecodeSenderName(request), eras->known);
     const store::Era era = std::max(eras ? eras->known : 0, era_tracker_.era());
     std::string body = EncodeDepartures(DeparturesBefore(era), core::RuntimeClock::now());
     std::string head = EncodePolicyResponse({PolicyVersion(), era_tracker_.era()}, body.size());
@@ -108,9 +114,7 @@
   if (auto known = DecodePeerRequest(target, era)) {
     known->states_era = eras.has_value();
     const auto sender = DecodePeerSender(request);
-    if (eras && source == RequestSource::kInstance) {
-      OnPeerEra(sender ? sender->name : std::string(), eras->known);
-    }
+    if (eras) OnPeerEra(sender ? sender->name : std::string(), eras->known);
     // An instance that has just started has no state to pass on, or a policy that may be outdated.
     if (!follower_.synced() || held_policy_) {
       slot.Reply(std::string(kEmpty503), {});
@@ -119,9 +123,7 @@
     const core::TimePoint now = core::RuntimeClock::now();
     membership::PeerChanges changes = change_log_.Since(*known, now);
     if (sender) {
-      if (source == RequestSource::kInstance) {
-        OnPeerPolicy({sender->name, {}}, sender->policy_version);
-      }
+      OnPeerPolicy({sender->name, {}}, sender->policy_version);
       // Its record in the store states the same, but arrives later.
       context_.server_limits.OnStated(sender->name, sender->server_limits, now);
       changes.server_limits = context_.server_limits.RelayedTo(sender->name, now);
@@ -154,11 +156,7 @@
     ReplyWith(slot, "application/json", *answer);
     return;
   }
-  if (target == "/metrics") {
-    ReplyWith(slot, "text/plain; version=0.0.4", MetricsText());
-    return;
-  }
-  slot.Reply(std::string(kNotFound), {});
+  ServeLocalRequest(slot, request);
 }
 
 void Gateway::ServeItem(ResponseSlot& slot, const std::string& key) {
--- a/tests/platform/instance_fixture.h
+++ b/tests/platform/instance_fixture.h
@@ -88,20 +88,12 @@
   return settings;
 }
 
-/// Addresses of a lookup response; empty if the status is 503.
-struct LookupAnswer {
-  std::string status;
-  std::vector<std::string> addresses;
-};
-
-/// Sends a lookup of `host` for a caller in `region` while running `io`.
-inline LookupAnswer Lookup(boost::asio::io_context& io, const tcp::endpoint& lookups,
-                           const std::string& host, const std::string& region) {
+/// Sends a request to a listener and returns the response while running `io`.
+inline std::string Exchange(boost::asio::io_context& io, const tcp::endpoint& endpoint,
+                            const std::string& request) {
   tcp::socket socket(io);
-  socket.connect(lookups);
-  boost::asio::write(
-      socket, boost::asio::buffer("GET /-/resolve?name=" + host + "&region=" + region +
-                                  "&zone=" + region + "-a HTTP/1.1\r\nHost: lookup\r\n\r\n"));
+  socket.connect(endpoint);
+  boost::asio::write(socket, boost::asio::buffer(request));
   std::string text;
   const auto end = std::chrono::steady_clock::now() + 3s;
   while (!ProxyFixture::HasAnswer(text) && std::chrono::steady_clock::now() < end) {
@@ -110,6 +102,21 @@
     if (socket.available() > 0) text.append(buf.data(), socket.read_some(boost::asio::buffer(buf)));
   }
   REQUIRE(ProxyFixture::HasAnswer(text));
+  return text;
+}
+
+/// Addresses of a lookup response; empty if the status is 503.
+struct LookupAnswer {
+  std::string status;
+  std::vector<std::string> addresses;
+};
+
+/// Sends a lookup of `host` for a caller in `region` while running `io`.
+inline LookupAnswer Lookup(boost::asio::io_context& io, const tcp::endpoint& lookups,
+                           const std::string& host, const std::string& region) {
+  const std::string text = Exchange(io, lookups,
+                                    "GET /-/resolve?name=" + host + "&region=" + region +
+                                        "&zone=" + region + "-a HTTP/1.1\r\nHost: lookup\r\n\r\n");
   LookupAnswer answer{ProxyFixture::StatusOf(text), {}};
   if (answer.status == "200") {
     answer.addresses = nlohmann::json::parse(ProxyFixture::BodyOf(text))["addresses"]
--- a/tests/platform/lookup_test.cc
+++ b/tests/platform/lookup_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "platform/instance_fixture.h"
+#include "vanilladeck/gateway/peer_request.h"
 #include "vanilladeck/membership/registration.h"
 
 namespace vanilladeck::platform {
@@ -41,6 +42,7 @@
     gateway::GatewaySettings made = InstanceSettings();
     made.store = *vanilladeck::http::ParseEndpoint(store.Address());
     made.process.link_mbps = link_mbps;
+    made.metrics = FreeEndpoint();
     return made;
   }
 
@@ -80,6 +82,9 @@
   LookupAnswer Find(const std::string& host, const std::string& region) {
     return Lookup(io, settings.lookups, host, region);
   }
+  std::string StatusAt(const tcp::endpoint& endpoint, const std::string& request) {
+    return ProxyFixture::StatusOf(Exchange(io, endpoint, request));
+  }
 
   boost::asio::io_context io;
   std::array<Items, 2> pages;
@@ -106,6 +111,30 @@
   CHECK(f.Find("a.example", "east").addresses == Addresses{"edge-3:80", f.OwnAddress()});
 }
 
+// Guards against giving the policy, with the customers' keys, to whoever reaches a listener that
+// clients use, and against taking requests of others for those of instances.
+TEST_CASE("what is meant for other instances is served at their listener only") {
+  Fixture f(Items{StoreItem("op/config", PolicyText({RouteResource("a.example", "/x/", {"east"})})),
+                  StoreItem("servers/i-1", ServerText()), InstanceItem("edge-2", "east")});
+  REQUIRE(f.RunUntil([&] { return f.instance.Ready(); }));
+  const std::vector<std::string> requests = {
+      gateway::EncodeItemRequest("op/config"), gateway::EncodePolicyRequest({}),
+      gateway::EncodePeerRequest({"edge-2/1", 0, {0, 0}}, {"edge-2", {}, 2, {}}),
+      "POST /peer/allotments HTTP/1.1\r\nHost: peer\r\nContent-Length: 2\r\n\r\n{}"};
+  for (const std::string& it : requests) {
+    CAPTURE(it);
+    for (const tcp::endpoint& endpoint :
+         {f.settings.readiness, f.settings.lookups, f.settings.metrics}) {
+      CHECK(f.StatusAt(endpoint, it) == "404");
+    }
+    CHECK(f.StatusAt(f.settings.peers, it) != "404");
+  }
+  for (const tcp::endpoint& endpoint :
+       {f.settings.readiness, f.settings.lookups, f.settings.metrics, f.settings.peers}) {
+    CHECK(f.StatusAt(endpoint, "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n") == "200");
+  }
+}
+
 // Guards against sending a host's clients to a region that its routes do not allow because no
 // instance of the caller's region is ready.
 TEST_CASE("a lookup names instances of other regions only as far as the host's routes allow") {
