A request with an unsupported transfer coding is rejected

Cause: the parser takes such a request for one without a body; the check of the transfer coding was made for responses only.

Change: such requests get 400 and their connection is closed. Several Transfer-Encoding fields are rejected, also of responses.

"a request with a transfer coding other than chunked is rejected with its connection" failed before and passes now.

--- a/src/vanilladeck/gateway/message_reader.cc
+++ b/src/vanilladeck/gateway/message_reader.cc
@@ -21,17 +21,25 @@
 // Overhead of the parser per field, in addition to its text.
 constexpr std::size_t kFieldBytes = 96;
 
-/// Returns why a header section that the parser has accepted can't be used; none if it can.
-std::optional<std::string> HeaderError(const MessageReader<false>::Message& response) {
+std::optional<std::string> StatusError(const MessageReader<false>::Message& response) {
   const unsigned status = response.result_int();
   if (!vanilladeck::http::IsValidStatusCode(status)) return "status code " + std::to_string(status);
-  if (vanilladeck::http::HasUnsupportedTransferCoding(response)) {
-    return "unsupported transfer coding";
-  }
   return std::nullopt;
 }
 
-std::optional<std::string> HeaderError(const MessageReader<true>::Message& /*request*/) {
+std::optional<std::string> StatusError(const MessageReader<true>::Message& /*request*/) {
+  return std::nullopt;
+}
+
+/// Returns why a header section that the parser has accepted can't be used; none if it can.
+template <class Message>
+std::optional<std::string> HeaderError(const Message& message) {
+  if (auto error = StatusError(message)) return error;
+  // The end of such a body isn't known: the parser takes a request for one without a body, and the
+  // bytes of its body for the next request.
+  if (vanilladeck::http::HasUnsupportedTransferCoding(message)) {
+    return "unsupported transfer coding";
+  }
   return std::nullopt;
 }
 
--- a/src/vanilladeck/http/header_fields.cc
+++ b/src/vanilladeck/http/header_fields.cc
@@ -73,7 +73,9 @@
 
 bool HasUnsupportedTransferCoding(const Fields& fields) {
   const auto [first, last] = fields.equal_range(boost::beast::http::field::transfer_encoding);
-  return std::any_of(first, last, [](const auto& it) { return !iequals(it.value(), "chunked"); });
+  // Two fields mean that the body was coded twice.
+  return std::distance(first, last) > 1 ||
+         std::any_of(first, last, [](const auto& it) { return !iequals(it.value(), "chunked"); });
 }
 
 std::optional<int> ParseUrgency(std::string_view priority) {
--- a/tests/gateway/broken_response_test.cc
+++ b/tests/gateway/broken_response_test.cc
@@ -202,8 +202,9 @@
 TEST_CASE("a response with a transfer coding other than chunked does not reach the client") {
   const std::string field =
       GENERATE("gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked", "chunked, gzip",
-               "chunked, chunked", "chunked\r\nTransfer-Encoding: gzip", "xchunked", "\"chunked\"",
-               "", "chunked;q=1", "identity", "chunked\r\nContent-Length: 3");
+               "chunked, chunked", "chunked\r\nTransfer-Encoding: gzip",
+               "chunked\r\nTransfer-Encoding: chunked", "xchunked", "\"chunked\"", "",
+               "chunked;q=1", "identity", "chunked\r\nContent-Length: 3");
   CAPTURE(field);
   ProxyFixture f;
   f.AddServer("i-1", [&](const auto& connection, const std::string& request) {
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -498,6 +498,26 @@
   }
 }
 
+// Guards against requests that are smuggled in the body of another one, whose end is not known
+// since its transfer coding is not supported.
+TEST_CASE("a request with a transfer coding other than chunked is rejected with its connection") {
+  const std::string coding = GENERATE(
+      "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked", "",
+      "chunked;q=1", "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip",
+      "chunked\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 3");
+  const std::string kind = GENERATE("POST /write/1", "GET /read/1");
+  CAPTURE(coding, kind);
+  ProxyFixture f;
+  const auto& server = f.AddServer("i-1", Answer("ok"));
+  auto client = f.Connect();
+  f.Send(*client, kind + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-1\r\nTransfer-Encoding: " +
+                      coding + "\r\n\r\n" + f.RequestText("POST", "/write/2", "id-2", "x"));
+  CHECK(f.RunUntil([&] { return client->closed; }, 3s));
+  CHECK(f.StatusOf(client->input) == "400");
+  CHECK(client->input.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(server.requests.empty());
+}
+
 TEST_CASE("a closing instance answers received requests and closes idle connections") {
   ProxyFixture f;
   ScriptedServer::ConnectionPtr held;
