A request that is given up resets its server connection

Cause: the connection of an exchange that was given up was closed without a reset, so that the system kept its bytes and delivered them when it could.

Change: all exchanges that end without a response reset their connection.

"a request that is given up resets its server connection" failed before and passes now.

--- a/src/vanilladeck/gateway/upstream_connection.cc
+++ b/src/vanilladeck/gateway/upstream_connection.cc
@@ -232,8 +232,9 @@
   outcome.detail = std::move(detail);
   if (status == ExchangeStatus::kResponse) outcome.response = reader_.Release();
   reader_.Reset();
-  if (status != ExchangeStatus::kResponse || !reusable_) {
-    reusable_ = false;
+  if (status != ExchangeStatus::kResponse) {
+    Abort();
+  } else if (!reusable_) {
     Close();
   }
   idle_since_ = core::RuntimeClock::now();
@@ -266,6 +267,12 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void UpstreamConnection::Abort() {
+  boost::system::error_code ignored;  // The connection may be closed already.
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
 void UpstreamConnection::Close() {
   reusable_ = false;
   boost::system::error_code ignored;  // An error on close needs no handling.
--- a/src/vanilladeck/gateway/upstream_connection.h
+++ b/src/vanilladeck/gateway/upstream_connection.h
@@ -142,6 +142,9 @@
   void OnEvicted();
   void Finish(ExchangeStatus status, std::string detail);
   void Close();
+  /// Closes the connection with a reset, so that the system drops what it has not delivered.
+  /// Otherwise the server may get a request long after it was given up, when a partition ends.
+  void Abort();
 
   boost::asio::ip::tcp::socket socket_;
   DeadlinesPtr deadlines_;
--- a/tests/gateway/proxied_request_test.cc
+++ b/tests/gateway/proxied_request_test.cc
@@ -323,6 +323,22 @@
 }
 
 // Guards against running a request on another service's server that has taken over an address.
+// Guards against requests that reach a server long after their clients were answered: the system
+// keeps what it could not deliver, for example in a partition, unless the connection is reset.
+TEST_CASE("a request that is given up resets its server connection") {
+  ProxyFixture f;
+  const auto& server = f.AddServer("i-1", [](const auto&, const std::string&) {});
+  auto client = f.Connect();
+  f.Send(*client, f.RequestText("POST", "/write/1", "id-1", "x"));
+  REQUIRE(f.RunUntil([&] { return server.requests.size() == 1; }));
+  SECTION("its time limit has passed") {
+    REQUIRE(f.RunUntil([&] { return f.HasAnswer(client->input); }));
+  }
+  SECTION("its client has left") { client->socket.close(); }
+  CHECK(f.RunUntil([&] { return server.connections.front()->closed_by_peer; }));
+  CHECK(server.connections.front()->reset_by_peer);
+}
+
 TEST_CASE("a misdirected request is sent to another server and the first one is not used again") {
   ProxyFixture f;
   auto& wrong = f.AddServer("i-1", Misdirect("i-9"));
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -46,6 +46,7 @@
     std::string input;
     std::array<char, 8192> buf{};
     bool closed_by_peer = false;
+    bool reset_by_peer = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Script = std::function<void(const ConnectionPtr&, const std::string& request)>;
@@ -80,6 +81,7 @@
         [this, connection](boost::system::error_code ec, std::size_t n) {
           if (ec) {
             connection->closed_by_peer = true;
+            connection->reset_by_peer = ec == boost::asio::error::connection_reset;
             return;
           }
           connection->input.append(connection->buf.data(), n);
