--- a/src/vanilladeck/gateway/gateway_metrics.h
+++ b/src/vanilladeck/gateway/gateway_metrics.h
@@ -58,8 +58,7 @@
   std::uint64_t store_era_changes = 0;            ///< Told by the store or by other instances.
   /// Of servers that had left, from a copy that the store returned from.
   std::uint64_t server_reports_dropped = 0;
-  std::uint64_t leaving_responses =
-      0;  ///< Servers that first stated in a response that they leave.
+  std::uint64_t servers_leaving = 0;  ///< By a response, before their report said so.
   std::uint64_t retries = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t control_bytes = 0;  ///< Received from the store and other instances.
--- a/src/vanilladeck/gateway/metrics_text.cc
+++ b/src/vanilladeck/gateway/metrics_text.cc
@@ -113,7 +113,7 @@
   value("vanilladeck_store_era_changes_total", static_cast<double>(metrics.store_era_changes));
   value("vanilladeck_server_reports_dropped_total",
         static_cast<double>(metrics.server_reports_dropped));
-  value("vanilladeck_servers_leaving_total", static_cast<double>(metrics.leaving_responses));
+  value("vanilladeck_servers_leaving_total", static_cast<double>(metrics.servers_leaving));
   value("vanilladeck_control_bytes_total", static_cast<double>(metrics.control_bytes));
   value("vanilladeck_lookups_total", static_cast<double>(metrics.lookups));
   value("vanilladeck_lookups_refused_total", static_cast<double>(metrics.lookups_refused));
--- a/src/vanilladeck/gateway/proxied_request_statements.cc
+++ b/src/vanilladeck/gateway/proxied_request_statements.cc
@@ -37,7 +37,7 @@
   if (!unnamed && id != server.report.id) return;
   if (!context_.servers.OnLeaving(server, core::RuntimeClock::now())) return;
   context_.pool.CloseIdleConnections(server);
-  ++context_.metrics.leaving_responses;
+  ++context_.metrics.servers_leaving;
   context_.events.Write(StreamEvent::kServerDraining,
                         {{"server", server.report.id},
                          {"born", server.report.born_ms},
