Connections with undelivered responses make no room for others

Cause: "Clients that do not read make room for others at the connection limit" closed connections whose responses were being delivered, so that small instances accepted more than they could serve.

--- a/src/vanilladeck/gateway/listener.cc
+++ b/src/vanilladeck/gateway/listener.cc
@@ -93,20 +93,17 @@
 bool Listener::MakeRoom() {
   ClientSession* idle = nullptr;
   ClientSession* arriving = nullptr;
-  ClientSession* delivering = nullptr;
   for (ClientSession* it : group_->sessions) {
     if (it->idle()) {
-      ClientSession*& longest = it->IsDelivering() ? delivering : idle;
-      if (longest == nullptr || it->idle_since() < longest->idle_since()) longest = it;
+      const bool longest = idle == nullptr || it->idle_since() < idle->idle_since();
+      if (longest && !it->IsDelivering()) idle = it;
     } else if (it->awaits_request()) {
       if (arriving == nullptr || it->request_began() < arriving->request_began()) arriving = it;
     }
   }
   // Clients that send very slowly would otherwise keep all others out. Nothing of a request that is
-  // not complete has been passed on, so that it can be sent again. Clients that do not read their
-  // responses come last: what they asked for has been run.
+  // not complete has been passed on, so that it can be sent again.
   ClientSession* chosen = idle != nullptr ? idle : arriving;
-  if (chosen == nullptr) chosen = delivering;
   if (chosen != nullptr) chosen->CloseNow();
   return chosen != nullptr;
 }
