--- a/tests/steering/route_latency_test.cc
+++ b/tests/steering/route_latency_test.cc
@@ -21,14 +21,14 @@
     int served = 0;
     const core::TimePoint end = now + time;
     for (; now < end; now += kInterval) {
-      while (!in_flight.empty() && in_flight.front().ends <= now) End(served);
+      while (!in_flight_.empty() && in_flight_.front().ends <= now) End(served);
       ++sent;
       const std::string object = std::to_string(sent % 7);
       const PickQuery query{&route, &service, object, 7, route.timeout, nullptr};
       auto choice = picker.Choose(query, now);
       if (const auto* pick = std::get_if<Pick>(&choice)) {
         servers.OnSent(*pick->server, now);
-        in_flight.push_back(
+        in_flight_.push_back(
             {pick->server, now, now + std::min<core::Duration>(latency, route.timeout)});
       }
     }
@@ -39,7 +39,7 @@
   void Pause(core::Duration time) {
     now += time;
     int served = 0;
-    while (!in_flight.empty()) End(served);
+    while (!in_flight_.empty()) End(served);
   }
 
   core::Duration latency = 100ms;
@@ -54,8 +54,8 @@
   };
 
   void End(int& served) {
-    const InFlight request = in_flight.front();
-    in_flight.pop_front();
+    const InFlight request = in_flight_.front();
+    in_flight_.pop_front();
     const core::Duration took = now - request.sent;
     // As the request path does: what ends at or after its deadline is given up.
     const bool in_time = took < route.timeout;
@@ -67,7 +67,7 @@
     ++served;
   }
 
-  std::deque<InFlight> in_flight;
+  std::deque<InFlight> in_flight_;
 };
 
 // Time within which an instance serves a route again that its servers can serve: the memory of the
