--- a/tests/gateway/customer_test.cc
+++ b/tests/gateway/customer_test.cc
@@ -10,6 +10,7 @@
 namespace vanilladeck::gateway {
 namespace {
 
+using testing::Answer;
 using testing::FullResponse;
 using testing::HeaderOf;
 using testing::ProxyFixture;
@@ -23,12 +24,6 @@
   return customer;
 }
 
-ScriptedServer::Script Answer(const std::string& body) {
-  return [body](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
-    connection->Write(FullResponse(request, body));
-  };
-}
-
 /// Customers "anna" (keys secret-a1, secret-a2) and "bert" (secret-b), a server, and a third route
 /// that is public.
 struct CustomerFixture : ProxyFixture {
--- a/tests/gateway/proxy_fixture.h
+++ b/tests/gateway/proxy_fixture.h
@@ -336,4 +336,23 @@
   std::list<ScriptedServer> servers_;
 };
 
+/// Answers each request with `body`.
+inline ScriptedServer::Script Answer(const std::string& body) {
+  return [body](const ScriptedServer::ConnectionPtr& connection, const std::string& request) {
+    connection->Write(FullResponse(request, body));
+  };
+}
+
+/// Allows only `region` for the requests of `route`.
+inline std::function<void(config::Route&)> OnlyIn(const std::string& region) {
+  return [region](config::Route& route) { route.allowed_regions = {region}; };
+}
+
+/// Number of requests that the servers have received together.
+inline std::size_t RequestCount(const std::vector<ScriptedServer*>& servers) {
+  std::size_t n = 0;
+  for (const ScriptedServer* it : servers) n += it->requests.size();
+  return n;
+}
+
 }  // namespace vanilladeck::gateway::testing
